Serve one request end to end through a log-backed entry host

An operator applies a release note through the command line, the entry host folds it from the platform log, and a caller's request reaches a stand-in endpoint.

--- /dev/null
+++ b/core/src/main/java/org/persimmonloom/core/claim/ClaimReleased.java
@@ -0,0 +1,13 @@
+package org.persimmonloom.core.claim;
+
+import java.util.Objects;
+import org.persimmonloom.core.fold.Proposal;
+
+/** Gives up a claim that was never dispatched and never will be; its key may be claimed again. */
+public record ClaimReleased(String service, String key, String claimId) implements Proposal {
+  public ClaimReleased {
+    Objects.requireNonNull(service, "service");
+    Objects.requireNonNull(key, "key");
+    Objects.requireNonNull(claimId, "claimId");
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/persimmonloom/core/fold/FleetState.java
@@ -0,0 +1,158 @@
+package org.persimmonloom.core.fold;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.persimmonloom.core.claim.ClaimTable;
+import org.persimmonloom.core.host.HostTable;
+import org.persimmonloom.core.member.EntryHostTable;
+import org.persimmonloom.core.release.ReleaseCatalog;
+import org.persimmonloom.core.result.Failure;
+import org.persimmonloom.core.result.ResultCode;
+
+/**
+ * The replicated state: a deterministic fold over the platform log.
+ *
+ * <p>Every entry host applies the same batches in the order of their offsets and decides each
+ * proposal where it stands, so all reach the same state without a leader. Nothing here reads a
+ * clock, a random number or an unordered collection. Confined to the thread that folds; readers
+ * hold the lock of the surrounding replica.
+ */
+public final class FleetState {
+  private final ProposalRegistry registry = new ProposalRegistry();
+  private final EntryHostTable entryHosts = new EntryHostTable();
+  private final ClaimTable claims = new ClaimTable();
+  private final HostTable hosts;
+  private final ReleaseCatalog releases;
+  private final List<FoldPart<?>> parts;
+  private long nextOffset;
+  private long timeMillis;
+
+  /** Creates the state before the first record. */
+  public FleetState() {
+    hosts = new HostTable(this::poolExists);
+    releases = new ReleaseCatalog(hosts);
+    entryHosts.addListener(claims);
+    parts = List.of(entryHosts, releases, claims, hosts);
+    parts.forEach(part -> part.registerHandlers(registry));
+    registry.register(
+        SnapshotChunk.class, (chunk, position) -> Either.right("snapshot chunk " + chunk.index()));
+  }
+
+  private boolean poolExists(String pool) {
+    return releases.pool(pool).isPresent();
+  }
+
+  /**
+   * Folds the batch at {@code offset} and returns one verdict for each proposal; none if the batch
+   * was dropped as repeated or stale.
+   *
+   * @return {@link ResultCode#FOLD_VERSION_UNSUPPORTED} if the batch needs a later program; the
+   *     state is then unchanged and the caller must stop folding
+   * @throws IllegalArgumentException if {@code offset} is not the next one
+   */
+  public Either<Failure, List<Verdict>> apply(long offset, Batch batch) {
+    if (offset != nextOffset) {
+      throw new IllegalArgumentException("offset " + offset + ", expected " + nextOffset);
+    }
+    if (batch.foldVersion() > FoldVersion.CURRENT) {
+      return Either.left(
+          Failure.of(
+              ResultCode.FOLD_VERSION_UNSUPPORTED, batch.foldVersion(), FoldVersion.CURRENT));
+    }
+    nextOffset = offset + 1;
+    long candidateMillis = nextTime(batch);
+    Position start = position(offset, 0, candidateMillis, batch);
+    if (entryHosts.admit(batch, start).isPresent()) {
+      return Either.right(List.of());
+    }
+    timeMillis = candidateMillis;
+    parts.forEach(part -> part.advance(timeMillis));
+    List<Verdict> verdicts = new ArrayList<>(batch.proposals().size());
+    for (int index = 0; index < batch.proposals().size(); index++) {
+      Position position = position(offset, index, timeMillis, batch);
+      verdicts.add(decide(batch.proposals().get(index), position));
+    }
+    return Either.right(verdicts);
+  }
+
+  /** Skips a record that can't be decoded: all hosts see the same bytes and skip it alike. */
+  public void skip(long offset) {
+    if (offset != nextOffset) {
+      throw new IllegalArgumentException("offset " + offset + ", expected " + nextOffset);
+    }
+    nextOffset = offset + 1;
+  }
+
+  private long nextTime(Batch batch) {
+    return Math.max(
+        timeMillis, Math.min(batch.timeMillis(), entryHosts.clockLimit(batch.author())));
+  }
+
+  private static Position position(long offset, int index, long timeMillis, Batch batch) {
+    return new Position(
+        offset, index, timeMillis, batch.author(), batch.incarnation(), batch.sequence());
+  }
+
+  private Verdict decide(Proposal proposal, Position position) {
+    Either<Failure, String> decision = registry.decide(proposal, position);
+    return decision.fold(
+        failure -> new Verdict(position, proposal, failure.code(), failure.detail()),
+        explanation -> new Verdict(position, proposal, ResultCode.OK, explanation));
+  }
+
+  /** Returns the first offset that is not folded yet. */
+  public long nextOffset() {
+    return nextOffset;
+  }
+
+  /** Returns fold time in milliseconds since the epoch; 0 before the first batch. */
+  public long timeMillis() {
+    return timeMillis;
+  }
+
+  public EntryHostTable entryHosts() {
+    return entryHosts;
+  }
+
+  public ReleaseCatalog releases() {
+    return releases;
+  }
+
+  public ClaimTable claims() {
+    return claims;
+  }
+
+  public HostTable hosts() {
+    return hosts;
+  }
+
+  /** Returns the whole state as a value. */
+  public FleetSnapshot snapshot() {
+    return new FleetSnapshot(
+        FoldVersion.CURRENT,
+        nextOffset,
+        timeMillis,
+        entryHosts.snapshot(),
+        releases.snapshot(),
+        claims.snapshot(),
+        hosts.snapshot());
+  }
+
+  /** Replaces the state by the snapshot's, or returns why it can't be used. */
+  public Optional<Failure> restore(FleetSnapshot snapshot) {
+    if (snapshot.foldVersion() > FoldVersion.CURRENT) {
+      return Optional.of(
+          Failure.of(
+              ResultCode.FOLD_VERSION_UNSUPPORTED, snapshot.foldVersion(), FoldVersion.CURRENT));
+    }
+    nextOffset = snapshot.nextOffset();
+    timeMillis = snapshot.timeMillis();
+    entryHosts.restore(snapshot.entryHosts());
+    releases.restore(snapshot.releases());
+    claims.restore(snapshot.claims());
+    hosts.restore(snapshot.hosts());
+    return Optional.empty();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/persimmonloom/core/fold/ProposalTypes.java
@@ -0,0 +1,46 @@
+package org.persimmonloom.core.fold;
+
+import java.util.Collections;
+import java.util.Map;
+import java.util.TreeMap;
+import org.persimmonloom.core.claim.ClaimReleased;
+import org.persimmonloom.core.claim.ClaimRequested;
+import org.persimmonloom.core.claim.ClaimSettled;
+import org.persimmonloom.core.host.HostAdmitted;
+import org.persimmonloom.core.member.EntryHostLeft;
+import org.persimmonloom.core.member.EntryHostLost;
+import org.persimmonloom.core.member.EntryHostSeen;
+import org.persimmonloom.core.release.ReleaseProposed;
+import org.persimmonloom.core.wire.Codec;
+
+/**
+ * The names of the proposals on the wire. A name is never reused for another type, because records
+ * of earlier programs stay in the log.
+ */
+public final class ProposalTypes {
+  private static final Map<String, Class<? extends Proposal>> TYPES = types();
+
+  /** The codec that knows every proposal. */
+  public static final Codec CODEC = new Codec(TYPES);
+
+  private ProposalTypes() {}
+
+  private static Map<String, Class<? extends Proposal>> types() {
+    Map<String, Class<? extends Proposal>> types = new TreeMap<>();
+    types.put("release", ReleaseProposed.class);
+    types.put("entry-seen", EntryHostSeen.class);
+    types.put("entry-left", EntryHostLeft.class);
+    types.put("entry-lost", EntryHostLost.class);
+    types.put("claim", ClaimRequested.class);
+    types.put("claim-settled", ClaimSettled.class);
+    types.put("claim-released", ClaimReleased.class);
+    types.put("host-admitted", HostAdmitted.class);
+    types.put("snapshot", SnapshotChunk.class);
+    return Collections.unmodifiableMap(types);
+  }
+
+  /** Returns the types by their name on the wire. */
+  public static Map<String, Class<? extends Proposal>> all() {
+    return TYPES;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/persimmonloom/core/member/EntryHostLost.java
@@ -0,0 +1,12 @@
+package org.persimmonloom.core.member;
+
+import org.persimmonloom.core.fold.Proposal;
+
+/**
+ * Ends the registration of an entry host that peers no longer hear. Accepted only if the
+ * registration was not renewed for {@link EntryHostTable#LOST_AFTER_MILLIS} of fold time.
+ *
+ * @param name the lost entry host
+ * @param incarnation the incarnation that is over
+ */
+public record EntryHostLost(String name, long incarnation) implements Proposal {}
--- /dev/null
+++ b/core/src/main/java/org/persimmonloom/core/member/EntryHostSeen.java
@@ -0,0 +1,13 @@
+package org.persimmonloom.core.member;
+
+import org.persimmonloom.core.fold.Proposal;
+
+/**
+ * Registers an entry host or renews its registration.
+ *
+ * @param peerAddress {@code ip:port} where peers connect
+ * @param operatorAddress {@code ip:port} of the operators' listener
+ * @param dataCentre data centre of the entry host
+ */
+public record EntryHostSeen(String peerAddress, String operatorAddress, String dataCentre)
+    implements Proposal {}
--- /dev/null
+++ b/core/src/main/java/org/persimmonloom/core/member/EntryHostTable.java
@@ -0,0 +1,202 @@
+package org.persimmonloom.core.member;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.persimmonloom.core.fold.Batch;
+import org.persimmonloom.core.fold.FoldPart;
+import org.persimmonloom.core.fold.Position;
+import org.persimmonloom.core.fold.ProposalRegistry;
+import org.persimmonloom.core.result.Failure;
+import org.persimmonloom.core.result.ResultCode;
+
+/**
+ * The entry hosts that the log knows, and the filter for repeated and delayed batches.
+ *
+ * <p>Only the latest incarnation of a name is registered. A batch is folded only if its incarnation
+ * is the registered one, still live, and its sequence is higher than any before; so a retried
+ * append has no second effect, and an abandoned append that lands after a later batch has none at
+ * all. Confined to the thread that folds.
+ */
+public final class EntryHostTable implements FoldPart<EntryHostTable.Snapshot> {
+  /** A registration that was not renewed for this long may be ended by a peer. */
+  public static final long LOST_AFTER_MILLIS = 25_000;
+
+  /** How often an entry host renews its registration. */
+  public static final long RENEW_EVERY_MILLIS = 10_000;
+
+  /** How far the clock of one entry host may run ahead of the median of the others. */
+  public static final long MAX_CLOCK_LEAD_MILLIS = 60_000;
+
+  /** An ended entry stays this long, because a delayed batch of it must still be recognised. */
+  static final long FORGET_AFTER_MILLIS = 24 * 60 * 60_000L;
+
+  private final TreeMap<String, EntryHost> hosts = new TreeMap<>();
+  private final List<EntryHostListener> listeners = new ArrayList<>();
+
+  /** The whole table. */
+  public record Snapshot(List<EntryHost> hosts) {
+    public Snapshot {
+      hosts = List.copyOf(hosts);
+    }
+  }
+
+  /** Adds a listener, which is called in the order of addition. */
+  public void addListener(EntryHostListener listener) {
+    listeners.add(listener);
+  }
+
+  @Override
+  public void registerHandlers(ProposalRegistry registry) {
+    registry.register(EntryHostSeen.class, this::renew);
+    registry.register(EntryHostLeft.class, (proposal, position) -> leave(position));
+    registry.register(EntryHostLost.class, this::lose);
+  }
+
+  /**
+   * Returns why the batch must not be folded, or empty after recording its sequence. The first
+   * batch of an incarnation registers it, so it must start with {@link EntryHostSeen}.
+   */
+  public Optional<Failure> admit(Batch batch, Position position) {
+    EntryHost known = hosts.get(batch.author());
+    if (known == null || batch.incarnation() > known.incarnation()) {
+      return admitFirst(batch, known, position);
+    }
+    if (batch.incarnation() < known.incarnation() || !known.isLive()) {
+      return Optional.of(
+          Failure.of(ResultCode.STALE_INCARNATION, batch.incarnation(), batch.author()));
+    }
+    if (batch.sequence() <= known.lastSequence()) {
+      return Optional.of(
+          Failure.of(ResultCode.DUPLICATE_BATCH, batch.sequence(), batch.incarnation()));
+    }
+    hosts.put(batch.author(), known.withBatch(batch.sequence(), batch.timeMillis()));
+    return Optional.empty();
+  }
+
+  private Optional<Failure> admitFirst(Batch batch, EntryHost known, Position position) {
+    boolean registers =
+        !batch.proposals().isEmpty() && batch.proposals().get(0) instanceof EntryHostSeen;
+    if (!registers) {
+      return Optional.of(
+          Failure.of(ResultCode.STALE_INCARNATION, batch.incarnation(), batch.author()));
+    }
+    if (known != null && known.isLive()) {
+      end(known, position);
+    }
+    EntryHostSeen seen = (EntryHostSeen) batch.proposals().get(0);
+    hosts.put(
+        batch.author(),
+        new EntryHost(
+            batch.author(),
+            batch.incarnation(),
+            batch.sequence(),
+            batch.timeMillis(),
+            true,
+            position.timeMillis(),
+            seen.peerAddress(),
+            seen.operatorAddress(),
+            seen.dataCentre()));
+    return Optional.empty();
+  }
+
+  private Either<Failure, String> renew(EntryHostSeen seen, Position position) {
+    EntryHost known = hosts.get(position.author());
+    hosts.put(
+        position.author(),
+        new EntryHost(
+            known.name(),
+            known.incarnation(),
+            known.lastSequence(),
+            known.clockMillis(),
+            true,
+            position.timeMillis(),
+            seen.peerAddress(),
+            seen.operatorAddress(),
+            seen.dataCentre()));
+    return Either.right("registered until " + (position.timeMillis() + LOST_AFTER_MILLIS));
+  }
+
+  private Either<Failure, String> leave(Position position) {
+    end(hosts.get(position.author()), position);
+    return Either.right("left");
+  }
+
+  private Either<Failure, String> lose(EntryHostLost lost, Position position) {
+    EntryHost known = hosts.get(lost.name());
+    if (known == null || known.incarnation() != lost.incarnation() || !known.isLive()) {
+      return Either.left(Failure.of(ResultCode.STALE_INCARNATION, lost.incarnation(), lost.name()));
+    }
+    long silentMillis = position.timeMillis() - known.seenMillis();
+    if (silentMillis < LOST_AFTER_MILLIS) {
+      return Either.left(
+          Failure.of(
+              ResultCode.HOST_STATE_CONFLICT, lost.name(), "seen " + silentMillis + " ms ago"));
+    }
+    end(known, position);
+    return Either.right("silent for " + silentMillis + " ms");
+  }
+
+  private void end(EntryHost host, Position position) {
+    hosts.put(host.name(), host.ended());
+    for (EntryHostListener listener : listeners) {
+      listener.incarnationEnded(host.name(), host.incarnation(), position);
+    }
+  }
+
+  @Override
+  public void advance(long foldTimeMillis) {
+    hosts
+        .values()
+        .removeIf(
+            host -> !host.isLive() && foldTimeMillis - host.seenMillis() > FORGET_AFTER_MILLIS);
+  }
+
+  /**
+   * Returns how far a batch of this author may move fold time: the median clock of the other live
+   * entry hosts and {@link #MAX_CLOCK_LEAD_MILLIS}. So a clock that runs ahead can't expire what
+   * the other hosts still rely on. Without other hosts there is no limit.
+   */
+  public long clockLimit(String author) {
+    long[] clocks =
+        hosts.values().stream()
+            .filter(host -> host.isLive() && !host.name().equals(author))
+            .mapToLong(EntryHost::clockMillis)
+            .sorted()
+            .toArray();
+    return clocks.length == 0
+        ? Long.MAX_VALUE
+        : clocks[(clocks.length - 1) / 2] + MAX_CLOCK_LEAD_MILLIS;
+  }
+
+  /** Returns the entry with this name, live or ended. */
+  public Optional<EntryHost> find(String name) {
+    return Optional.ofNullable(hosts.get(name));
+  }
+
+  /** Returns whether this incarnation is registered and live. */
+  public boolean isLive(String name, long incarnation) {
+    EntryHost host = hosts.get(name);
+    return host != null && host.isLive() && host.incarnation() == incarnation;
+  }
+
+  /** Returns the live entry hosts, sorted by name. */
+  public List<EntryHost> live() {
+    return hosts.values().stream().filter(EntryHost::isLive).toList();
+  }
+
+  @Override
+  public Snapshot snapshot() {
+    return new Snapshot(List.copyOf(hosts.values()));
+  }
+
+  @Override
+  public void restore(Snapshot snapshot) {
+    hosts.clear();
+    for (EntryHost host : snapshot.hosts()) {
+      hosts.put(host.name(), host);
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/persimmonloom/core/release/Definitions.java
@@ -0,0 +1,188 @@
+package org.persimmonloom.core.release;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.function.BiFunction;
+
+/**
+ * An immutable set of definitions: the checked texts, and the typed records read from them. A
+ * change makes a new set.
+ */
+final class Definitions {
+  private final Map<DefinitionKind, Map<String, SortedMap<String, String>>> values;
+  private final SortedMap<String, PoolDefinition> pools;
+  private final SortedMap<String, ServiceDefinition> services;
+  private final SortedMap<String, BudgetDefinition> budgets;
+  private final SortedMap<String, TeamDefinition> teams;
+  private final Weights weights;
+
+  private Definitions(Map<DefinitionKind, Map<String, SortedMap<String, String>>> values) {
+    this.values = values;
+    pools = typed(DefinitionKind.POOL, PoolDefinition::from);
+    services = typed(DefinitionKind.SERVICE, ServiceDefinition::from);
+    budgets = typed(DefinitionKind.BUDGET, BudgetDefinition::from);
+    teams = typed(DefinitionKind.TEAM, TeamDefinition::from);
+    SortedMap<String, String> weightValues = values.get(DefinitionKind.WEIGHTS).get("weights");
+    weights = weightValues == null ? Weights.EVEN : Weights.from(weightValues);
+  }
+
+  static Definitions empty() {
+    return of(new EnumMap<>(DefinitionKind.class));
+  }
+
+  static Definitions of(Map<DefinitionKind, Map<String, SortedMap<String, String>>> values) {
+    Map<DefinitionKind, Map<String, SortedMap<String, String>>> complete =
+        new EnumMap<>(DefinitionKind.class);
+    for (DefinitionKind kind : DefinitionKind.values()) {
+      complete.put(kind, new TreeMap<>(values.getOrDefault(kind, Map.of())));
+    }
+    return new Definitions(complete);
+  }
+
+  private <T> SortedMap<String, T> typed(
+      DefinitionKind kind, BiFunction<String, Map<String, String>, T> reader) {
+    SortedMap<String, T> result = new TreeMap<>();
+    values.get(kind).forEach((name, texts) -> result.put(name, reader.apply(name, texts)));
+    return Collections.unmodifiableSortedMap(result);
+  }
+
+  /** Returns the set after the note, or every reason why the note does not fit this set. */
+  Either<List<NoteError>, Definitions> change(ReleaseNote note, PoolOccupancy occupancy) {
+    List<NoteError> errors = new ArrayList<>();
+    Map<DefinitionKind, Map<String, SortedMap<String, String>>> next =
+        new EnumMap<>(DefinitionKind.class);
+    values.forEach((kind, byName) -> next.put(kind, new TreeMap<>(byName)));
+    for (Change change : note.changes()) {
+      applyChange(change, next.get(change.kind()), occupancy, errors);
+    }
+    if (!errors.isEmpty()) {
+      return Either.left(List.copyOf(errors));
+    }
+    Definitions candidate = new Definitions(next);
+    candidate.checkReferences(note, errors);
+    return errors.isEmpty() ? Either.right(candidate) : Either.left(List.copyOf(errors));
+  }
+
+  private static void applyChange(
+      Change change,
+      Map<String, SortedMap<String, String>> byName,
+      PoolOccupancy occupancy,
+      List<NoteError> errors) {
+    boolean exists = byName.containsKey(change.name()) || change.kind() == DefinitionKind.WEIGHTS;
+    if (change.action() == ChangeAction.ADD && exists) {
+      errors.add(new NoteError(change.section(), "-", "exists already"));
+      return;
+    }
+    if (change.action() != ChangeAction.ADD && !exists) {
+      errors.add(new NoteError(change.section(), "-", "does not exist"));
+      return;
+    }
+    if (change.action() == ChangeAction.WITHDRAW) {
+      withdraw(change, byName, occupancy, errors);
+      return;
+    }
+    SortedMap<String, String> merged = new TreeMap<>();
+    for (KeyRule rule : change.kind().rules()) {
+      if (rule.defaultValue() != null) {
+        merged.put(rule.key(), rule.defaultValue());
+      }
+    }
+    merged.putAll(byName.getOrDefault(change.name(), Collections.emptySortedMap()));
+    merged.putAll(change.values());
+    byName.put(change.name(), merged);
+  }
+
+  private static void withdraw(
+      Change change,
+      Map<String, SortedMap<String, String>> byName,
+      PoolOccupancy occupancy,
+      List<NoteError> errors) {
+    if (change.kind() == DefinitionKind.POOL) {
+      int hosts = occupancy.hostCount(change.name());
+      if (hosts > 0) {
+        errors.add(new NoteError(change.section(), "-", "the pool still has " + hosts + " hosts"));
+        return;
+      }
+    }
+    byName.remove(change.name());
+  }
+
+  private void checkReferences(ReleaseNote note, List<NoteError> errors) {
+    for (ServiceDefinition service : services.values()) {
+      String section = section(note, DefinitionKind.SERVICE, service.name());
+      checkPool(section, "pool", service.pool(), false, errors);
+      if (!service.workers().isEmpty()) {
+        checkPool(section, "workers", service.workers(), true, errors);
+      }
+    }
+    for (BudgetDefinition budget : budgets.values()) {
+      if (!budget.pool().equals(BudgetDefinition.EVERY_POOL) && !pools.containsKey(budget.pool())) {
+        errors.add(
+            new NoteError(
+                section(note, DefinitionKind.BUDGET, budget.name()),
+                "pool",
+                "no pool named " + budget.pool()));
+      }
+    }
+    for (PoolDefinition pool : pools.values()) {
+      if (!pool.service().isEmpty() && !services.containsKey(pool.service())) {
+        errors.add(
+            new NoteError(
+                section(note, DefinitionKind.POOL, pool.name()),
+                "service",
+                "no service named " + pool.service()));
+      }
+    }
+  }
+
+  private void checkPool(
+      String section, String key, String name, boolean holdsWorkers, List<NoteError> errors) {
+    PoolDefinition pool = pools.get(name);
+    if (pool == null) {
+      errors.add(new NoteError(section, key, "no pool named " + name));
+    } else if (pool.holdsWorkers() != holdsWorkers) {
+      String kind = holdsWorkers ? "workers" : "executors";
+      errors.add(new NoteError(section, key, "pool " + name + " does not hold " + kind));
+    }
+  }
+
+  /** Returns the heading under which the author of the note finds the definition. */
+  private static String section(ReleaseNote note, DefinitionKind kind, String name) {
+    for (Change change : note.changes()) {
+      if (change.kind() == kind && change.name().equals(name)) {
+        return change.section();
+      }
+    }
+    return kind.name().toLowerCase(java.util.Locale.ROOT) + " " + name + " (in force)";
+  }
+
+  Map<DefinitionKind, Map<String, SortedMap<String, String>>> values() {
+    return values;
+  }
+
+  SortedMap<String, PoolDefinition> pools() {
+    return pools;
+  }
+
+  SortedMap<String, ServiceDefinition> services() {
+    return services;
+  }
+
+  SortedMap<String, BudgetDefinition> budgets() {
+    return budgets;
+  }
+
+  SortedMap<String, TeamDefinition> teams() {
+    return teams;
+  }
+
+  Weights weights() {
+    return weights;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/persimmonloom/core/release/TeamDefinition.java
@@ -0,0 +1,14 @@
+package org.persimmonloom.core.release;
+
+import java.util.Map;
+
+/** A team and what its running jobs may hold together. */
+public record TeamDefinition(String name, long cores, long memoryMb, long accelerators) {
+  static TeamDefinition from(String name, Map<String, String> values) {
+    return new TeamDefinition(
+        name,
+        Long.parseLong(values.get("quota_cores")),
+        Long.parseLong(values.get("quota_memory_mb")),
+        Long.parseLong(values.get("quota_accelerators")));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/persimmonloom/core/result/Failure.java
@@ -0,0 +1,27 @@
+package org.persimmonloom.core.result;
+
+import java.util.Objects;
+
+/**
+ * A numbered error and the sentence that explains this occurrence. The left side of the {@code
+ * Either} values that operations return.
+ *
+ * @param code the number that scripts match on; never {@link ResultCode#OK}
+ * @param detail the message for people
+ */
+public record Failure(ResultCode code, String detail) {
+  public Failure {
+    Objects.requireNonNull(code, "code");
+    Objects.requireNonNull(detail, "detail");
+  }
+
+  /** Returns a failure whose detail is the template of {@code code} filled with the arguments. */
+  public static Failure of(ResultCode code, Object... arguments) {
+    return new Failure(code, code.message(arguments));
+  }
+
+  @Override
+  public String toString() {
+    return code.number() + " " + code + ": " + detail;
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/persimmonloom/runtime/fleet/HostListClient.java
@@ -0,0 +1,35 @@
+package org.persimmonloom.runtime.fleet;
+
+import java.io.IOException;
+import java.util.Map;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.Response;
+import org.persimmonloom.core.result.Failure;
+import org.persimmonloom.core.wire.Codec;
+
+/** Reads the platform's host list: a JSON document over HTTP. Safe for any thread. */
+public final class HostListClient {
+  private final Codec codec = new Codec(Map.of());
+  private final OkHttpClient client;
+  private final String url;
+
+  /** Creates a client of the list at {@code url}. */
+  public HostListClient(OkHttpClient client, String url) {
+    this.client = client;
+    this.url = url;
+  }
+
+  /** Returns the list as the platform gives it now, which may lag. */
+  public HostList read() throws IOException {
+    Request request = new Request.Builder().url(url).build();
+    try (Response response = client.newCall(request).execute()) {
+      if (!response.isSuccessful()) {
+        throw new IOException("host list answered with status " + response.code());
+      }
+      return codec
+          .fromJson(response.body().string(), HostList.class)
+          .getOrElseThrow((Failure failure) -> new IOException(failure.toString()));
+    }
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/persimmonloom/runtime/log/Proposer.java
@@ -0,0 +1,18 @@
+package org.persimmonloom.runtime.log;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.persimmonloom.core.fold.Proposal;
+import org.persimmonloom.core.fold.Verdict;
+
+/** Brings proposals into the log. Safe for any thread; never blocks. */
+public interface Proposer {
+  /**
+   * Queues proposals, which are decided in the order of the list within one batch.
+   *
+   * @return completes with one verdict for each proposal once they are folded here. Completes
+   *     exceptionally with {@link ProposalException} if they are certain never to be folded. A
+   *     caller that stops waiting knows nothing: the proposals may be folded later.
+   */
+  CompletableFuture<List<Verdict>> propose(List<? extends Proposal> proposals);
+}
