Schedule requests by class, deadline and slot share

Cause: the interface of request scheduling had no implementation. Change: ServiceScheduler queues the requests of one service in two learned classes, earliest deadline first, refuses early, ejects outliers and bounds retries; SlotShares apportions slots and connections from the exchanged load as a pure function.

--- /dev/null
+++ b/core/src/main/java/org/persimmonloom/core/routing/EndpointSet.java
@@ -0,0 +1,123 @@
+package org.persimmonloom.core.routing;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * The endpoints of the service with this host's slot shares, and the choice among them.
+ *
+ * <p>An endpoint never gets more in progress from this host than its share. A retry goes to another
+ * endpoint, by preference in a data centre, then in a rack, where none of the earlier attempts was;
+ * an endpoint that was tried is used again only if there is no other usable one. Among equals the
+ * one with the smallest part of its share in use is taken. Not thread-safe.
+ */
+final class EndpointSet {
+  private static final int TRIED = 3;
+
+  private final OutlierEjection ejection = new OutlierEjection();
+  private final Map<String, RoutingEndpoint> known = new HashMap<>();
+  private final Map<String, Integer> shares = new HashMap<>();
+  private List<RoutingEndpoint> current = List.of();
+
+  /** Where the next search starts, so that hosts with equal loads don't all start at the first. */
+  private int cursor;
+
+  void setEndpoints(List<RoutingEndpoint> endpoints) {
+    current = List.copyOf(endpoints);
+    known.clear();
+    endpoints.forEach(endpoint -> known.put(endpoint.name(), endpoint));
+    ejection.setEndpoints(known.keySet());
+  }
+
+  /** Takes an endpoint out of use; its health stays known in case it is named again. */
+  void remove(String name) {
+    current = current.stream().filter(endpoint -> !endpoint.name().equals(name)).toList();
+    ejection.remove(name);
+  }
+
+  void setShares(Map<String, Integer> newShares) {
+    shares.clear();
+    shares.putAll(newShares);
+  }
+
+  boolean isEmpty() {
+    return current.isEmpty();
+  }
+
+  /** Returns the slots that this host may use now over all endpoints. */
+  int usableSlots(long nowMillis) {
+    int slots = 0;
+    for (RoutingEndpoint endpoint : current) {
+      slots += allowance(endpoint, nowMillis);
+    }
+    return slots;
+  }
+
+  void completed(String name, AttemptResult result, long startedMillis, long nowMillis) {
+    ejection.completed(name, result, startedMillis, nowMillis);
+  }
+
+  /** Returns the endpoint for a request, or null if none has a free slot for it. */
+  RoutingEndpoint choose(PendingRequest request, SlotUse use, long nowMillis) {
+    Set<String> tried = request.triedEndpoints();
+    Set<String> racks = new HashSet<>();
+    Set<String> dataCentres = new HashSet<>();
+    for (String name : tried) {
+      RoutingEndpoint endpoint = known.get(name);
+      if (endpoint != null) {
+        racks.add(endpoint.dataCentre() + "/" + endpoint.rack());
+        dataCentres.add(endpoint.dataCentre());
+      }
+    }
+    boolean avoidsTried = hasUntried(tried, nowMillis);
+    RoutingEndpoint best = null;
+    double bestScore = Double.MAX_VALUE;
+    for (int i = 0; i < current.size(); i++) {
+      RoutingEndpoint endpoint = current.get((cursor + i) % current.size());
+      int allowance = allowance(endpoint, nowMillis);
+      int inProgress = use.at(endpoint.name());
+      int proximity = proximity(endpoint, tried, racks, dataCentres);
+      if (inProgress >= allowance || (avoidsTried && proximity == TRIED)) {
+        continue;
+      }
+      double score = proximity + (double) inProgress / (allowance + 1);
+      if (score < bestScore) {
+        best = endpoint;
+        bestScore = score;
+      }
+    }
+    cursor = current.isEmpty() ? 0 : (cursor + 1) % current.size();
+    return best;
+  }
+
+  private int allowance(RoutingEndpoint endpoint, long nowMillis) {
+    int share = shares.getOrDefault(endpoint.name(), 0);
+    return ejection.allowance(endpoint.name(), share, nowMillis);
+  }
+
+  private boolean hasUntried(Set<String> tried, long nowMillis) {
+    if (tried.isEmpty()) {
+      return false;
+    }
+    return current.stream()
+        .anyMatch(
+            endpoint ->
+                !tried.contains(endpoint.name())
+                    && !ejection.isProbing(endpoint.name(), nowMillis)
+                    && allowance(endpoint, nowMillis) > 0);
+  }
+
+  private static int proximity(
+      RoutingEndpoint endpoint, Set<String> tried, Set<String> racks, Set<String> dataCentres) {
+    if (tried.contains(endpoint.name())) {
+      return TRIED;
+    }
+    if (racks.contains(endpoint.dataCentre() + "/" + endpoint.rack())) {
+      return 2;
+    }
+    return dataCentres.contains(endpoint.dataCentre()) ? 1 : 0;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/persimmonloom/core/routing/RunTimeEstimates.java
@@ -0,0 +1,103 @@
+package org.persimmonloom.core.routing;
+
+import java.util.EnumMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * Learned run times per route, and over all routes of each class for routes that are not known.
+ *
+ * <p>Holds at most {@link #MAX_ROUTES} routes and forgets the one used least recently, so callers
+ * that vary their paths can't exhaust memory. A caller's hint counts only until the first run of a
+ * route is learned. Not thread-safe. Times are in milliseconds.
+ */
+final class RunTimeEstimates {
+  static final int MAX_ROUTES = 512;
+
+  /**
+   * Age at which an estimate no longer refuses work. A route that is refused because it was slow
+   * once would otherwise never run again and never be learned again.
+   */
+  static final long STALE_MILLIS = 5_000;
+
+  private final Map<String, RunTimeEstimate> routes =
+      new LinkedHashMap<>(64, 0.75f, true) {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, RunTimeEstimate> eldest) {
+          return size() > MAX_ROUTES;
+        }
+      };
+  private final Map<WorkClass, RunTimeEstimate> classes = new EnumMap<>(WorkClass.class);
+  private long shortLimitMillis;
+
+  RunTimeEstimates(long shortLimitMillis) {
+    this.shortLimitMillis = shortLimitMillis;
+    for (WorkClass workClass : WorkClass.values()) {
+      classes.put(workClass, new RunTimeEstimate());
+    }
+  }
+
+  void setShortLimitMillis(long shortLimitMillis) {
+    this.shortLimitMillis = shortLimitMillis;
+  }
+
+  WorkClass classOf(String route, WorkClass hint) {
+    RunTimeEstimate estimate = routes.get(route);
+    if (estimate != null) {
+      return estimate.workClass();
+    }
+    return hint == null ? WorkClass.SHORT : hint;
+  }
+
+  /** Returns the typical run time of a route, or 0 if nothing recent is known about it. */
+  double typicalMillis(String route, long nowMillis) {
+    RunTimeEstimate estimate = routes.get(route);
+    if (estimate == null || nowMillis - estimate.learnedMillis() > STALE_MILLIS) {
+      return 0;
+    }
+    return estimate.typicalMillis();
+  }
+
+  /** Returns the mean slot time that a request of this route takes, for sums over a queue. */
+  double meanMillis(String route, WorkClass workClass) {
+    RunTimeEstimate estimate = routes.get(route);
+    return estimate == null ? meanMillis(workClass) : estimate.meanMillis();
+  }
+
+  /** Returns the mean run time over all requests of a class, or 0 before the first. */
+  double meanMillis(WorkClass workClass) {
+    return classes.get(workClass).meanMillis();
+  }
+
+  /** Notes that a request of a route with a stale estimate is on its way to renew it. */
+  void noteAdmitted(String route, long nowMillis) {
+    RunTimeEstimate estimate = routes.get(route);
+    if (estimate != null && nowMillis - estimate.learnedMillis() > STALE_MILLIS) {
+      estimate.setLearnedMillis(nowMillis);
+    }
+  }
+
+  /** Learns a complete run, counted under the class that the route has afterwards. */
+  void learn(String route, long runMillis, long nowMillis) {
+    RunTimeEstimate estimate = routes.computeIfAbsent(route, name -> new RunTimeEstimate());
+    estimate.learn(runMillis, shortLimitMillis, nowMillis);
+    classes.get(estimate.workClass()).learn(runMillis, shortLimitMillis, nowMillis);
+  }
+
+  /** Learns from a run that was cut off: its time says something only if it is above the mean. */
+  void learnAtLeast(String route, long runMillis, long nowMillis) {
+    RunTimeEstimate estimate = routes.get(route);
+    double known = estimate == null ? shortLimitMillis : estimate.meanMillis();
+    if (runMillis > known) {
+      learn(route, runMillis, nowMillis);
+    }
+  }
+
+  boolean isKnown(String route) {
+    return routes.containsKey(route);
+  }
+
+  int size() {
+    return routes.size();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/persimmonloom/core/routing/SlotQuotas.java
@@ -0,0 +1,58 @@
+package org.persimmonloom.core.routing;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * How many slots of a service each entry host gets, by the largest remainder.
+ *
+ * <p>When the demand fits, each host gets its demand and an equal part of what is left, so that
+ * idle hosts have slots ready for the first requests of a burst. When it does not fit, the slots
+ * are divided in proportion to the demand. Both rules agree where they meet, so quotas move little
+ * when the demand moves little. Each host first gets one slot, so that none has to wait for the
+ * exchange of loads before it serves its first request.
+ */
+final class SlotQuotas {
+  private SlotQuotas() {}
+
+  private record Target(String host, int floor, double remainder, long hash) {}
+
+  /** Returns the quota of each host; they add up to {@code slots} unless there is no host. */
+  static Map<String, Integer> apportion(String service, int slots, Map<String, ServiceLoad> loads) {
+    int hosts = loads.size();
+    int base = hosts > 0 && slots >= hosts ? 1 : 0;
+    int divisible = slots - base * hosts;
+    double demand = loads.values().stream().mapToDouble(load -> demand(load, base)).sum();
+    double scale = demand > divisible ? divisible / demand : 1;
+    double spare = Math.max(0, divisible - demand) / Math.max(1, hosts);
+    List<Target> targets = new ArrayList<>();
+    Map<String, Integer> quotas = new TreeMap<>();
+    int given = 0;
+    for (Map.Entry<String, ServiceLoad> entry : loads.entrySet()) {
+      double exact = base + demand(entry.getValue(), base) * scale + spare;
+      int floor = (int) Math.floor(exact);
+      long hash = SlotShares.hash(service, entry.getKey());
+      targets.add(new Target(entry.getKey(), floor, exact - floor, hash));
+      quotas.put(entry.getKey(), floor);
+      given += floor;
+    }
+    targets.sort(
+        Comparator.comparingDouble(Target::remainder)
+            .reversed()
+            .thenComparingLong(Target::hash)
+            .thenComparing(Target::host));
+    for (int i = 0; i < targets.size() && given < slots; i++) {
+      quotas.merge(targets.get(i).host(), 1, Integer::sum);
+      given++;
+    }
+    return quotas;
+  }
+
+  /** The demand beyond the slot that a host has anyway. */
+  private static double demand(ServiceLoad load, int base) {
+    return Math.max(0, load.queued() + load.inProgress() - base);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/persimmonloom/core/routing/SlotShares.java
@@ -0,0 +1,120 @@
+package org.persimmonloom.core.routing;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import net.openhft.hashing.LongHashFunction;
+
+/**
+ * The shares of the entry hosts in the slots and connections of a service's endpoints.
+ *
+ * <p>A pure function of the service, its endpoints and the load of each live entry host, so that
+ * hosts with the same view compute the same shares without agreeing on them.
+ *
+ * <ol>
+ *   <li>{@link SlotQuotas} gives each host a number of slots over the whole service.
+ *   <li>The slots are dealt in rounds. In each round, the pairs of host and endpoint are visited in
+ *       one fixed order by hash, and a pair gets a slot if the host's quota and the endpoint's
+ *       slots are not used up. A host thereby spreads over endpoints, and since the order doesn't
+ *       depend on the demand, a small change of quotas moves few slots.
+ * </ol>
+ *
+ * <p>Invariants: the shares in an endpoint never add up to more than its slots or connections;
+ * every host has a slot somewhere as long as there are as many slots as hosts. Immutable.
+ */
+public final class SlotShares {
+  private final Map<String, Map<String, Integer>> slots;
+  private final Map<String, EndpointCapacity> endpoints;
+
+  private record Pair(String host, EndpointCapacity endpoint, long hash) {}
+
+  private SlotShares(
+      Map<String, Map<String, Integer>> slots, Map<String, EndpointCapacity> endpoints) {
+    this.slots = slots;
+    this.endpoints = endpoints;
+  }
+
+  /**
+   * Computes the shares.
+   *
+   * @param service spreads the first slots of each service differently over the endpoints' hosts
+   * @param loads the load of each live entry host, this one included
+   */
+  public static SlotShares apportion(
+      String service, Collection<EndpointCapacity> endpoints, Map<String, ServiceLoad> loads) {
+    Map<String, EndpointCapacity> byName = new TreeMap<>();
+    endpoints.forEach(endpoint -> byName.put(endpoint.name(), endpoint));
+    int total = byName.values().stream().mapToInt(EndpointCapacity::usableSlots).sum();
+    Map<String, Integer> quotas = SlotQuotas.apportion(service, total, loads);
+    return new SlotShares(deal(pairs(service, byName.values(), loads), quotas), byName);
+  }
+
+  /** Returns a host's slots by endpoint; endpoints where it has none are absent. */
+  public Map<String, Integer> slotsOf(String host) {
+    return slots.getOrDefault(host, Map.of());
+  }
+
+  /** Returns a host's connections by endpoint, in proportion to its slots and never fewer. */
+  public Map<String, Integer> connectionsOf(String host) {
+    Map<String, Integer> connections = new TreeMap<>();
+    slotsOf(host)
+        .forEach(
+            (name, share) -> {
+              EndpointCapacity endpoint = endpoints.get(name);
+              long part = (long) share * endpoint.connections() / endpoint.usableSlots();
+              connections.put(name, (int) part);
+            });
+    return connections;
+  }
+
+  private static List<Pair> pairs(
+      String service, Collection<EndpointCapacity> endpoints, Map<String, ServiceLoad> loads) {
+    List<Pair> pairs = new ArrayList<>(endpoints.size() * loads.size());
+    for (EndpointCapacity endpoint : endpoints) {
+      for (String host : loads.keySet()) {
+        pairs.add(new Pair(host, endpoint, hash(service, host, endpoint.name())));
+      }
+    }
+    pairs.sort(
+        Comparator.comparingLong(Pair::hash)
+            .thenComparing(Pair::host)
+            .thenComparing(pair -> pair.endpoint().name()));
+    return pairs;
+  }
+
+  private static Map<String, Map<String, Integer>> deal(
+      List<Pair> pairs, Map<String, Integer> quotas) {
+    Map<String, Integer> left = new HashMap<>(quotas);
+    Map<String, Integer> used = new HashMap<>();
+    Map<String, Map<String, Integer>> dealt = new TreeMap<>();
+    List<Pair> open = pairs;
+    while (!open.isEmpty()) {
+      List<Pair> stillOpen = new ArrayList<>();
+      for (Pair pair : open) {
+        String endpoint = pair.endpoint().name();
+        boolean isFull = used.getOrDefault(endpoint, 0) >= pair.endpoint().usableSlots();
+        if (isFull || left.getOrDefault(pair.host(), 0) == 0) {
+          continue;
+        }
+        left.merge(pair.host(), -1, Integer::sum);
+        used.merge(endpoint, 1, Integer::sum);
+        dealt
+            .computeIfAbsent(pair.host(), host -> new TreeMap<>())
+            .merge(endpoint, 1, Integer::sum);
+        stillOpen.add(pair);
+      }
+      open = stillOpen;
+    }
+    return dealt;
+  }
+
+  static long hash(String... parts) {
+    byte[] bytes = String.join("\n", parts).getBytes(StandardCharsets.UTF_8);
+    return LongHashFunction.xx().hashBytes(bytes);
+  }
+}
