Connect entry hosts and decide currency, losses and readiness

Cause: the request path needs questions between entry hosts, the list of live hosts with their loads, and a rule when a host may rely on its state.

Change: core.member holds the pure rules (heartbeat, peer view, currency, loss, mesh plan, goal of a starting host). runtime.peer holds frames, the mesh (PeerChannel) and ClusterService (ClusterView, Currency). Heartbeats echo the receiver's sending time, so that a host that was paused does not take buffered heartbeats for fresh ones. Readiness uses the stopping flag, the state of the fold, the goal and currency.

Conclusion: PeerChannel, ClusterView and Currency can be used by the request path. LoadSource and LeavingSource are bound to empty sources until it exists.

--- /dev/null
+++ b/core/src/main/java/org/persimmonloom/core/member/CurrencyRule.java
@@ -0,0 +1,108 @@
+package org.persimmonloom.core.member;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.OptionalLong;
+
+/**
+ * Decides whether an entry host may rely on its copy of the fleet state.
+ *
+ * <p>Evidence is never older than {@link #CURRENT_FOR_MILLIS}. Evidence from a peer keeps the time
+ * at which that peer read the log, so two cut-off hosts can't keep each other current. Evidence
+ * from the future, after a step of the clock, does not count. Stateless.
+ */
+public final class CurrencyRule {
+  /** How long a host stays current after its last evidence. */
+  public static final long CURRENT_FOR_MILLIS = 5_000;
+
+  /** A quorum is reviewed this often, because a peer may begin to read the log again. */
+  private static final long QUORUM_REVIEW_MILLIS = 2_000;
+
+  /** Why a host is current. */
+  public enum Basis {
+    /** It read the log to its end. */
+    LOG,
+    /** A peer that read the log to its end has folded no more. */
+    PEER,
+    /** More than half of the registered hosts are reached and none of them reads the log. */
+    QUORUM,
+    /** It is not current. */
+    NONE
+  }
+
+  /**
+   * What a host knows about itself.
+   *
+   * @param logReadMillis start of the last read that reached the end of the log; any time that is
+   *     long past if there was none
+   */
+  public record Own(String name, long incarnation, long nextOffset, long logReadMillis) {}
+
+  /**
+   * The decision.
+   *
+   * @param untilMillis last moment at which it holds without new evidence. A process that is paused
+   *     compares it with its clock when it resumes, before anything else has run.
+   */
+  public record Decision(Basis basis, long untilMillis) {
+    private static final Decision NOT_CURRENT = new Decision(Basis.NONE, Long.MIN_VALUE);
+  }
+
+  private CurrencyRule() {}
+
+  /** Returns on what ground and until when the host is current. */
+  public static Decision decide(
+      Own own, Collection<EntryHost> registered, PeerView view, long nowMillis) {
+    if (isFresh(own.logReadMillis(), nowMillis)) {
+      return new Decision(Basis.LOG, own.logReadMillis() + CURRENT_FOR_MILLIS);
+    }
+    OptionalLong peerReadMillis =
+        view.all().stream()
+            .filter(peer -> peer.heartbeat().nextOffset() <= own.nextOffset())
+            .mapToLong(PeerView.Heard::logReadMillis)
+            .filter(millis -> isFresh(millis, nowMillis))
+            .max();
+    if (peerReadMillis.isPresent()) {
+      return new Decision(Basis.PEER, peerReadMillis.getAsLong() + CURRENT_FOR_MILLIS);
+    }
+    return decideByQuorum(own, registered, view, nowMillis);
+  }
+
+  private static Decision decideByQuorum(
+      Own own, Collection<EntryHost> registered, PeerView view, long nowMillis) {
+    List<PeerView.Heard> reached =
+        registered.stream()
+            .flatMap(host -> view.find(host.name()).stream().filter(peer -> isSame(host, peer)))
+            .filter(peer -> isFresh(peer.heardMillis(), nowMillis))
+            .sorted(Comparator.comparingLong(PeerView.Heard::heardMillis).reversed())
+            .toList();
+    boolean isRegistered =
+        registered.stream()
+            .anyMatch(
+                host -> host.name().equals(own.name()) && host.incarnation() == own.incarnation());
+    int needed = registered.size() / 2 + 1 - (isRegistered ? 1 : 0);
+    boolean isQuorum =
+        !registered.isEmpty()
+            && reached.size() >= needed
+            && reached.stream().noneMatch(peer -> isFresh(peer.logReadMillis(), nowMillis))
+            && reached.stream().allMatch(peer -> peer.heartbeat().nextOffset() <= own.nextOffset());
+    if (!isQuorum) {
+      return Decision.NOT_CURRENT;
+    }
+    long reviewMillis = nowMillis + QUORUM_REVIEW_MILLIS;
+    return needed == 0
+        ? new Decision(Basis.QUORUM, reviewMillis)
+        : new Decision(
+            Basis.QUORUM,
+            Math.min(reviewMillis, reached.get(needed - 1).heardMillis() + CURRENT_FOR_MILLIS));
+  }
+
+  private static boolean isSame(EntryHost host, PeerView.Heard peer) {
+    return host.incarnation() == peer.heartbeat().incarnation();
+  }
+
+  private static boolean isFresh(long evidenceMillis, long nowMillis) {
+    return evidenceMillis <= nowMillis && nowMillis - evidenceMillis <= CURRENT_FOR_MILLIS;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/persimmonloom/core/member/PeerView.java
@@ -0,0 +1,92 @@
+package org.persimmonloom.core.member;
+
+import java.util.Collection;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/**
+ * What this entry host heard of each peer and when.
+ *
+ * <p>The time of a heartbeat is a moment of the own clock at which the peer is known to have been
+ * alive, not the moment of arrival: a process that was paused finds old heartbeats in its socket
+ * buffers and must not take them for fresh ones. Confined to one thread or guarded by its owner's
+ * lock. All times are in milliseconds of the own clock.
+ */
+public final class PeerView {
+  /** A peer that is silent for this long gets no share of the work. */
+  public static final long SUSPECT_AFTER_MILLIS = 2_000;
+
+  /** The same for peers without a direct connection: relayed heartbeats take several intervals. */
+  public static final long RELAYED_SUSPECT_AFTER_MILLIS = 6_000;
+
+  /** A peer that is silent for this long may be proposed as lost. */
+  public static final long LOST_AFTER_MILLIS = 10_000;
+
+  private final TreeMap<String, Heard> heard = new TreeMap<>();
+  private final TreeMap<String, Long> knownSince = new TreeMap<>();
+
+  /**
+   * The latest heartbeat of a peer.
+   *
+   * @param heardMillis when the peer is known to have been alive
+   * @param isDirect whether it came from the peer itself
+   */
+  public record Heard(Heartbeat heartbeat, long heardMillis, boolean isDirect) {
+    /** Returns the moment up to which the peer is known to have read the log to its end. */
+    public long logReadMillis() {
+      return heardMillis - heartbeat.logReadAgoMillis();
+    }
+  }
+
+  /** Replaces the names of the registered peers; a new one counts as heard when it appears. */
+  public void setPeers(Collection<String> names, long nowMillis) {
+    knownSince.keySet().retainAll(names);
+    names.forEach(name -> knownSince.putIfAbsent(name, nowMillis));
+    heard
+        .values()
+        .removeIf(
+            entry ->
+                !names.contains(entry.heartbeat().name())
+                    && nowMillis - entry.heardMillis() > LOST_AFTER_MILLIS);
+  }
+
+  /** Takes in a heartbeat unless a later one of the peer, or of a later incarnation, is known. */
+  public void hear(Heartbeat heartbeat, long heardMillis, boolean isDirect) {
+    Heard known = heard.get(heartbeat.name());
+    boolean isOutdated =
+        known != null
+            && (known.heartbeat().incarnation() > heartbeat.incarnation()
+                || (known.heartbeat().incarnation() == heartbeat.incarnation()
+                    && known.heardMillis() > heardMillis));
+    if (!isOutdated) {
+      heard.put(heartbeat.name(), new Heard(heartbeat, heardMillis, isDirect));
+    }
+  }
+
+  /** Returns the latest heartbeat of a peer. */
+  public Optional<Heard> find(String name) {
+    return Optional.ofNullable(heard.get(name));
+  }
+
+  /** Returns the latest heartbeat of each peer, sorted by name; a view. */
+  public Collection<Heard> all() {
+    return heard.values();
+  }
+
+  /** Returns for how long the peer has been silent. */
+  public long silentMillis(String name, long nowMillis) {
+    Heard entry = heard.get(name);
+    long lastMillis = entry == null ? knownSince.getOrDefault(name, 0L) : entry.heardMillis();
+    return Math.max(0, nowMillis - lastMillis);
+  }
+
+  /** Returns whether the peer was never heard or is silent for too long to get work. */
+  public boolean isSuspect(String name, long nowMillis) {
+    Heard entry = heard.get(name);
+    if (entry == null) {
+      return true;
+    }
+    long limitMillis = entry.isDirect() ? SUSPECT_AFTER_MILLIS : RELAYED_SUSPECT_AFTER_MILLIS;
+    return nowMillis - entry.heardMillis() > limitMillis;
+  }
+}
--- a/core/src/main/java/org/persimmonloom/core/routing/ServiceLoad.java
+++ b/core/src/main/java/org/persimmonloom/core/routing/ServiceLoad.java
@@ -1,9 +1,12 @@
 package org.persimmonloom.core.routing;
 
+import com.fasterxml.jackson.annotation.JsonFormat;
+
 /**
- * The load of one service at one entry host.
+ * The load of one service at one entry host. Encoded as an array to keep heartbeats small.
  *
  * @param queued requests that wait
  * @param inProgress requests at endpoints
  */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record ServiceLoad(int queued, int inProgress) {}
--- a/runtime/src/main/java/org/persimmonloom/runtime/entry/EntryHostService.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/entry/EntryHostService.java
@@ -1,5 +1,6 @@
 package org.persimmonloom.runtime.entry;
 
+import java.io.IOException;
 import javax.inject.Inject;
 import javax.inject.Singleton;
 import org.persimmonloom.runtime.caller.CallerListener;
@@ -7,12 +8,16 @@
 import org.persimmonloom.runtime.log.GroupCommitter;
 import org.persimmonloom.runtime.log.LogFollower;
 import org.persimmonloom.runtime.operator.OperatorListener;
+import org.persimmonloom.runtime.operator.StoppingFlag;
+import org.persimmonloom.runtime.peer.PeerMesh;
 
 /** One entry host: starts its services in order of need and stops them in reverse. */
 @Singleton
 public final class EntryHostService {
   private final LogFollower follower;
   private final GroupCommitter committer;
+  private final PeerMesh mesh;
+  private final StoppingFlag stopping;
   private final HostListWatcher hostList;
   private final OperatorListener operators;
   private final CallerListener callers;
@@ -21,18 +26,23 @@
   public EntryHostService(
       LogFollower follower,
       GroupCommitter committer,
+      PeerMesh mesh,
+      StoppingFlag stopping,
       HostListWatcher hostList,
       OperatorListener operators,
       CallerListener callers) {
     this.follower = follower;
     this.committer = committer;
+    this.mesh = mesh;
+    this.stopping = stopping;
     this.hostList = hostList;
     this.operators = operators;
     this.callers = callers;
   }
 
   /** Starts all services. */
-  public void start() {
+  public void start() throws IOException {
+    mesh.start();
     follower.start();
     committer.start();
     hostList.start();
@@ -42,10 +52,12 @@
 
   /** Stops all services. */
   public void stop() throws InterruptedException {
+    stopping.set();
     callers.stop();
     operators.stop();
     hostList.stop();
     committer.stop();
     follower.stop();
+    mesh.stop();
   }
 }
--- a/runtime/src/main/java/org/persimmonloom/runtime/entry/EntryMain.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/entry/EntryMain.java
@@ -41,7 +41,7 @@
     System.exit(failure.code().number());
   }
 
-  private static void run(EntrySettings settings) {
+  private static void run(EntrySettings settings) throws IOException {
     EntryHostService entryHost =
         DaggerEntryComponent.factory().create(settings, InstantSource.system()).entryHost();
     Runtime.getRuntime()
--- a/runtime/src/main/java/org/persimmonloom/runtime/entry/EntryModule.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/entry/EntryModule.java
@@ -3,6 +3,8 @@
 import dagger.Module;
 import dagger.Provides;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.List;
+import java.util.Map;
 import javax.inject.Singleton;
 import okhttp3.OkHttpClient;
 import org.persimmonloom.runtime.fleet.HostListClient;
@@ -10,6 +12,13 @@
 import org.persimmonloom.runtime.log.HttpPlatformLog;
 import org.persimmonloom.runtime.log.PlatformLog;
 import org.persimmonloom.runtime.log.Proposer;
+import org.persimmonloom.runtime.peer.ClusterService;
+import org.persimmonloom.runtime.peer.ClusterView;
+import org.persimmonloom.runtime.peer.Currency;
+import org.persimmonloom.runtime.peer.LeavingSource;
+import org.persimmonloom.runtime.peer.LoadSource;
+import org.persimmonloom.runtime.peer.PeerChannel;
+import org.persimmonloom.runtime.peer.PeerMesh;
 import org.persimmonloom.runtime.settings.EntrySettings;
 
 /** Provides the clients of the platform and the libraries' objects. */
@@ -45,4 +54,39 @@
   static Proposer proposer(GroupCommitter committer) {
     return committer;
   }
+
+  @Provides
+  static PeerChannel peerChannel(PeerMesh mesh) {
+    return mesh;
+  }
+
+  @Provides
+  static ClusterView clusterView(ClusterService cluster) {
+    return cluster;
+  }
+
+  @Provides
+  static Currency currency(ClusterService cluster) {
+    return cluster;
+  }
+
+  @Provides
+  static LoadSource loadSource() {
+    return Map::of;
+  }
+
+  @Provides
+  static LeavingSource leavingSource() {
+    return new LeavingSource() {
+      @Override
+      public List<String> leaving() {
+        return List.of();
+      }
+
+      @Override
+      public List<String> drained() {
+        return List.of();
+      }
+    };
+  }
 }
--- a/runtime/src/main/java/org/persimmonloom/runtime/entry/OperatorModule.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/entry/OperatorModule.java
@@ -2,10 +2,7 @@
 
 import dagger.Binds;
 import dagger.Module;
-import dagger.Provides;
 import dagger.multibindings.IntoSet;
-import java.util.Optional;
-import org.persimmonloom.runtime.log.LogFollower;
 import org.persimmonloom.runtime.operator.OperatorRoute;
 import org.persimmonloom.runtime.operator.Readiness;
 import org.persimmonloom.runtime.operator.ReleaseApplyRoute;
@@ -22,9 +19,6 @@
   @IntoSet
   OperatorRoute releaseShow(ReleaseShowRoute route);
 
-  @Provides
-  static Readiness readiness(LogFollower follower) {
-    return () ->
-        follower.isCaughtUp() ? Optional.empty() : Optional.of("the platform log is not folded");
-  }
+  @Binds
+  Readiness readiness(HostReadiness readiness);
 }
--- a/runtime/src/main/java/org/persimmonloom/runtime/log/LogFollower.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/log/LogFollower.java
@@ -1,6 +1,7 @@
 package org.persimmonloom.runtime.log;
 
 import java.io.IOException;
+import java.time.InstantSource;
 import java.util.Optional;
 import javax.inject.Inject;
 import javax.inject.Singleton;
@@ -20,13 +21,17 @@
 
   private final PlatformLog log;
   private final ReplicatedState state;
+  private final LogStatus status;
+  private final InstantSource clock;
   private final Thread thread = new Thread(this::run, "log-follower");
   private volatile boolean stopped;
-  private volatile boolean caughtUp;
 
   @Inject
-  public LogFollower(PlatformLog log, ReplicatedState state) {
+  public LogFollower(
+      PlatformLog log, ReplicatedState state, LogStatus status, InstantSource clock) {
     this.log = log;
+    this.status = status;
+    this.clock = clock;
     this.state = state;
     thread.setDaemon(true);
   }
@@ -43,11 +48,6 @@
     thread.join();
   }
 
-  /** Returns whether the log was once folded to its end. */
-  public boolean isCaughtUp() {
-    return caughtUp;
-  }
-
   private void run() {
     boolean reachable = true;
     while (!stopped) {
@@ -69,19 +69,22 @@
 
   private void followOnce() throws IOException {
     long from = state.nextOffset();
+    long startMillis = clock.millis();
     LogPage page = log.read(from, PAGE_RECORDS, WAIT_MILLIS);
+    status.endSeen(page.nextOffset());
     long offset = page.fromOffset();
     for (byte[] record : page.records()) {
       Optional<Failure> failure = state.fold(offset, record);
       if (failure.isPresent()) {
         LOGGER.error("folding stopped at offset {}: {}", offset, failure.get());
+        status.stopped(failure.get());
         stopped = true;
         return;
       }
       offset++;
     }
     if (offset >= page.nextOffset()) {
-      caughtUp = true;
+      status.readToEnd(startMillis);
     }
   }
 
