--- a/tool/src/main/java/org/persimmonloom/tool/command/StandInCommand.java
+++ b/tool/src/main/java/org/persimmonloom/tool/command/StandInCommand.java
@@ -3,7 +3,12 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
 import io.vavr.control.Either;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import org.persimmonloom.core.host.HostFacts;
@@ -14,27 +19,74 @@
 import org.persimmonloom.tool.standin.EndpointStandIn;
 import org.persimmonloom.tool.standin.HostListStandIn;
 import org.persimmonloom.tool.standin.LogStandIn;
+import org.persimmonloom.tool.standin.StandInConsole;
 
-@Parameters(commandDescription = "Run stand-ins of the platform and of one endpoint until killed")
+@Parameters(
+    commandDescription =
+        "Run stand-ins of the log, the host list and the endpoints of one service until killed."
+            + " Lines on standard input switch faults; 'help' lists them."
+            + " Example: persimmonloom standin --endpoints 8 --pool scan-executors")
 final class StandInCommand implements Command {
-  @Parameter(names = "--port", description = "port of the log; the host list and endpoint follow")
+  private static final int HOSTS_PER_RACK = 4;
+
+  @Parameter(names = "--port", description = "port of the log; host list and endpoints follow")
   private int port = 7300;
 
-  @Parameter(names = "--pool", description = "home pool of the endpoint")
+  @Parameter(names = "--pool", description = "home pool of the endpoints")
   private String pool = "scan-executors";
 
+  @Parameter(names = "--endpoints", description = "number of endpoints")
+  private int endpoints = 1;
+
+  @Parameter(names = "--print-executions", description = "print each execution")
+  private boolean printsExecutions;
+
   @Override
   public Either<Failure, String> run() {
-    new LogStandIn(local(port)).start();
-    String endpoint = "127.0.0.1:" + (port + 2);
-    HostFacts facts =
-        new HostFacts(
-            "endpoint-1", HostKind.EXECUTOR, endpoint, "r1", "dc1", "local", 8, 16_384, 0, pool);
-    new HostListStandIn(local(port + 1), new HostList(List.of(facts), Set.of())).start();
-    new EndpointStandIn(local(port + 2)).start();
-    System.out.println("stand-ins listen on ports " + port + " to " + (port + 2));
+    LogStandIn log = new LogStandIn(local(port));
+    List<HostFacts> facts = new ArrayList<>();
+    List<EndpointStandIn> started = new ArrayList<>();
+    for (int number = 1; number <= endpoints; number++) {
+      InetSocketAddress address = local(port + 1 + number);
+      facts.add(facts(number, address));
+      started.add(
+          new EndpointStandIn(
+              "endpoint-" + number,
+              address,
+              execution -> {
+                if (printsExecutions) {
+                  System.out.println(execution);
+                }
+              }));
+    }
+    HostListStandIn hosts = new HostListStandIn(local(port + 1), new HostList(facts, Set.of()));
+    log.start();
+    hosts.start();
+    started.forEach(EndpointStandIn::start);
+    System.out.printf(
+        "log on port %d, host list on %d, endpoints on %d to %d%n",
+        port, port + 1, port + 2, port + 1 + endpoints);
+    return readLines(new StandInConsole(log, hosts, started));
+  }
+
+  private HostFacts facts(int number, InetSocketAddress address) {
+    String rack = "r" + (1 + (number - 1) / HOSTS_PER_RACK);
+    String text = address.getHostString() + ":" + address.getPort();
+    return new HostFacts(
+        "endpoint-" + number, HostKind.EXECUTOR, text, rack, "dc1", "local", 8, 16_384, 0, pool);
+  }
+
+  /** Carries out lines until the process is killed, also after the end of standard input. */
+  private static Either<Failure, String> readLines(StandInConsole console) {
     try {
+      BufferedReader lines =
+          new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8));
+      for (String line = lines.readLine(); line != null; line = lines.readLine()) {
+        System.out.println(console.run(line).fold(Failure::toString, text -> text));
+      }
       Thread.currentThread().join();
+    } catch (IOException e) {
+      return Either.left(Failure.of(ResultCode.INTERNAL, e.getMessage()));
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
--- a/tool/src/main/java/org/persimmonloom/tool/standin/LogStandIn.java
+++ b/tool/src/main/java/org/persimmonloom/tool/standin/LogStandIn.java
@@ -1,40 +1,33 @@
 package org.persimmonloom.tool.standin;
 
-import io.undertow.Undertow;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.handlers.BlockingHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import org.persimmonloom.core.wire.Codec;
 import org.persimmonloom.runtime.log.HttpPlatformLog;
-import org.persimmonloom.runtime.log.LogPage;
 
 /**
  * Stands in for the platform's log in tests and demos: keeps the records in memory and speaks the
- * protocol of {@link HttpPlatformLog}. Safe for any thread.
+ * protocol of {@link HttpPlatformLog}. A refused request gets status 503 and a request beyond the
+ * limit of appends gets 429; neither has an effect. Safe for any thread.
  */
 public final class LogStandIn {
   private final Codec codec = new Codec(Map.of());
-  private final List<byte[]> records = new ArrayList<>();
-  private final InetSocketAddress address;
-  private Undertow server;
+  private final RecordStore store = new RecordStore();
+  private final LogFaults faults = new LogFaults();
+  private final StandInServer server;
 
   /** Creates a log that will listen at {@code address}. */
   public LogStandIn(InetSocketAddress address) {
-    this.address = address;
+    server = new StandInServer(address, new BlockingHandler(this::handle));
   }
 
   /** Starts listening. */
   public void start() {
-    server =
-        Undertow.builder()
-            .addHttpListener(address.getPort(), address.getHostString())
-            .setHandler(new BlockingHandler(this::handle))
-            .build();
     server.start();
   }
 
@@ -43,43 +36,73 @@
     server.stop();
   }
 
+  /** Returns the switches of the faults. */
+  public LogFaults faults() {
+    return faults;
+  }
+
+  /** Sets how long records are kept, in milliseconds. */
+  public void setRetentionMillis(long millis) {
+    store.setRetentionMillis(millis);
+  }
+
+  /** Returns how many appends took effect. */
+  public long appends() {
+    return store.nextOffset();
+  }
+
+  /** Returns how many appends were refused because of the limit. */
+  public long refusedAppends() {
+    return store.refusedAppends();
+  }
+
+  /** Returns the highest number of appends in one second. */
+  public int highestAppendsInSecond() {
+    return store.highestAppendsInSecond();
+  }
+
   private void handle(HttpServerExchange exchange) throws IOException, InterruptedException {
     if (exchange.getRequestPath().equals("/append")) {
-      byte[] record = exchange.getInputStream().readAllBytes();
-      send(exchange, new HttpPlatformLog.Appended(append(record)));
+      append(exchange);
     } else {
-      send(
-          exchange,
-          read(number(exchange, "from"), (int) number(exchange, "max"), number(exchange, "wait")));
+      read(exchange);
     }
   }
 
-  private static long number(HttpServerExchange exchange, String name) {
-    return Long.parseLong(exchange.getQueryParameters().get(name).getFirst());
+  private void append(HttpServerExchange exchange) throws IOException, InterruptedException {
+    byte[] record = exchange.getInputStream().readAllBytes();
+    Thread.sleep(faults.appendLatencyMillis());
+    if (faults.isOut()) {
+      exchange.setStatusCode(503);
+      return;
+    }
+    OptionalLong offset =
+        store.append(record, faults.appendsPerSecond(), System.currentTimeMillis());
+    if (offset.isEmpty()) {
+      exchange.setStatusCode(429);
+    } else if (faults.losesAnswers()) {
+      exchange.setStatusCode(503);
+    } else {
+      send(exchange, new HttpPlatformLog.Appended(offset.getAsLong()));
+    }
   }
 
-  private void send(HttpServerExchange exchange, Object value) {
-    exchange.getResponseSender().send(ByteBuffer.wrap(codec.encode(value)));
+  private void read(HttpServerExchange exchange) throws InterruptedException {
+    if (faults.isOut()) {
+      exchange.setStatusCode(503);
+      return;
+    }
+    send(
+        exchange,
+        store.read(
+            number(exchange, "from"), (int) number(exchange, "max"), number(exchange, "wait")));
   }
 
-  private synchronized long append(byte[] record) {
-    records.add(record);
-    notifyAll();
-    return records.size() - 1L;
+  private static long number(HttpServerExchange exchange, String name) {
+    return Long.parseLong(exchange.getQueryParameters().get(name).getFirst());
   }
 
-  private synchronized LogPage read(long from, int max, long waitMillis)
-      throws InterruptedException {
-    long deadline = System.nanoTime() + waitMillis * 1_000_000;
-    while (records.size() <= from) {
-      long leftMillis = (deadline - System.nanoTime()) / 1_000_000;
-      if (leftMillis <= 0) {
-        break;
-      }
-      wait(leftMillis);
-    }
-    int start = (int) Math.min(from, records.size());
-    int end = Math.min(records.size(), start + max);
-    return new LogPage(0, records.size(), start, List.copyOf(records.subList(start, end)));
+  private void send(HttpServerExchange exchange, Object value) {
+    exchange.getResponseSender().send(ByteBuffer.wrap(codec.encode(value)));
   }
 }
