--- /dev/null
+++ b/core/src/main/java/org/persimmonloom/core/capacity/CapacityLimits.java
@@ -0,0 +1,64 @@
+package org.persimmonloom.core.capacity;
+
+import org.persimmonloom.core.release.Weights;
+
+/**
+ * The limits of the policy, derived from the deployment's weights. Only the share of a weight in
+ * the sum of the four matters. With equal weights each limit has its middle value, and each weight
+ * moves a limit in one direction:
+ *
+ * <ul>
+ *   <li>wait of short work: more of a burst is covered by a pool's own slots, the buffer is larger,
+ *       and a wave leaves one host of each budget for unplanned losses;
+ *   <li>buffer cost: the reverse, and surplus hosts return to the spare pool sooner;
+ *   <li>roll-out time: a wave may use whole budgets and go below the head room;
+ *   <li>host moves: a gap must be larger before a host moves, and moves are further apart.
+ * </ul>
+ *
+ * @param burstCoverage share of the burst above the trend that a pool's own slots cover; the queue
+ *     and borrowed idle slots absorb the rest
+ * @param bufferShare share of all hosts of a kind that is kept in reserve
+ * @param shortfallThreshold hosts that a pool must lack before it gets one
+ * @param surplusThreshold hosts that a pool must have too many before it gives one up
+ * @param moveIntervalMillis least time between two starts of moves of one kind of host
+ * @param unplannedReserve hosts of each pool's budget that a wave leaves for unplanned losses
+ * @param waveOverdraft hosts below the need that a wave may take a pool
+ */
+public record CapacityLimits(
+    double burstCoverage,
+    double bufferShare,
+    double shortfallThreshold,
+    double surplusThreshold,
+    long moveIntervalMillis,
+    int unplannedReserve,
+    int waveOverdraft) {
+  private static final double EVEN_SHARE = 0.25;
+
+  /** Returns the limits for these weights; a move takes {@code moveMillis}. */
+  public static CapacityLimits from(Weights weights, long moveMillis) {
+    double sum = weights.shortWait() + weights.buffer() + weights.rollout() + weights.moves();
+    double scale = sum > 0 ? 1 / sum : 0;
+    double shortWait = weights.shortWait() * scale;
+    double buffer = weights.buffer() * scale;
+    double rollout = weights.rollout() * scale;
+    double moves = weights.moves() * scale;
+    boolean isRolloutFirst = rollout > shortWait;
+    return new CapacityLimits(
+        clamp(0.375 + 0.3 * (shortWait - buffer), 0.2, 0.6),
+        clamp(0.05 + 0.1 * (shortWait - buffer), 0.025, 0.1),
+        clamp(0.75 + 2 * (moves - EVEN_SHARE), 0.5, 2),
+        clamp(1.5 + 4 * (moves - EVEN_SHARE) - 2 * (buffer - EVEN_SHARE), 1, 3),
+        Math.round(moveMillis * clamp(moves, 0.1, 1)),
+        isRolloutFirst ? 0 : 1,
+        (int) Math.round(clamp(1 + 4 * (rollout - shortWait), 0, 3)));
+  }
+
+  /** Returns how many hosts of a kind with {@code hosts} in all are kept in reserve. */
+  public int bufferHosts(int hosts) {
+    return Math.max(1, (int) Math.round(bufferShare * hosts));
+  }
+
+  private static double clamp(double value, double low, double high) {
+    return Math.max(low, Math.min(high, value));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/persimmonloom/core/capacity/CapacityPlan.java
@@ -0,0 +1,26 @@
+package org.persimmonloom.core.capacity;
+
+import java.util.List;
+import java.util.Map;
+import org.persimmonloom.core.host.HostKind;
+
+/**
+ * The decisions of one planning round.
+ *
+ * @param bufferHosts hosts of the spare pool that are kept free of long work, by kind of host
+ * @param paces pace of a maintenance wave, by pool
+ * @param verdicts one for each pool, in the order of the view
+ */
+public record CapacityPlan(
+    long basedOnOffset,
+    List<ProposedMove> moves,
+    Map<HostKind, Integer> bufferHosts,
+    Map<String, PaceDecision> paces,
+    List<PoolVerdict> verdicts) {
+  public CapacityPlan {
+    moves = List.copyOf(moves);
+    bufferHosts = Map.copyOf(bufferHosts);
+    paces = Map.copyOf(paces);
+    verdicts = List.copyOf(verdicts);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/persimmonloom/core/capacity/TrendPolicy.java
@@ -0,0 +1,87 @@
+package org.persimmonloom.core.capacity;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import org.persimmonloom.core.host.HostKind;
+
+/**
+ * Moves hosts after the trend of demand.
+ *
+ * <p>For each pool the hosts to come are compared with the need at the time when a move started now
+ * would end ({@link PoolBalance}). A pool whose shortfall exceeds the threshold by more than the
+ * uncertainty of its trend gets one host: from the spare pool while that holds more than its own
+ * need and the buffer, otherwise from the pool with the largest surplus. With no pool short of
+ * hosts, a pool with a surplus returns one host to the spare pool, where it can run long work or be
+ * lent.
+ *
+ * <p>What keeps moves few: the thresholds for shortfall and surplus are apart (hysteresis); moves
+ * of one kind of host are at least an interval apart; a pool that took part in a move does not take
+ * part in one in the other direction for {@value KindPlanner#REVERSAL_MOVES} times the length of a
+ * move; a pool in a wave gives no host up, because the wave already takes from its budget; no move
+ * starts while the host list is doubted or the reports of either pool are old or incomplete.
+ *
+ * <p>At most one move per kind of host is proposed in a round. The fold refuses it if the state
+ * changed after the view's offset, so that two hosts that plan at once don't add up. The planner
+ * has no state; equal views give equal plans. Safe for any thread.
+ */
+public final class TrendPolicy implements CapacityPolicy {
+  private final CapacitySettings settings;
+
+  /** Creates a policy with these times. */
+  public TrendPolicy(CapacitySettings settings) {
+    this.settings = settings;
+  }
+
+  @Override
+  public CapacityPlan plan(CapacityView view, long nowMillis) {
+    CapacityLimits limits = CapacityLimits.from(view.weights(), settings.moveMillis());
+    List<PoolBalance> balances =
+        view.pools().stream()
+            .map(pool -> PoolBalance.of(pool, view, limits, settings, nowMillis))
+            .toList();
+    Map<String, PaceDecision> paces = new TreeMap<>();
+    balances.forEach(each -> paces.put(each.pool().name(), RolloutPace.decide(each, limits)));
+    Map<HostKind, Integer> buffers = new EnumMap<>(HostKind.class);
+    List<ProposedMove> moves = new ArrayList<>();
+    Map<String, String> outcomes = new TreeMap<>();
+    for (HostKind kind : HostKind.values()) {
+      List<PoolBalance> ofKind =
+          balances.stream().filter(each -> each.pool().kind() == kind).toList();
+      int hosts = ofKind.stream().mapToInt(each -> each.pool().hosts().size()).sum();
+      buffers.put(kind, limits.bufferHosts(hosts));
+      KindPlanner planner =
+          new KindPlanner(view, ofKind, limits, settings, buffers.get(kind), nowMillis);
+      planner.plan().ifPresent(moves::add);
+      outcomes.putAll(planner.outcomes());
+    }
+    List<PoolVerdict> verdicts =
+        balances.stream().map(each -> verdict(each, outcomes, limits)).toList();
+    return new CapacityPlan(view.offset(), moves, buffers, paces, verdicts);
+  }
+
+  private static PoolVerdict verdict(
+      PoolBalance balance, Map<String, String> outcomes, CapacityLimits limits) {
+    String figures =
+        String.format(
+            Locale.ROOT,
+            "%s; needs %.1f hosts (error %.1f), %.0f to come; %s",
+            balance.basis(),
+            balance.needed(),
+            balance.error(),
+            balance.toCome(),
+            outcomes.getOrDefault(balance.pool().name(), change(balance, limits)));
+    return new PoolVerdict(balance.pool().name(), balance.toCome(), balance.needed(), figures);
+  }
+
+  private static String change(PoolBalance balance, CapacityLimits limits) {
+    return String.format(
+        Locale.ROOT,
+        "stays; it would get a host at a need of %.1f and give one up at %.1f",
+        balance.toCome() + balance.error() + limits.shortfallThreshold(),
+        balance.toCome() - balance.error() - limits.surplusThreshold());
+  }
+}
