Measure what one more record of each kind costs in the fold

Change: 'measure slopes' folds hosts, claims, jobs, configuration changes and registrations at three sizes each, with 248 pools and services defined, and fits bytes and time by least squares.

--- a/tool/src/main/java/org/persimmonloom/tool/command/Main.java
+++ b/tool/src/main/java/org/persimmonloom/tool/command/Main.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import org.persimmonloom.core.result.Failure;
 import org.persimmonloom.core.result.ResultCode;
+import org.persimmonloom.tool.measure.SlopesCommand;
 
 /** The operators' command. Its exit code is the number of the result code. */
 public final class Main {
@@ -18,6 +19,7 @@
     commands.put("release apply", new ReleaseApplyCommand());
     commands.put("release show", new ReleaseShowCommand());
     commands.put("standin", new StandInCommand());
+    commands.put("measure slopes", new SlopesCommand());
     return commands;
   }
 
