--- a/tool/src/main/java/org/persimmonloom/tool/command/Main.java
+++ b/tool/src/main/java/org/persimmonloom/tool/command/Main.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import org.persimmonloom.core.result.Failure;
 import org.persimmonloom.core.result.ResultCode;
+import org.persimmonloom.tool.measure.MeasureRoutingCommand;
 
 /** The operators' command. Its exit code is the number of the result code. */
 public final class Main {
@@ -15,6 +16,7 @@
 
   private static Map<String, Command> commands() {
     Map<String, Command> commands = new LinkedHashMap<>();
+    commands.put("measure routing", new MeasureRoutingCommand());
     commands.put("release apply", new ReleaseApplyCommand());
     commands.put("release show", new ReleaseShowCommand());
     commands.put("standin", new StandInCommand());
