--- /dev/null
+++ b/core/src/main/java/org/persimmonloom/core/claim/RequestFingerprint.java
@@ -0,0 +1,15 @@
+package org.persimmonloom.core.claim;
+
+import net.openhft.hashing.LongHashFunction;
+
+/** Tells apart two different requests that carry the same key. Stateless. */
+public final class RequestFingerprint {
+  private RequestFingerprint() {}
+
+  /** Returns a hash of method, target and body. */
+  public static long of(String method, String target, byte[] body) {
+    LongHashFunction hash = LongHashFunction.xx();
+    return hash.hashLongs(
+        new long[] {hash.hashChars(method), hash.hashChars(target), hash.hashBytes(body)});
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/persimmonloom/runtime/caller/CallerExchange.java
@@ -0,0 +1,202 @@
+package org.persimmonloom.runtime.caller;
+
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.RequestTooBigException;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import io.undertow.util.SameThreadExecutor;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.Locale;
+import java.util.Set;
+import java.util.concurrent.Future;
+import java.util.concurrent.atomic.AtomicLong;
+import org.persimmonloom.core.claim.CompleteResponse;
+import org.persimmonloom.core.claim.CompleteResponse.Header;
+import org.persimmonloom.core.release.ServiceDefinition;
+import org.persimmonloom.core.result.Failure;
+import org.persimmonloom.core.result.ResultCode;
+import org.persimmonloom.runtime.endpoint.EndpointClient;
+
+/**
+ * One request on a caller's connection: reads it, starts it and writes its answer. Confined to the
+ * I/O thread of the connection.
+ */
+final class CallerExchange {
+  /** Answer header with the number of the result code. */
+  static final HttpString RESULT = new HttpString("Persimmonloom-Result");
+
+  /** Answer header that says whether the request ran. */
+  static final HttpString RUN = new HttpString("Persimmonloom-Run");
+
+  /** Headers of a response that this host sets itself. */
+  private static final Set<String> REPLACED =
+      Set.of(
+          "content-length",
+          RESULT.toString().toLowerCase(Locale.ROOT),
+          RUN.toString().toLowerCase(Locale.ROOT),
+          EndpointClient.ATTEMPT_HEADER.toLowerCase(Locale.ROOT));
+
+  private final HttpServerExchange exchange;
+  private final RequestService requests;
+  private final RequestContext context;
+  private final MemoryBudget memory;
+  private final int maxBodyBytes;
+  private final long sendMillis;
+  private final long arrivedMillis;
+  private final AtomicLong heldBytes = new AtomicLong();
+  private boolean isAnswered;
+  private boolean isReceived;
+
+  CallerExchange(
+      HttpServerExchange exchange,
+      RequestService requests,
+      RequestContext context,
+      MemoryBudget memory,
+      int maxBodyBytes,
+      long sendMillis) {
+    this.exchange = exchange;
+    this.requests = requests;
+    this.context = context;
+    this.memory = memory;
+    this.maxBodyBytes = maxBodyBytes;
+    this.sendMillis = sendMillis;
+    arrivedMillis = context.now();
+  }
+
+  /** Checks the head and reads the body. */
+  void start() {
+    Either<Failure, CallerHeaders> head = CallerHeaders.parse(exchange);
+    Either<Failure, ServiceDefinition> service = head.flatMap(it -> requests.check(it.service()));
+    if (service.isLeft()) {
+      refuse(service.getLeft());
+      return;
+    }
+    long length = exchange.getRequestContentLength();
+    if (length > maxBodyBytes) {
+      exchange.setPersistent(false);
+      refuse(Failure.of(ResultCode.BODY_TOO_LARGE, maxBodyBytes));
+      return;
+    }
+    long reserved = exchange.isRequestComplete() ? 0 : length < 0 ? maxBodyBytes : length;
+    if (!memory.tryTake(reserved)) {
+      refuse(Failure.of(ResultCode.OVERLOADED, CallerListener.MAX_REQUESTS));
+      return;
+    }
+    heldBytes.set(reserved);
+    exchange.addExchangeCompleteListener(
+        (ended, next) -> {
+          memory.give(heldBytes.getAndSet(0));
+          next.proceed();
+        });
+    receive(head.get(), service.get());
+  }
+
+  private void receive(CallerHeaders head, ServiceDefinition service) {
+    Future<?> timeout =
+        context.timer.after(
+            sendMillis, () -> exchange.getIoThread().execute(this::refuseSlowSender));
+    exchange
+        .getRequestReceiver()
+        .receiveFullBytes(
+            (received, body) -> {
+              timeout.cancel(false);
+              isReceived = true;
+              if (!isAnswered) {
+                exchange.dispatch(SameThreadExecutor.INSTANCE, () -> submit(head, service, body));
+              }
+            },
+            (failed, error) -> {
+              timeout.cancel(false);
+              isReceived = true;
+              refuseUnreadable(error);
+            });
+  }
+
+  private void refuseSlowSender() {
+    if (!isReceived && !isAnswered) {
+      exchange.setPersistent(false);
+      refuse(Failure.of(ResultCode.REQUEST_TIMEOUT, sendMillis));
+    }
+  }
+
+  private void refuseUnreadable(IOException error) {
+    exchange.setPersistent(false);
+    refuse(
+        error instanceof RequestTooBigException
+            ? Failure.of(ResultCode.BODY_TOO_LARGE, maxBodyBytes)
+            : Failure.of(ResultCode.CANCELLED));
+  }
+
+  private void submit(CallerHeaders head, ServiceDefinition service, byte[] body) {
+    if (body.length > 0 && (head.method().equals("GET") || head.method().equals("HEAD"))) {
+      refuse(
+          Failure.of(ResultCode.HEADER_INVALID, "Content-Length", head.method() + " has no body"));
+      return;
+    }
+    long deadlineMillis =
+        head.deadlineMillis() > 0 ? head.deadlineMillis() : service.deadlineMillis();
+    Ticket ticket =
+        requests.accept(
+            new CallerRequest(
+                head.service(),
+                head.method(),
+                head.target(),
+                head.headers(),
+                body,
+                head.key(),
+                head.hint(),
+                arrivedMillis,
+                arrivedMillis + deadlineMillis));
+    if (!ticket.answer().isDone()) {
+      DisconnectWatch.start(exchange, ticket::cancel);
+    }
+    ticket.answer().thenAccept(answer -> exchange.getIoThread().execute(() -> write(answer)));
+  }
+
+  /** Refuses the request as not run, before it was started. */
+  void refuse(Failure failure) {
+    CallerAnswer answer = CallerAnswer.notRun(failure);
+    context.metrics.refused(RequestMetrics.NO_SERVICE, answer);
+    write(answer);
+  }
+
+  private void write(CallerAnswer answer) {
+    if (isAnswered || exchange.isResponseStarted()) {
+      return;
+    }
+    isAnswered = true;
+    exchange.setStatusCode(answer.status());
+    if (answer.code() == ResultCode.STOPPING) {
+      exchange.setPersistent(false);
+    }
+    HeaderMap headers = exchange.getResponseHeaders();
+    headers.put(RESULT, answer.code().number());
+    headers.put(RUN, answer.run().headerValue());
+    if (answer.response() == null) {
+      headers.put(Headers.CONTENT_TYPE, "text/plain; charset=utf-8");
+      exchange.getResponseSender().send(answer.failure() + "\n");
+      return;
+    }
+    writeResponse(headers, answer.response());
+  }
+
+  private void writeResponse(HeaderMap headers, CompleteResponse response) {
+    memory.take(response.body().length);
+    heldBytes.addAndGet(response.body().length);
+    boolean isHead = exchange.getRequestMethod().toString().equals("HEAD");
+    for (Header header : response.headers()) {
+      String name = header.name().toLowerCase(Locale.ROOT);
+      if (!REPLACED.contains(name) || (isHead && name.equals("content-length"))) {
+        headers.add(new HttpString(header.name()), header.value());
+      }
+    }
+    if (isHead || response.status() == 204 || response.status() == 304) {
+      exchange.endExchange();
+    } else {
+      exchange.getResponseSender().send(ByteBuffer.wrap(response.body()));
+    }
+  }
+}
--- a/runtime/src/main/java/org/persimmonloom/runtime/caller/CallerListener.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/caller/CallerListener.java
@@ -1,54 +1,59 @@
 package org.persimmonloom.runtime.caller;
 
 import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.server.handlers.BlockingHandler;
-import io.undertow.util.Headers;
-import io.undertow.util.HttpString;
-import java.io.IOException;
+import io.undertow.server.handlers.HttpContinueReadHandler;
+import io.undertow.util.AttachmentKey;
 import java.net.InetSocketAddress;
-import java.nio.ByteBuffer;
-import java.util.List;
-import java.util.Optional;
-import java.util.Set;
-import java.util.UUID;
-import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicInteger;
 import javax.inject.Inject;
 import javax.inject.Singleton;
-import org.persimmonloom.core.host.Host;
-import org.persimmonloom.core.host.HostState;
-import org.persimmonloom.core.release.ServiceDefinition;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.persimmonloom.core.result.Failure;
 import org.persimmonloom.core.result.ResultCode;
-import org.persimmonloom.core.result.RunOutcome;
-import org.persimmonloom.runtime.endpoint.EndpointAnswer;
-import org.persimmonloom.runtime.endpoint.EndpointClient;
-import org.persimmonloom.runtime.log.ReplicatedState;
 import org.persimmonloom.runtime.settings.EntrySettings;
+import org.xnio.Options;
 
-/** The HTTP listener for callers. Safe for any thread. */
+/**
+ * The HTTP listener for callers. It never blocks: a request is read, waits and is answered by
+ * callbacks on the I/O thread of its connection.
+ *
+ * <p>Limits on connections, concurrent requests, bytes in bodies and the time to send a request are
+ * answered with a numbered error. Safe for any thread.
+ */
 @Singleton
 public final class CallerListener {
-  /** Answer header with the number of the result code. */
-  public static final HttpString RESULT = new HttpString("Persimmonloom-Result");
+  /** Largest request body in bytes. */
+  public static final int MAX_BODY_BYTES = 1 << 20;
 
-  /** Answer header that says whether the request ran. */
-  public static final HttpString RUN = new HttpString("Persimmonloom-Run");
-
-  private static final Set<String> HOP_HEADERS =
-      Set.of("connection", "transfer-encoding", "content-length", "keep-alive", "date");
-  private static final long MAX_BODY_BYTES = 1 << 20;
+  static final int MAX_REQUESTS = 1_024;
+  static final int MAX_CONNECTIONS = 2_048;
+  private static final int MAX_ACCEPTED_CONNECTIONS = 4_096;
+  private static final long MAX_HELD_BYTES = 48L << 20;
+  private static final int MAX_HEADER_BYTES = 16 * 1_024;
+  private static final int MAX_HEADERS = 100;
+  private static final int SEND_MILLIS = 5_000;
+  private static final int KEEP_ALIVE_MILLIS = 60_000;
+  private static final int WRITE_MILLIS = 30_000;
+  private static final int IO_THREADS = 2;
+  private static final Logger LOGGER = LogManager.getLogger(CallerListener.class);
+  private static final AttachmentKey<Boolean> COUNTED = AttachmentKey.create(Boolean.class);
 
   private final EntrySettings settings;
-  private final ReplicatedState state;
-  private final EndpointClient endpoints;
+  private final RequestService requests;
+  private final RequestContext context;
+  private final MemoryBudget memory = new MemoryBudget(MAX_HELD_BYTES);
+  private final AtomicInteger connections = new AtomicInteger();
+  private final AtomicInteger inProgress = new AtomicInteger();
   private Undertow server;
 
   @Inject
-  public CallerListener(EntrySettings settings, ReplicatedState state, EndpointClient endpoints) {
+  CallerListener(EntrySettings settings, RequestService requests, RequestContext context) {
     this.settings = settings;
-    this.state = state;
-    this.endpoints = endpoints;
+    this.requests = requests;
+    this.context = context;
   }
 
   /** Starts listening. */
@@ -56,89 +61,63 @@
     InetSocketAddress address = settings.callerAddress();
     server =
         Undertow.builder()
+            .setIoThreads(IO_THREADS)
+            .setWorkerThreads(1)
+            .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, (long) MAX_BODY_BYTES)
+            .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
+            .setServerOption(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
+            .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, SEND_MILLIS)
+            .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, KEEP_ALIVE_MILLIS)
+            .setSocketOption(Options.WRITE_TIMEOUT, WRITE_MILLIS)
+            .setSocketOption(Options.CONNECTION_HIGH_WATER, MAX_ACCEPTED_CONNECTIONS)
+            .setSocketOption(Options.CONNECTION_LOW_WATER, MAX_ACCEPTED_CONNECTIONS)
             .addHttpListener(address.getPort(), address.getHostString())
-            .setHandler(new BlockingHandler(this::handle))
+            .setHandler(new HttpContinueReadHandler(this::handle))
             .build();
     server.start();
   }
 
-  /** Stops listening. */
-  public void stop() {
-    server.stop();
-  }
-
-  private void handle(HttpServerExchange exchange) throws IOException {
-    exchange.setMaxEntitySize(MAX_BODY_BYTES);
-    byte[] body = exchange.getInputStream().readAllBytes();
-    String name = firstSegment(exchange.getRequestPath());
-    Optional<ServiceDefinition> service = state.read(fleet -> fleet.releases().service(name));
-    if (service.isEmpty()) {
-      refuse(exchange, 404, Failure.of(ResultCode.SERVICE_UNKNOWN, name));
-      return;
-    }
-    List<Host> hosts =
-        state.read(
-            fleet ->
-                fleet.hosts().inPool(service.get().pool()).stream()
-                    .filter(host -> host.state() == HostState.AVAILABLE)
-                    .toList());
-    if (hosts.isEmpty()) {
-      refuse(exchange, 503, Failure.of(ResultCode.NO_ENDPOINT, name));
-      return;
-    }
-    Host host = hosts.get(ThreadLocalRandom.current().nextInt(hosts.size()));
-    forward(exchange, service.get(), host, body);
+  /** Returns the address that the listener is bound to. */
+  public InetSocketAddress address() {
+    return (InetSocketAddress) server.getListenerInfo().get(0).getAddress();
   }
 
-  private static String firstSegment(String path) {
-    int end = path.indexOf('/', 1);
-    return end < 0 ? path.substring(1) : path.substring(1, end);
+  /** Stops listening and closes all connections. */
+  public void stop() {
+    server.stop();
   }
 
-  private void forward(
-      HttpServerExchange exchange, ServiceDefinition service, Host host, byte[] body) {
-    String query = exchange.getQueryString();
-    String target = exchange.getRequestPath() + (query.isEmpty() ? "" : "?" + query);
+  private void handle(HttpServerExchange exchange) {
+    CallerExchange request =
+        new CallerExchange(exchange, requests, context, memory, MAX_BODY_BYTES, SEND_MILLIS);
+    int held = inProgress.incrementAndGet();
+    exchange.addExchangeCompleteListener(
+        (ended, next) -> {
+          inProgress.decrementAndGet();
+          next.proceed();
+        });
     try {
-      EndpointAnswer answer =
-          endpoints.send(
-              host.facts().address(),
-              exchange.getRequestMethod().toString(),
-              target,
-              body,
-              UUID.randomUUID().toString(),
-              service.deadlineMillis());
-      exchange.setStatusCode(answer.status());
-      answer.headers().stream()
-          .filter(
-              header -> !HOP_HEADERS.contains(header.getKey().toLowerCase(java.util.Locale.ROOT)))
-          .forEach(
-              header ->
-                  exchange
-                      .getResponseHeaders()
-                      .add(new HttpString(header.getKey()), header.getValue()));
-      exchange.getResponseHeaders().put(RESULT, ResultCode.OK.number());
-      exchange.getResponseHeaders().put(RUN, RunOutcome.RAN.headerValue());
-      exchange.getResponseSender().send(ByteBuffer.wrap(answer.body()));
-    } catch (IOException e) {
-      answer(
-          exchange,
-          502,
-          Failure.of(ResultCode.OUTCOME_UNKNOWN, e.getMessage()),
-          RunOutcome.UNKNOWN);
+      if (countConnection(exchange) > MAX_CONNECTIONS) {
+        exchange.setPersistent(false);
+        request.refuse(Failure.of(ResultCode.OVERLOADED, MAX_CONNECTIONS));
+      } else if (held > MAX_REQUESTS) {
+        request.refuse(Failure.of(ResultCode.OVERLOADED, MAX_REQUESTS));
+      } else {
+        request.start();
+      }
+    } catch (RuntimeException e) {
+      LOGGER.error("request could not be read", e);
+      request.refuse(Failure.of(ResultCode.INTERNAL, e));
     }
   }
 
-  private static void refuse(HttpServerExchange exchange, int status, Failure failure) {
-    answer(exchange, status, failure, RunOutcome.NOT_RUN);
-  }
-
-  private static void answer(
-      HttpServerExchange exchange, int status, Failure failure, RunOutcome outcome) {
-    exchange.setStatusCode(status);
-    exchange.getResponseHeaders().put(RESULT, failure.code().number());
-    exchange.getResponseHeaders().put(RUN, outcome.headerValue());
-    exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/plain; charset=utf-8");
-    exchange.getResponseSender().send(failure + "\n");
+  /** Counts connections that carried a request; an idle one is closed by its timeout. */
+  private int countConnection(HttpServerExchange exchange) {
+    if (exchange.getConnection().getAttachment(COUNTED) != null) {
+      return 0;
+    }
+    exchange.getConnection().putAttachment(COUNTED, true);
+    exchange.getConnection().addCloseListener(closed -> connections.decrementAndGet());
+    return connections.incrementAndGet();
   }
 }
--- /dev/null
+++ b/runtime/src/main/java/org/persimmonloom/runtime/caller/CallerRequest.java
@@ -0,0 +1,40 @@
+package org.persimmonloom.runtime.caller;
+
+import java.util.List;
+import org.persimmonloom.core.claim.CompleteResponse.Header;
+import org.persimmonloom.core.routing.WorkClass;
+
+/**
+ * A whole request of a caller, with checked headers.
+ *
+ * @param service name of the service, the first segment of the path
+ * @param target path and query as sent
+ * @param headers end-to-end headers, in order
+ * @param key text of the request key; null if none was sent
+ * @param hint class that the caller named; null if none
+ * @param arrivedMillis when the headers had arrived, in milliseconds since the epoch
+ * @param deadlineMillis when the caller stops waiting, in milliseconds since the epoch
+ */
+public record CallerRequest(
+    String service,
+    String method,
+    String target,
+    List<Header> headers,
+    byte[] body,
+    String key,
+    WorkClass hint,
+    long arrivedMillis,
+    long deadlineMillis) {
+  public CallerRequest {
+    headers = List.copyOf(headers);
+  }
+
+  /** Returns what run times are learned by: the method and the first two path segments. */
+  public String route() {
+    int end = target.indexOf('?');
+    String path = end < 0 ? target : target.substring(0, end);
+    int second = path.indexOf('/', 1);
+    int third = second < 0 ? -1 : path.indexOf('/', second + 1);
+    return method + ' ' + (third < 0 ? path : path.substring(0, third));
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/persimmonloom/runtime/caller/ClaimedRequests.java
@@ -0,0 +1,267 @@
+package org.persimmonloom.runtime.caller;
+
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
+import javax.inject.Inject;
+import javax.inject.Singleton;
+import org.persimmonloom.core.claim.Arrival;
+import org.persimmonloom.core.claim.Claim;
+import org.persimmonloom.core.claim.ClaimHolder;
+import org.persimmonloom.core.claim.ClaimRequested;
+import org.persimmonloom.core.claim.ClaimStatus;
+import org.persimmonloom.core.claim.RequestFingerprint;
+import org.persimmonloom.core.claim.RequestKey;
+import org.persimmonloom.core.fold.ProposalTypes;
+import org.persimmonloom.core.result.Failure;
+import org.persimmonloom.core.result.ResultCode;
+import org.persimmonloom.core.result.RunOutcome;
+import org.persimmonloom.runtime.log.Proposer;
+import org.persimmonloom.runtime.log.ReplicatedState;
+import org.persimmonloom.runtime.peer.PeerChannel;
+import org.persimmonloom.runtime.settings.EntrySettings;
+
+/**
+ * Non-repeatable requests: the first copy of a key here proposes a claim, every other copy follows
+ * the claim that exists, here or at the entry host that holds it.
+ *
+ * <p>A copy that stops waiting while a claim of another copy may still run is answered as unknown,
+ * never as not run. Safe for any thread.
+ */
+@Singleton
+final class ClaimedRequests {
+  private static final long MAX_KEPT_BYTES = 16L << 20;
+  private static final long MAX_KEPT_MILLIS = 5 * 60_000;
+
+  /** Leaves room for the envelope in a peer frame of 1 MiB. */
+  private static final long MAX_PEER_ANSWER_BYTES = 900 * 1024;
+
+  private static final long PEER_WAIT_MILLIS = 400;
+  private static final long PEER_TIMEOUT_MILLIS = 1_000;
+  private static final long FOLLOW_PAUSE_MILLIS = 50;
+
+  private final ClaimHolder holder = new ClaimHolder(MAX_KEPT_BYTES, MAX_KEPT_MILLIS);
+  private final Map<String, ClaimedWork> inProgress = new ConcurrentHashMap<>();
+  private final RequestContext context;
+  private final ClaimEndings endings;
+  private final Proposer proposer;
+  private final ReplicatedState state;
+  private final PeerChannel peers;
+  private final String self;
+  private final String claimPrefix;
+
+  @Inject
+  ClaimedRequests(
+      RequestContext context,
+      ClaimEndings endings,
+      Proposer proposer,
+      ReplicatedState state,
+      PeerChannel peers,
+      EntrySettings settings) {
+    this.context = context;
+    this.endings = endings;
+    this.proposer = proposer;
+    this.state = state;
+    this.peers = peers;
+    this.self = settings.name();
+    claimPrefix = self + "-" + Long.toHexString(ThreadLocalRandom.current().nextLong()) + "-";
+    peers.handle(ClaimQuestion.KIND, (peer, question) -> answerPeer(question));
+  }
+
+  /** Starts the request, or answers it at once if its key is missing or malformed. */
+  ClaimedTicket submit(ServiceDispatcher dispatcher, CallerRequest request) {
+    ClaimedTicket ticket = new ClaimedTicket(context, dispatcher, request);
+    if (request.key() == null) {
+      ticket.finish(
+          CallerAnswer.notRun(Failure.of(ResultCode.REQUEST_KEY_MISSING, request.service())));
+      return ticket;
+    }
+    Either<Failure, RequestKey> key = RequestKey.parse(request.key());
+    if (key.isLeft()) {
+      ticket.finish(CallerAnswer.notRun(key.getLeft()));
+      return ticket;
+    }
+    ticket.armDeadline();
+    follow(ticket, null);
+    return ticket;
+  }
+
+  /** Returns the number of claims here that are neither settled nor abandoned. */
+  int inProgress() {
+    return inProgress.size();
+  }
+
+  /** Ends all work because the process stops. */
+  void endAll() {
+    List.copyOf(inProgress.values()).forEach(ClaimedWork::end);
+  }
+
+  private void follow(ClaimedTicket ticket, String supersedes) {
+    if (ticket.answer().isDone()) {
+      return;
+    }
+    CallerRequest request = ticket.request();
+    if (!holder.isKnown(request.service(), request.key())) {
+      Optional<Claim> claim =
+          state.read(fleet -> fleet.claims().find(request.service(), request.key()));
+      if (claim.isPresent() && !isOpen(claim.get(), supersedes)) {
+        followFolded(ticket, claim.get());
+        return;
+      }
+    }
+    if (!ticket.dispatcher().hasRoomForClaim()) {
+      ticket.finishWithoutRun(
+          Failure.of(
+              ResultCode.QUEUE_FULL,
+              request.service(),
+              ticket.dispatcher().service().queueLimit()));
+      return;
+    }
+    arrive(ticket, supersedes);
+  }
+
+  private static boolean isOpen(Claim claim, String supersedes) {
+    return claim.state() == Claim.State.RELEASED || claim.claimId().equals(supersedes);
+  }
+
+  private void arrive(ClaimedTicket ticket, String supersedes) {
+    CallerRequest request = ticket.request();
+    ClaimRequested wanted =
+        new ClaimRequested(
+            request.service(),
+            request.key(),
+            ticket.fingerprint(),
+            claimPrefix + context.nextId(),
+            supersedes);
+    ClaimedWork work = null;
+    Arrival arrival;
+    synchronized (this) {
+      arrival = holder.arrive(wanted, request.deadlineMillis(), context.now());
+      if (arrival instanceof Arrival.Propose propose) {
+        work = newWork(ticket, propose.claim());
+      }
+    }
+    if (work != null) {
+      ticket.attachTo(work, () -> follow(ticket, null));
+      work.start(proposer);
+    } else if (arrival instanceof Arrival.Duplicate duplicate) {
+      followLocal(ticket, duplicate);
+    } else if (arrival instanceof Arrival.Refused refused) {
+      ticket.finish(CallerAnswer.notRun(refused.failure()));
+    }
+  }
+
+  private ClaimedWork newWork(ClaimedTicket ticket, ClaimRequested claim) {
+    ClaimedWork work =
+        new ClaimedWork(context, holder, endings, ticket.dispatcher(), ticket.request(), claim);
+    inProgress.put(claim.claimId(), work);
+    work.outcome().whenComplete((unused, failure) -> inProgress.remove(claim.claimId()));
+    return work;
+  }
+
+  private void followLocal(ClaimedTicket ticket, Arrival.Duplicate duplicate) {
+    ticket.followsLocalCopy();
+    ClaimedWork work;
+    synchronized (this) {
+      work = inProgress.get(duplicate.claimId());
+    }
+    if (duplicate.status().kind() == ClaimStatus.Kind.RUNNING && work != null) {
+      ticket.attachTo(work, () -> follow(ticket, null));
+    } else {
+      apply(ticket, duplicate.claimId(), duplicate.status());
+    }
+  }
+
+  private void followFolded(ClaimedTicket ticket, Claim claim) {
+    if (claim.fingerprint() != ticket.fingerprint()) {
+      ticket.finish(CallerAnswer.notRun(Failure.of(ResultCode.REQUEST_KEY_REUSED, claim.key())));
+      return;
+    }
+    ticket.followsRemoteCopy();
+    boolean isHolderLive =
+        state.read(fleet -> fleet.entryHosts().isLive(claim.holder(), claim.incarnation()));
+    if (claim.state() == Claim.State.SETTLED && claim.outcome() == RunOutcome.UNKNOWN) {
+      ticket.finish(CallerAnswer.unknown("its claim was settled as unknown"));
+    } else if (!isHolderLive) {
+      ticket.finish(
+          claim.state() == Claim.State.SETTLED
+              ? answerGone()
+              : CallerAnswer.unknown("entry host " + claim.holder() + " is gone"));
+    } else {
+      ask(claim).whenComplete((status, failure) -> followStatus(ticket, claim, status));
+    }
+  }
+
+  private CompletableFuture<ClaimStatus> ask(Claim claim) {
+    if (claim.holder().equals(self)) {
+      return CompletableFuture.completedFuture(holder.status(claim.claimId(), context.now()));
+    }
+    byte[] question = ProposalTypes.CODEC.encode(new ClaimQuestion(claim.claimId()));
+    return peers
+        .ask(claim.holder(), ClaimQuestion.KIND, question, PEER_TIMEOUT_MILLIS)
+        .thenApply(
+            bytes ->
+                ProposalTypes.CODEC
+                    .decode(bytes, ClaimStatus.class)
+                    .getOrElse(ClaimStatus.of(ClaimStatus.Kind.NOT_KNOWN)));
+  }
+
+  private void followStatus(ClaimedTicket ticket, Claim claim, ClaimStatus status) {
+    ClaimStatus known = status == null ? ClaimStatus.of(ClaimStatus.Kind.NOT_KNOWN) : status;
+    boolean isGone =
+        known.kind() == ClaimStatus.Kind.NOT_KNOWN && claim.state() == Claim.State.SETTLED;
+    apply(ticket, claim.claimId(), isGone ? ClaimStatus.of(ClaimStatus.Kind.ANSWER_GONE) : known);
+  }
+
+  private void apply(ClaimedTicket ticket, String claimId, ClaimStatus status) {
+    switch (status.kind()) {
+      case ANSWERED -> ticket.finish(CallerAnswer.of(status.answer()));
+      case ANSWER_GONE -> ticket.finish(answerGone());
+      case OUTCOME_UNKNOWN -> ticket.finish(CallerAnswer.unknown("its first copy has no response"));
+      case ABANDONED -> context.timer.after(0, () -> follow(ticket, claimId));
+      case RUNNING, NOT_KNOWN ->
+          context.timer.after(FOLLOW_PAUSE_MILLIS, () -> follow(ticket, null));
+      default -> throw new IllegalStateException(status.kind().name());
+    }
+  }
+
+  private static CallerAnswer answerGone() {
+    return new CallerAnswer(null, Failure.of(ResultCode.DUPLICATE_ANSWER_GONE), RunOutcome.RAN);
+  }
+
+  private CompletableFuture<byte[]> answerPeer(byte[] question) {
+    Either<Failure, ClaimQuestion> decoded =
+        ProposalTypes.CODEC.decode(question, ClaimQuestion.class);
+    if (decoded.isLeft()) {
+      return CompletableFuture.completedFuture(encode(ClaimStatus.of(ClaimStatus.Kind.NOT_KNOWN)));
+    }
+    String claimId = decoded.get().claimId();
+    ClaimedWork work = inProgress.get(claimId);
+    CompletableFuture<byte[]> answer = new CompletableFuture<>();
+    Runnable reply = () -> answer.complete(encode(holder.status(claimId, context.now())));
+    if (work == null) {
+      reply.run();
+    } else {
+      work.outcome().whenComplete((unused, failure) -> reply.run());
+      var timeout = context.timer.after(PEER_WAIT_MILLIS, reply);
+      answer.whenComplete((unused, failure) -> timeout.cancel(false));
+    }
+    return answer;
+  }
+
+  private static byte[] encode(ClaimStatus status) {
+    boolean isTooLarge =
+        status.answer() != null && status.answer().sizeBytes() > MAX_PEER_ANSWER_BYTES;
+    return ProposalTypes.CODEC.encode(
+        isTooLarge ? ClaimStatus.of(ClaimStatus.Kind.ANSWER_GONE) : status);
+  }
+
+  /** Returns the hash that tells two different requests with one key apart. */
+  static long fingerprint(CallerRequest request) {
+    return RequestFingerprint.of(request.method(), request.target(), request.body());
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/persimmonloom/runtime/caller/ClaimedTicket.java
@@ -0,0 +1,148 @@
+package org.persimmonloom.runtime.caller;
+
+import java.util.concurrent.CompletableFuture;
+import org.persimmonloom.core.result.Failure;
+import org.persimmonloom.core.result.ResultCode;
+import org.persimmonloom.core.result.RunOutcome;
+import org.persimmonloom.core.routing.WorkClass;
+
+/**
+ * One copy of a non-repeatable request: waits for the claim of its key, which may be here or at
+ * another entry host. Safe for any thread.
+ */
+final class ClaimedTicket implements Ticket {
+  private final CompletableFuture<CallerAnswer> answer = new CompletableFuture<>();
+  private final RequestContext context;
+  private final ServiceDispatcher dispatcher;
+  private final CallerRequest request;
+  private final long fingerprint;
+  private ClaimedWork work;
+  private boolean waitsForAnotherCopy;
+  private boolean mayRunElsewhere;
+  private WorkClass workClass;
+
+  ClaimedTicket(RequestContext context, ServiceDispatcher dispatcher, CallerRequest request) {
+    this.context = context;
+    this.dispatcher = dispatcher;
+    this.request = request;
+    fingerprint = ClaimedRequests.fingerprint(request);
+  }
+
+  CallerRequest request() {
+    return request;
+  }
+
+  ServiceDispatcher dispatcher() {
+    return dispatcher;
+  }
+
+  long fingerprint() {
+    return fingerprint;
+  }
+
+  synchronized WorkClass workClass() {
+    return work == null ? workClass : work.workClass();
+  }
+
+  @Override
+  public CompletableFuture<CallerAnswer> answer() {
+    return answer;
+  }
+
+  void finish(CallerAnswer result) {
+    answer.complete(result);
+  }
+
+  /** Records that this copy waits for the claim of another copy at this host. */
+  synchronized void followsLocalCopy() {
+    waitsForAnotherCopy = true;
+  }
+
+  /** Records that a copy at another host may run, so that this one can't say not run. */
+  synchronized void followsRemoteCopy() {
+    waitsForAnotherCopy = true;
+    mayRunElsewhere = true;
+  }
+
+  /** Ends this copy, which did not run; as unknown if a copy at another host may run. */
+  void finishWithoutRun(Failure failure) {
+    boolean unknown;
+    synchronized (this) {
+      unknown = mayRunElsewhere;
+    }
+    finish(
+        unknown
+            ? CallerAnswer.unknown("another copy may run; " + failure.detail())
+            : CallerAnswer.notRun(failure));
+  }
+
+  /** Bounds the wait for another copy; the first copy is bounded by its claim and its attempts. */
+  void armDeadline() {
+    var timeout =
+        context.timer.after(request.deadlineMillis() - context.now(), this::deadlinePassed);
+    answer.whenComplete((unused, failure) -> timeout.cancel(false));
+  }
+
+  private void deadlinePassed() {
+    boolean isWaiting;
+    synchronized (this) {
+      isWaiting = waitsForAnotherCopy;
+    }
+    if (isWaiting) {
+      finish(CallerAnswer.unknown("another copy of the request had not ended by the deadline"));
+    }
+  }
+
+  /** Takes the outcome of the work; {@code onLost} runs if its claim was lost. */
+  void attachTo(ClaimedWork shared, Runnable onLost) {
+    synchronized (this) {
+      work = shared;
+    }
+    shared.attach();
+    shared
+        .outcome()
+        .thenAccept(
+            outcome -> {
+              if (outcome.isEmpty()) {
+                followsRemoteCopy();
+                detached(shared);
+                context.timer.after(0, onLost);
+              } else if (outcome.get().run() == RunOutcome.NOT_RUN) {
+                finishWithoutRun(outcome.get().failure());
+              } else {
+                finish(outcome.get());
+              }
+            });
+  }
+
+  private synchronized void detached(ClaimedWork shared) {
+    if (work == shared) {
+      workClass = shared.workClass();
+      work = null;
+    }
+  }
+
+  @Override
+  public void cancel() {
+    leave(ResultCode.CANCELLED);
+  }
+
+  @Override
+  public void end() {
+    leave(ResultCode.STOPPING);
+  }
+
+  private void leave(ResultCode code) {
+    ClaimedWork shared;
+    boolean mayRun;
+    synchronized (this) {
+      shared = work;
+      mayRun = work != null || waitsForAnotherCopy;
+    }
+    if (shared != null) {
+      shared.detach();
+    }
+    finish(
+        new CallerAnswer(null, Failure.of(code), mayRun ? RunOutcome.UNKNOWN : RunOutcome.NOT_RUN));
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/persimmonloom/runtime/caller/ClaimedWork.java
@@ -0,0 +1,265 @@
+package org.persimmonloom.runtime.caller;
+
+import io.vavr.control.Either;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.persimmonloom.core.claim.ClaimHolder;
+import org.persimmonloom.core.claim.ClaimReleased;
+import org.persimmonloom.core.claim.ClaimRequested;
+import org.persimmonloom.core.claim.CompleteResponse;
+import org.persimmonloom.core.fold.Verdict;
+import org.persimmonloom.core.result.Failure;
+import org.persimmonloom.core.result.ResultCode;
+import org.persimmonloom.core.routing.Assignment;
+import org.persimmonloom.core.routing.AttemptResult;
+import org.persimmonloom.core.routing.PendingRequest;
+import org.persimmonloom.core.routing.WorkClass;
+import org.persimmonloom.runtime.endpoint.EndpointCall;
+import org.persimmonloom.runtime.endpoint.EndpointResult;
+import org.persimmonloom.runtime.log.ProposalException;
+import org.persimmonloom.runtime.log.Proposer;
+
+/**
+ * One claim of this host and the non-repeatable request that it permits to dispatch.
+ *
+ * <p>All decisions that must not be doubled are {@link ClaimHolder}'s; this class carries them out.
+ * The outcome is shared by all copies of the request that wait here. Safe for any thread.
+ */
+final class ClaimedWork implements ServiceDispatcher.Waiter {
+  private static final int MAX_ATTEMPTS = 4;
+
+  private final CompletableFuture<Optional<CallerAnswer>> outcome = new CompletableFuture<>();
+  private final RequestContext context;
+  private final ClaimHolder holder;
+  private final ClaimEndings endings;
+  private final ServiceDispatcher dispatcher;
+  private final CallerRequest request;
+  private final ClaimRequested claim;
+  private final Set<String> tried = new HashSet<>();
+  private int waiting;
+  private int attempt;
+  private long queuedId;
+  private EndpointCall call;
+  private boolean isEnding;
+  private volatile WorkClass workClass;
+
+  ClaimedWork(
+      RequestContext context,
+      ClaimHolder holder,
+      ClaimEndings endings,
+      ServiceDispatcher dispatcher,
+      CallerRequest request,
+      ClaimRequested claim) {
+    this.context = context;
+    this.holder = holder;
+    this.endings = endings;
+    this.dispatcher = dispatcher;
+    this.request = request;
+    this.claim = claim;
+  }
+
+  /** Completes with the answer for every copy, or empty if the claim was lost to another host. */
+  CompletableFuture<Optional<CallerAnswer>> outcome() {
+    return outcome;
+  }
+
+  WorkClass workClass() {
+    return workClass;
+  }
+
+  synchronized void attach() {
+    waiting++;
+  }
+
+  /** Says that one copy stopped waiting; without any left, work that is not dispatched ends. */
+  void detach() {
+    synchronized (this) {
+      waiting--;
+      if (waiting > 0) {
+        return;
+      }
+    }
+    refuse(Failure.of(ResultCode.CANCELLED));
+  }
+
+  /** Proposes the claim and bounds the wait for its verdict. */
+  void start(Proposer proposer) {
+    long waitMillis =
+        Math.max(
+            0, Math.min(ClaimHolder.CLAIM_WAIT_MILLIS, request.deadlineMillis() - context.now()));
+    dispatcher.claimsUndecided().incrementAndGet();
+    var timeout = context.timer.after(waitMillis, () -> claimTimedOut(waitMillis));
+    proposer
+        .propose(List.of(claim))
+        .whenComplete(
+            (verdicts, failure) -> {
+              timeout.cancel(false);
+              dispatcher.claimsUndecided().decrementAndGet();
+              decided(verdicts, failure);
+            });
+  }
+
+  private void claimTimedOut(long waitedMillis) {
+    if (holder.abandonUndecided(claim.claimId())) {
+      release();
+      outcome.complete(
+          Optional.of(CallerAnswer.notRun(Failure.of(ResultCode.CLAIM_UNAVAILABLE, waitedMillis))));
+    }
+  }
+
+  private void decided(List<Verdict> verdicts, Throwable failure) {
+    if (failure == null && verdicts.get(0).isAccepted()) {
+      if (holder.accepted(claim.claimId())) {
+        queue();
+      }
+      return;
+    }
+    if (!holder.refused(claim.claimId())) {
+      return;
+    }
+    if (failure != null) {
+      Failure reason =
+          failure instanceof ProposalException refused
+              ? refused.failure()
+              : Failure.of(ResultCode.INTERNAL, failure);
+      outcome.complete(Optional.of(CallerAnswer.notRun(reason)));
+    } else if (verdicts.get(0).code() == ResultCode.CLAIM_LOST) {
+      outcome.complete(Optional.empty());
+    } else {
+      Verdict verdict = verdicts.get(0);
+      outcome.complete(
+          Optional.of(CallerAnswer.notRun(new Failure(verdict.code(), verdict.detail()))));
+    }
+  }
+
+  private void queue() {
+    PendingRequest pending;
+    synchronized (this) {
+      queuedId = context.nextId();
+      pending =
+          new PendingRequest(
+              queuedId,
+              request.route(),
+              request.hint(),
+              request.arrivedMillis(),
+              request.deadlineMillis(),
+              attempt,
+              tried);
+    }
+    Either<Failure, WorkClass> offered = dispatcher.offer(pending, this);
+    offered.peek(it -> workClass = it).peekLeft(this::refuse);
+    if (outcome.isDone()) {
+      dispatcher.cancel(pending.id());
+    }
+  }
+
+  @Override
+  public void expired() {
+    refuse(deadlineUnreachable());
+  }
+
+  private Failure deadlineUnreachable() {
+    return Failure.of(
+        ResultCode.DEADLINE_UNREACHABLE, request.deadlineMillis() - request.arrivedMillis());
+  }
+
+  @Override
+  public void assigned(Assignment assignment) {
+    if (!holder.tryDispatch(claim.claimId(), context.now())) {
+      dispatcher.completed(assignment, AttemptResult.CANCELLED, 0);
+      refuse(deadlineUnreachable());
+      return;
+    }
+    workClass = assignment.workClass();
+    EndpointCall started = context.send(request, dispatcher.service(), assignment, attempt());
+    boolean endNow;
+    synchronized (this) {
+      call = started;
+      endNow = isEnding;
+    }
+    if (endNow) {
+      started.cancel();
+    }
+    started.result().thenAccept(result -> ended(assignment, result));
+  }
+
+  private synchronized int attempt() {
+    return attempt;
+  }
+
+  private void ended(Assignment assignment, EndpointResult result) {
+    boolean isOver;
+    synchronized (this) {
+      call = null;
+      attempt++;
+      tried.add(assignment.endpoint().name());
+      isOver = isEnding;
+    }
+    if (result.mayHaveRun()) {
+      settle(result);
+    } else {
+      holder.notSent(claim.claimId());
+      retryOrRefuse(result, isOver);
+    }
+    context.ended(dispatcher, assignment, result);
+  }
+
+  private void retryOrRefuse(EndpointResult result, boolean isOver) {
+    int next = attempt();
+    long delayMillis = RequestContext.backoffMillis(next);
+    if (isOver) {
+      refuse(Failure.of(ResultCode.STOPPING));
+    } else if (next < MAX_ATTEMPTS && context.now() + delayMillis < request.deadlineMillis()) {
+      context.metrics.retried(request.service());
+      context.timer.after(delayMillis, this::queue);
+    } else {
+      refuse(Failure.of(ResultCode.ATTEMPTS_EXHAUSTED, result.reason()));
+    }
+  }
+
+  private void settle(EndpointResult result) {
+    CompleteResponse response = result.response();
+    holder
+        .settle(claim.claimId(), response, context.now())
+        .ifPresent(settled -> endings.propose(settled, () -> {}));
+    outcome.complete(
+        Optional.of(
+            response == null ? CallerAnswer.unknown(result.reason()) : CallerAnswer.of(response)));
+  }
+
+  /** Refuses the request as not run, unless it was dispatched. */
+  private void refuse(Failure failure) {
+    if (!holder.abandon(claim.claimId())) {
+      return;
+    }
+    release();
+    outcome.complete(Optional.of(CallerAnswer.notRun(failure)));
+    long queued;
+    synchronized (this) {
+      queued = queuedId;
+    }
+    dispatcher.cancel(queued);
+  }
+
+  private void release() {
+    endings.propose(
+        new ClaimReleased(claim.service(), claim.key(), claim.claimId()),
+        () -> holder.released(claim.claimId()));
+  }
+
+  /** Ends the work because the process stops. */
+  void end() {
+    EndpointCall running;
+    synchronized (this) {
+      isEnding = true;
+      running = call;
+    }
+    refuse(Failure.of(ResultCode.STOPPING));
+    if (running != null) {
+      running.cancel();
+    }
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/persimmonloom/runtime/caller/LeavingHosts.java
@@ -0,0 +1,89 @@
+package org.persimmonloom.runtime.caller;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import javax.inject.Inject;
+import javax.inject.Singleton;
+
+/**
+ * Endpoint hosts that get no new work besides those that the log names: hosts that the host list or
+ * a peer reports as leaving, and hosts that refused a connection a short while ago.
+ *
+ * <p>A report holds until the same source withdraws it. A refused connection holds for {@link
+ * #REFUSED_MILLIS}, twice as long after each further one, because the host may have restarted. Safe
+ * for any thread.
+ */
+@Singleton
+public final class LeavingHosts {
+  /** How long a host gets no new work after its first refused connection. */
+  public static final long REFUSED_MILLIS = 1_000;
+
+  private static final int MAX_DOUBLINGS = 5;
+  private static final long FORGET_REFUSALS_MILLIS = 60_000;
+
+  private record Refusals(int count, long untilMillis) {}
+
+  private final Map<String, Set<String>> byPeer = new HashMap<>();
+  private final Map<String, Refusals> refused = new HashMap<>();
+  private Set<String> inHostList = Set.of();
+  private long version;
+
+  @Inject
+  public LeavingHosts() {}
+
+  /** Replaces what the host list names as leaving. */
+  public synchronized void setHostList(Set<String> leaving) {
+    if (!leaving.equals(inHostList)) {
+      inHostList = Set.copyOf(leaving);
+      version++;
+    }
+  }
+
+  /** Replaces what a peer reports as leaving. */
+  public synchronized void setPeerReport(String peer, Set<String> leaving) {
+    Set<String> before = leaving.isEmpty() ? byPeer.remove(peer) : byPeer.put(peer, leaving);
+    if (!leaving.equals(before == null ? Set.of() : before)) {
+      version++;
+    }
+  }
+
+  /** Records that a connection to the host could not be opened. */
+  public synchronized void connectionRefused(String host, long nowMillis) {
+    Refusals before = refused.get(host);
+    if (before != null && nowMillis < before.untilMillis()) {
+      return;
+    }
+    boolean isRecent = before != null && nowMillis - before.untilMillis() < FORGET_REFUSALS_MILLIS;
+    int count = isRecent ? before.count() + 1 : 0;
+    refused.put(
+        host, new Refusals(count, nowMillis + (REFUSED_MILLIS << Math.min(count, MAX_DOUBLINGS))));
+    version++;
+  }
+
+  /** Returns the hosts that this host saw leaving itself, for its peers. */
+  public synchronized Set<String> seenHere(long nowMillis) {
+    Set<String> seen = new HashSet<>(inHostList);
+    refused.forEach(
+        (host, refusals) -> {
+          if (nowMillis < refusals.untilMillis()) {
+            seen.add(host);
+          }
+        });
+    return seen;
+  }
+
+  /** Returns every host that gets no new work. */
+  public synchronized Set<String> all(long nowMillis) {
+    refused.values().removeIf(it -> nowMillis - it.untilMillis() > FORGET_REFUSALS_MILLIS);
+    Set<String> all = seenHere(nowMillis);
+    byPeer.values().forEach(all::addAll);
+    return all;
+  }
+
+  /** Returns a number that rises with each report. */
+  synchronized long version() {
+    return version;
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/persimmonloom/runtime/caller/RequestContext.java
@@ -0,0 +1,100 @@
+package org.persimmonloom.runtime.caller;
+
+import java.time.InstantSource;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicLong;
+import javax.inject.Inject;
+import javax.inject.Singleton;
+import org.persimmonloom.core.release.ServiceDefinition;
+import org.persimmonloom.core.routing.Assignment;
+import org.persimmonloom.core.routing.AttemptResult;
+import org.persimmonloom.core.routing.WorkClass;
+import org.persimmonloom.runtime.endpoint.EndpointCall;
+import org.persimmonloom.runtime.endpoint.EndpointRequest;
+import org.persimmonloom.runtime.endpoint.EndpointResult;
+import org.persimmonloom.runtime.endpoint.EndpointSender;
+
+/** What the requests in progress share. Safe for any thread. */
+@Singleton
+final class RequestContext {
+  /** Longest time without a byte from an endpoint, whatever the deadline. */
+  private static final long MAX_PROGRESS_MILLIS = 30_000;
+
+  /**
+   * A first attempt of short work is taken as silent after this multiple of the limit for short
+   * work; a retry has the whole time left, because the class may have been wrong.
+   */
+  private static final int SILENCE_FACTOR = 3;
+
+  private static final long BACKOFF_MILLIS = 10;
+  private static final int MAX_DOUBLINGS = 5;
+
+  final RoutingTable routing;
+  final RequestMetrics metrics;
+  final RequestTimer timer;
+  final InstantSource clock;
+  private final EndpointSender sender;
+  private final AtomicLong nextId = new AtomicLong();
+  private final String attemptPrefix =
+      Long.toHexString(ThreadLocalRandom.current().nextLong()) + "-";
+
+  @Inject
+  RequestContext(
+      RoutingTable routing,
+      RequestMetrics metrics,
+      RequestTimer timer,
+      InstantSource clock,
+      EndpointSender sender) {
+    this.routing = routing;
+    this.metrics = metrics;
+    this.timer = timer;
+    this.clock = clock;
+    this.sender = sender;
+  }
+
+  long nextId() {
+    return nextId.incrementAndGet();
+  }
+
+  long now() {
+    return clock.millis();
+  }
+
+  /** Sends one attempt of the request to the endpoint of the assignment. */
+  EndpointCall send(CallerRequest request, ServiceDefinition service, Assignment at, int attempt) {
+    long leftMillis = Math.max(1, request.deadlineMillis() - now());
+    boolean mayBeSilent =
+        service.isRepeatable() && attempt == 0 && at.workClass() == WorkClass.SHORT;
+    long progressMillis =
+        mayBeSilent
+            ? Math.min(leftMillis, SILENCE_FACTOR * service.shortLimitMillis())
+            : Math.min(leftMillis, MAX_PROGRESS_MILLIS);
+    return sender.send(
+        at.endpoint(),
+        new EndpointRequest(
+            request.method(),
+            request.target(),
+            request.headers(),
+            request.body(),
+            attemptPrefix + nextId(),
+            leftMillis,
+            progressMillis,
+            Math.max(1, service.connectionsPerEndpoint() / routing.members()),
+            service.isRepeatable()));
+  }
+
+  /** Gives the slot back and records how the attempt ended. */
+  void ended(ServiceDispatcher dispatcher, Assignment at, EndpointResult result) {
+    metrics.attempted(dispatcher.service().name(), result.result());
+    if (result.result() == AttemptResult.NOT_CONNECTED && result.isRefused()) {
+      routing.connectionRefused(at.endpoint().name());
+    }
+    dispatcher.completed(at, result.result(), result.runMillis());
+  }
+
+  /** Returns the jittered delay before an attempt, which doubles with each. */
+  static long backoffMillis(int attempt) {
+    long ceiling = BACKOFF_MILLIS << Math.min(attempt, MAX_DOUBLINGS);
+    return ceiling / 2 + ThreadLocalRandom.current().nextLong(ceiling);
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/persimmonloom/runtime/caller/RequestMetrics.java
@@ -0,0 +1,111 @@
+package org.persimmonloom.runtime.caller;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.Locale;
+import javax.inject.Inject;
+import javax.inject.Singleton;
+import org.persimmonloom.core.release.ServiceDefinition;
+import org.persimmonloom.core.result.RunOutcome;
+import org.persimmonloom.core.routing.AttemptResult;
+import org.persimmonloom.core.routing.WorkClass;
+
+/** Counters and histograms of the request path. Latencies are in seconds. Safe for any thread. */
+@Singleton
+public final class RequestMetrics {
+  /** Label of requests that name no service in force, which bounds the number of series. */
+  static final String NO_SERVICE = "-";
+
+  private final Counter accepted;
+  private final Counter requests;
+  private final Counter retries;
+  private final Counter attempts;
+  private final Counter objective;
+  private final Histogram seconds;
+
+  @Inject
+  public RequestMetrics(PrometheusRegistry registry) {
+    accepted =
+        Counter.builder()
+            .name("persimmonloom_requests_accepted_total")
+            .help("requests that entered the request path")
+            .labelNames("service")
+            .register(registry);
+    requests =
+        Counter.builder()
+            .name("persimmonloom_requests_total")
+            .help("answered requests by result code and run outcome")
+            .labelNames("service", "result", "run")
+            .register(registry);
+    retries =
+        Counter.builder()
+            .name("persimmonloom_retries_total")
+            .help("attempts after the first")
+            .labelNames("service")
+            .register(registry);
+    attempts =
+        Counter.builder()
+            .name("persimmonloom_attempts_total")
+            .help("attempts at endpoints by result")
+            .labelNames("service", "result")
+            .register(registry);
+    objective =
+        Counter.builder()
+            .name("persimmonloom_objective_total")
+            .help("requests that met or missed the objective of their service")
+            .labelNames("service", "outcome")
+            .register(registry);
+    seconds =
+        Histogram.builder()
+            .name("persimmonloom_request_seconds")
+            .help("time from the caller's headers to the answer")
+            .labelNames("service", "work_class")
+            .classicUpperBounds(0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30)
+            .register(registry);
+  }
+
+  void accepted(String service) {
+    accepted.labelValues(service).inc();
+  }
+
+  void retried(String service) {
+    retries.labelValues(service).inc();
+  }
+
+  void attempted(String service, AttemptResult result) {
+    attempts.labelValues(service, lower(result)).inc();
+  }
+
+  /** Counts a refusal that never entered the request path. */
+  void refused(String service, CallerAnswer answer) {
+    requests
+        .labelValues(service, Integer.toString(answer.code().number()), run(answer.run()))
+        .inc();
+  }
+
+  /**
+   * Counts the answer of an accepted request. What the caller itself caused, such as a cancelled
+   * request or a wrong key, counts neither as hit nor as miss.
+   */
+  void answered(
+      ServiceDefinition service, WorkClass workClass, CallerAnswer answer, long elapsedMillis) {
+    refused(service.name(), answer);
+    seconds
+        .labelValues(service.name(), workClass == null ? "none" : lower(workClass))
+        .observe(elapsedMillis / 1_000.0);
+    boolean isCallersFault = answer.response() == null && answer.status() < 500;
+    if (!isCallersFault) {
+      boolean isHit = answer.failure() == null && elapsedMillis <= service.objectiveLatencyMillis();
+      objective.labelValues(service.name(), isHit ? "hit" : "miss").inc();
+    }
+  }
+
+  private static String run(RunOutcome outcome) {
+    return outcome.headerValue();
+  }
+
+  private static String lower(Enum<?> value) {
+    return value.name().toLowerCase(Locale.ROOT).replace('_', '-');
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/persimmonloom/runtime/caller/RequestService.java
@@ -0,0 +1,161 @@
+package org.persimmonloom.runtime.caller;
+
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import javax.inject.Inject;
+import javax.inject.Singleton;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.persimmonloom.core.release.ServiceDefinition;
+import org.persimmonloom.core.result.Failure;
+import org.persimmonloom.core.result.ResultCode;
+import org.persimmonloom.runtime.endpoint.EndpointClient;
+
+/**
+ * Accepts requests of callers and knows which are in progress. Safe for any thread; no method
+ * blocks.
+ */
+@Singleton
+public final class RequestService {
+  private static final Logger LOGGER = LogManager.getLogger(RequestService.class);
+  private static final long TICK_MILLIS = 10;
+  private static final long RETAIN_MILLIS = 5_000;
+
+  private final RequestContext context;
+  private final ClaimedRequests claimed;
+  private final ClaimEndings endings;
+  private final AdmissionCheck admission;
+  private final Set<Ticket> active = ConcurrentHashMap.newKeySet();
+  private volatile boolean isStopping;
+
+  @Inject
+  RequestService(
+      RequestContext context,
+      ClaimedRequests claimed,
+      ClaimEndings endings,
+      AdmissionCheck admission) {
+    this.context = context;
+    this.claimed = claimed;
+    this.endings = endings;
+    this.admission = admission;
+  }
+
+  /** Starts the periodic work: routing changes, slots, expired requests, unused connections. */
+  public void start(EndpointClient client) {
+    context.timer.every(TICK_MILLIS, this::tick);
+    context.timer.every(RETAIN_MILLIS, () -> client.retain(context.routing.addresses()));
+  }
+
+  private void tick() {
+    try {
+      context.routing.refresh();
+      context.routing.all().forEach(ServiceDispatcher::pump);
+    } catch (RuntimeException e) {
+      // An exception would end the periodic task, and with it all routing changes.
+      LOGGER.error("request timer", e);
+    }
+  }
+
+  /** Returns the definition of a service that takes requests now, or why there is none. */
+  Either<Failure, ServiceDefinition> check(String service) {
+    if (isStopping) {
+      return Either.left(Failure.of(ResultCode.STOPPING));
+    }
+    return admission
+        .reasonRefused()
+        .<Either<Failure, ServiceDefinition>>map(Either::left)
+        .orElseGet(() -> context.routing.find(service).map(ServiceDispatcher::service));
+  }
+
+  /** Starts a request, or answers it at once. */
+  public Ticket accept(CallerRequest request) {
+    Either<Failure, ServiceDispatcher> found =
+        check(request.service()).flatMap(unused -> context.routing.find(request.service()));
+    if (found.isLeft()) {
+      CallerAnswer answer = CallerAnswer.notRun(found.getLeft());
+      context.metrics.refused(RequestMetrics.NO_SERVICE, answer);
+      return new AnsweredTicket(answer);
+    }
+    ServiceDispatcher dispatcher = found.get();
+    context.metrics.accepted(request.service());
+    if (dispatcher.service().isRepeatable()) {
+      RepeatableTicket ticket = new RepeatableTicket(context, dispatcher, request);
+      track(ticket);
+      ticket
+          .answer()
+          .thenAccept(answer -> answered(dispatcher, request, ticket.workClass(), answer));
+      ticket.queue();
+      return ticket;
+    }
+    ClaimedTicket ticket = claimed.submit(dispatcher, request);
+    track(ticket);
+    ticket.answer().thenAccept(answer -> answered(dispatcher, request, ticket.workClass(), answer));
+    return ticket;
+  }
+
+  private void track(Ticket ticket) {
+    active.add(ticket);
+    ticket.answer().thenAccept(unused -> active.remove(ticket));
+  }
+
+  private void answered(
+      ServiceDispatcher dispatcher,
+      CallerRequest request,
+      org.persimmonloom.core.routing.WorkClass workClass,
+      CallerAnswer answer) {
+    long elapsedMillis = context.now() - request.arrivedMillis();
+    context.metrics.answered(dispatcher.service(), workClass, answer, elapsedMillis);
+  }
+
+  /** Refuses new requests as not run from now on; those in progress go on. */
+  public void refuseNew() {
+    isStopping = true;
+  }
+
+  /** Completes when no request is in progress. */
+  public CompletableFuture<Void> whenIdle() {
+    return when(() -> active.isEmpty() && claimed.inProgress() == 0);
+  }
+
+  /** Completes when the settlement or release of every ended claim was decided by the fold. */
+  public CompletableFuture<Void> whenSettled() {
+    return when(() -> claimed.inProgress() == 0 && endings.pending() == 0);
+  }
+
+  private CompletableFuture<Void> when(java.util.function.BooleanSupplier condition) {
+    CompletableFuture<Void> reached = new CompletableFuture<>();
+    check(condition, reached);
+    return reached;
+  }
+
+  private void check(
+      java.util.function.BooleanSupplier condition, CompletableFuture<Void> reached) {
+    if (condition.getAsBoolean()) {
+      reached.complete(null);
+    } else if (!reached.isDone()) {
+      context.timer.after(TICK_MILLIS, () -> check(condition, reached));
+    }
+  }
+
+  /** Ends all requests in progress; those that may run are answered and settled as unknown. */
+  public void endAll() {
+    claimed.endAll();
+    List.copyOf(active).forEach(Ticket::end);
+  }
+
+  private record AnsweredTicket(CallerAnswer result) implements Ticket {
+    @Override
+    public CompletableFuture<CallerAnswer> answer() {
+      return CompletableFuture.completedFuture(result);
+    }
+
+    @Override
+    public void cancel() {}
+
+    @Override
+    public void end() {}
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/persimmonloom/runtime/caller/ServiceDispatcher.java
@@ -0,0 +1,166 @@
+package org.persimmonloom.runtime.caller;
+
+import io.vavr.control.Either;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.persimmonloom.core.release.ServiceDefinition;
+import org.persimmonloom.core.result.Failure;
+import org.persimmonloom.core.routing.Assignment;
+import org.persimmonloom.core.routing.AttemptResult;
+import org.persimmonloom.core.routing.PendingRequest;
+import org.persimmonloom.core.routing.RequestScheduler;
+import org.persimmonloom.core.routing.RoutingEndpoint;
+import org.persimmonloom.core.routing.ServiceLoad;
+import org.persimmonloom.core.routing.WorkClass;
+
+/**
+ * Guards the scheduler of one service and tells each queued request when it gets a slot or can no
+ * longer meet its deadline.
+ *
+ * <p>The scheduler is used under the monitor of this object. Waiters are called outside of it, by
+ * one thread at a time. Safe for any thread.
+ */
+final class ServiceDispatcher {
+  /** A queued request. Exactly one method is called, once, unless the request is cancelled. */
+  interface Waiter {
+    /** Called with a slot, which must be given back by {@link #completed}. Must not block. */
+    void assigned(Assignment assignment);
+
+    /** Called when the deadline can no longer be met. Must not block. */
+    void expired();
+  }
+
+  private final ServiceDefinition service;
+  private final RequestScheduler scheduler;
+  private final InstantSource clock;
+  private final Map<Long, Waiter> waiters = new HashMap<>();
+  private final AtomicInteger claimsUndecided = new AtomicInteger();
+  private boolean isPumping;
+  private boolean isPumpDue;
+
+  ServiceDispatcher(ServiceDefinition service, RequestScheduler scheduler, InstantSource clock) {
+    this.service = service;
+    this.scheduler = scheduler;
+    this.clock = clock;
+  }
+
+  ServiceDefinition service() {
+    return service;
+  }
+
+  /** Counts the claims of this service that were proposed here and have no verdict yet. */
+  AtomicInteger claimsUndecided() {
+    return claimsUndecided;
+  }
+
+  /**
+   * Returns whether a request would still fit in the queue once its claim is accepted, so that an
+   * overloaded service appends no claims that are released at once.
+   */
+  synchronized boolean hasRoomForClaim() {
+    return scheduler.load().queued() + claimsUndecided.get() < service.queueLimit();
+  }
+
+  /** Queues a request, or returns why it is refused; a refused waiter is never called. */
+  Either<Failure, WorkClass> offer(PendingRequest request, Waiter waiter) {
+    Either<Failure, WorkClass> offered;
+    synchronized (this) {
+      offered = scheduler.offer(request, clock.millis());
+      if (offered.isRight()) {
+        waiters.put(request.id(), waiter);
+      }
+    }
+    pump();
+    return offered;
+  }
+
+  /** Drops a queued request; returns whether it was queued, so that its waiter is not called. */
+  synchronized boolean cancel(long requestId) {
+    scheduler.cancel(requestId);
+    return waiters.remove(requestId) != null;
+  }
+
+  /** Gives a slot back. */
+  void completed(Assignment assignment, AttemptResult result, long runMillis) {
+    synchronized (this) {
+      scheduler.completed(assignment, result, runMillis, clock.millis());
+    }
+    pump();
+  }
+
+  synchronized boolean tryTakeRetry() {
+    return scheduler.tryTakeRetry(clock.millis());
+  }
+
+  /** Replaces the endpoints that get new work, and this host's share of their slots. */
+  void setEndpoints(List<RoutingEndpoint> endpoints, Map<String, Integer> shares) {
+    synchronized (this) {
+      scheduler.setEndpoints(endpoints, clock.millis());
+      scheduler.setSlotShares(shares);
+    }
+    pump();
+  }
+
+  synchronized void removeEndpoint(String name) {
+    scheduler.removeEndpoint(name);
+  }
+
+  synchronized int inProgress(String endpoint) {
+    return scheduler.inProgress(endpoint);
+  }
+
+  synchronized ServiceLoad load() {
+    return scheduler.load();
+  }
+
+  synchronized boolean isIdle() {
+    ServiceLoad load = scheduler.load();
+    return load.queued() == 0 && load.inProgress() == 0;
+  }
+
+  /** Hands out slots and drops expired requests until neither is left to do. */
+  void pump() {
+    synchronized (this) {
+      isPumpDue = true;
+      if (isPumping) {
+        return;
+      }
+      isPumping = true;
+    }
+    while (true) {
+      List<Runnable> calls;
+      synchronized (this) {
+        if (!isPumpDue) {
+          isPumping = false;
+          return;
+        }
+        isPumpDue = false;
+        calls = dueCalls(clock.millis());
+      }
+      calls.forEach(Runnable::run);
+    }
+  }
+
+  private List<Runnable> dueCalls(long nowMillis) {
+    List<Runnable> calls = new ArrayList<>();
+    for (PendingRequest expired : scheduler.expire(nowMillis)) {
+      Optional.ofNullable(waiters.remove(expired.id()))
+          .ifPresent(waiter -> calls.add(waiter::expired));
+    }
+    for (Assignment assignment : scheduler.assign(nowMillis)) {
+      Waiter waiter = waiters.remove(assignment.requestId());
+      if (waiter == null) {
+        scheduler.completed(assignment, AttemptResult.CANCELLED, 0, nowMillis);
+        isPumpDue = true;
+      } else {
+        calls.add(() -> waiter.assigned(assignment));
+      }
+    }
+    return calls;
+  }
+}
--- a/runtime/src/main/java/org/persimmonloom/runtime/entry/EntryHostService.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/entry/EntryHostService.java
@@ -1,21 +1,49 @@
 package org.persimmonloom.runtime.entry;
 
+import java.time.InstantSource;
+import java.util.List;
 import javax.inject.Inject;
 import javax.inject.Singleton;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.persimmonloom.core.member.EntryHostLeft;
 import org.persimmonloom.runtime.caller.CallerListener;
+import org.persimmonloom.runtime.caller.RequestService;
+import org.persimmonloom.runtime.caller.RequestTimer;
+import org.persimmonloom.runtime.endpoint.EndpointClient;
 import org.persimmonloom.runtime.fleet.HostListWatcher;
 import org.persimmonloom.runtime.log.GroupCommitter;
 import org.persimmonloom.runtime.log.LogFollower;
+import org.persimmonloom.runtime.log.Proposer;
 import org.persimmonloom.runtime.operator.OperatorListener;
+import org.persimmonloom.runtime.settings.EntrySettings;
 
-/** One entry host: starts its services in order of need and stops them in reverse. */
+/**
+ * One entry host: starts its services in order of need and stops them in reverse.
+ *
+ * <p>A planned stop interrupts no request: the readiness check fails first, the listener stays open
+ * while the balancer notices, requests in progress finish, and their claims are settled. Only at
+ * the stop deadline or on a second signal are the remaining requests ended and settled as unknown.
+ */
 @Singleton
 public final class EntryHostService {
+  private static final Logger LOGGER = LogManager.getLogger(EntryHostService.class);
+
+  /** Bounds the wait for the last settlements when nothing else is waited for any more. */
+  private static final long LAST_SETTLEMENTS_MILLIS = 2_000;
+
   private final LogFollower follower;
   private final GroupCommitter committer;
   private final HostListWatcher hostList;
   private final OperatorListener operators;
   private final CallerListener callers;
+  private final RequestService requests;
+  private final RequestTimer timer;
+  private final EndpointClient endpoints;
+  private final Proposer proposer;
+  private final EntrySettings settings;
+  private final PlannedStop plannedStop;
+  private final InstantSource clock;
 
   @Inject
   public EntryHostService(
@@ -23,12 +51,26 @@
       GroupCommitter committer,
       HostListWatcher hostList,
       OperatorListener operators,
-      CallerListener callers) {
+      CallerListener callers,
+      RequestService requests,
+      RequestTimer timer,
+      EndpointClient endpoints,
+      Proposer proposer,
+      EntrySettings settings,
+      PlannedStop plannedStop,
+      InstantSource clock) {
     this.follower = follower;
     this.committer = committer;
     this.hostList = hostList;
     this.operators = operators;
     this.callers = callers;
+    this.requests = requests;
+    this.timer = timer;
+    this.endpoints = endpoints;
+    this.proposer = proposer;
+    this.settings = settings;
+    this.plannedStop = plannedStop;
+    this.clock = clock;
   }
 
   /** Starts all services. */
@@ -36,16 +78,61 @@
     follower.start();
     committer.start();
     hostList.start();
+    requests.start(endpoints);
     operators.start();
     callers.start();
   }
 
-  /** Stops all services. */
+  /** Ends the waiting of a stop in progress: what is left is settled as unknown. */
+  public void hurry() {
+    plannedStop.hurry();
+  }
+
+  /**
+   * Performs a planned stop and returns when all services have stopped. Only the first call acts.
+   */
   public void stop() throws InterruptedException {
+    if (!plannedStop.begin()) {
+      return;
+    }
+    LOGGER.info("planned stop begun");
+    long deadlineMillis = clock.millis() + settings.stopDeadlineMillis();
+    plannedStop.pause(Math.min(settings.balancerDelayMillis(), settings.stopDeadlineMillis()));
+    requests.refuseNew();
+    if (!plannedStop.await(requests.whenIdle(), deadlineMillis - clock.millis())) {
+      LOGGER.warn("requests left at the end of the planned stop are settled as unknown");
+      requests.endAll();
+    }
+    settle(deadlineMillis);
     callers.stop();
     operators.stop();
     hostList.stop();
+    timer.stop();
     committer.stop();
     follower.stop();
+    LOGGER.info("planned stop done");
+  }
+
+  /** Waits for the fold to decide the last settlements, then ends this incarnation. */
+  private void settle(long deadlineMillis) throws InterruptedException {
+    long waitMillis = Math.max(LAST_SETTLEMENTS_MILLIS, deadlineMillis - clock.millis());
+    if (!awaitUnhurried(requests.whenSettled(), waitMillis)) {
+      LOGGER.warn("claims left without settlement; the fold settles them as unknown");
+    }
+    awaitUnhurried(proposer.propose(List.of(new EntryHostLeft())), LAST_SETTLEMENTS_MILLIS);
+  }
+
+  /** A second signal must not skip the settlements, so it only shortens this wait. */
+  private boolean awaitUnhurried(java.util.concurrent.CompletableFuture<?> future, long waitMillis)
+      throws InterruptedException {
+    if (plannedStop.await(future, waitMillis)) {
+      return true;
+    }
+    try {
+      future.get(LAST_SETTLEMENTS_MILLIS, java.util.concurrent.TimeUnit.MILLISECONDS);
+      return true;
+    } catch (java.util.concurrent.TimeoutException | java.util.concurrent.ExecutionException e) {
+      return false;
+    }
   }
 }
--- a/runtime/src/main/java/org/persimmonloom/runtime/entry/EntryMain.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/entry/EntryMain.java
@@ -44,17 +44,7 @@
   private static void run(EntrySettings settings) {
     EntryHostService entryHost =
         DaggerEntryComponent.factory().create(settings, InstantSource.system()).entryHost();
-    Runtime.getRuntime()
-        .addShutdownHook(
-            new Thread(
-                () -> {
-                  try {
-                    entryHost.stop();
-                  } catch (InterruptedException e) {
-                    Thread.currentThread().interrupt();
-                  }
-                },
-                "planned-stop"));
+    StopSignals.install(entryHost);
     entryHost.start();
   }
 }
--- a/runtime/src/main/java/org/persimmonloom/runtime/entry/OperatorModule.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/entry/OperatorModule.java
@@ -23,8 +23,14 @@
   OperatorRoute releaseShow(ReleaseShowRoute route);
 
   @Provides
-  static Readiness readiness(LogFollower follower) {
-    return () ->
-        follower.isCaughtUp() ? Optional.empty() : Optional.of("the platform log is not folded");
+  static Readiness readiness(LogFollower follower, PlannedStop plannedStop) {
+    return () -> {
+      if (plannedStop.isBegun()) {
+        return Optional.of("the entry host is stopping");
+      }
+      return follower.isCaughtUp()
+          ? Optional.empty()
+          : Optional.of("the platform log is not folded");
+    };
   }
 }
--- a/runtime/src/main/java/org/persimmonloom/runtime/fleet/HostListWatcher.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/fleet/HostListWatcher.java
@@ -12,6 +12,7 @@
 import org.persimmonloom.core.host.Host;
 import org.persimmonloom.core.host.HostAdmitted;
 import org.persimmonloom.core.host.HostFacts;
+import org.persimmonloom.runtime.caller.LeavingHosts;
 import org.persimmonloom.runtime.log.Proposer;
 import org.persimmonloom.runtime.log.ReplicatedState;
 
@@ -24,11 +25,14 @@
   private final HostListClient client;
   private final ReplicatedState state;
   private final Proposer proposer;
+  private final LeavingHosts leaving;
   private final ScheduledExecutorService executor = Executors.newSingleThreadScheduledExecutor();
   private boolean reachable = true;
 
   @Inject
-  public HostListWatcher(HostListClient client, ReplicatedState state, Proposer proposer) {
+  public HostListWatcher(
+      HostListClient client, ReplicatedState state, Proposer proposer, LeavingHosts leaving) {
+    this.leaving = leaving;
     this.client = client;
     this.state = state;
     this.proposer = proposer;
@@ -47,6 +51,7 @@
   private void poll() {
     try {
       HostList list = client.read();
+      leaving.setHostList(list.leaving());
       reachable = true;
       List<HostAdmitted> admissions =
           state.read(
