--- a/runtime/src/main/java/org/persimmonloom/runtime/entry/EntryModule.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/entry/EntryModule.java
@@ -3,8 +3,6 @@
 import dagger.Module;
 import dagger.Provides;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
-import java.util.List;
-import java.util.Map;
 import javax.inject.Singleton;
 import okhttp3.OkHttpClient;
 import org.persimmonloom.runtime.fleet.HostListClient;
@@ -15,8 +13,6 @@
 import org.persimmonloom.runtime.peer.ClusterService;
 import org.persimmonloom.runtime.peer.ClusterView;
 import org.persimmonloom.runtime.peer.Currency;
-import org.persimmonloom.runtime.peer.LeavingSource;
-import org.persimmonloom.runtime.peer.LoadSource;
 import org.persimmonloom.runtime.peer.PeerChannel;
 import org.persimmonloom.runtime.peer.PeerMesh;
 import org.persimmonloom.runtime.settings.EntrySettings;
@@ -69,24 +65,4 @@
   static Currency currency(ClusterService cluster) {
     return cluster;
   }
-
-  @Provides
-  static LoadSource loadSource() {
-    return Map::of;
-  }
-
-  @Provides
-  static LeavingSource leavingSource() {
-    return new LeavingSource() {
-      @Override
-      public List<String> leaving() {
-        return List.of();
-      }
-
-      @Override
-      public List<String> drained() {
-        return List.of();
-      }
-    };
-  }
 }
