--- /dev/null
+++ b/core/src/main/java/org/persimmonloom/core/explain/DecisionJournal.java
@@ -0,0 +1,156 @@
+package org.persimmonloom.core.explain;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import org.persimmonloom.core.fold.FoldPart;
+import org.persimmonloom.core.fold.Position;
+import org.persimmonloom.core.fold.ProposalRegistry;
+import org.persimmonloom.core.fold.Verdict;
+import org.persimmonloom.core.result.ResultCode;
+
+/**
+ * The recent decisions about hosts, pools, waves, jobs and requests.
+ *
+ * <p>Bounded twice: each subject keeps its last decisions, and the subject without a decision for
+ * the longest time is dropped first. A verdict that repeats is counted instead of being stored
+ * again, so that a step that is retried every second does not push out its history. The order of
+ * the map is that of the folded records and therefore equal on all hosts. Confined to the thread
+ * that folds.
+ */
+public final class DecisionJournal implements FoldPart<DecisionJournal.Snapshot>, DecisionRecorder {
+  static final int MAX_PER_SUBJECT = 12;
+
+  /** About 250 bytes each, so that the journal adds at most 0.5 MB to a snapshot. */
+  static final int MAX_DECISIONS = 2_048;
+
+  static final int MAX_ALERTS = 64;
+
+  private final LinkedHashMap<Subject, ArrayDeque<Decision>> bySubject = new LinkedHashMap<>();
+  private final ArrayDeque<Decision> alerts = new ArrayDeque<>();
+  private int size;
+
+  /** The whole journal, subject by subject. */
+  public record Snapshot(List<Decision> decisions, List<Decision> alerts) {
+    public Snapshot {
+      decisions = List.copyOf(decisions);
+      alerts = List.copyOf(alerts);
+    }
+  }
+
+  @Override
+  public void registerHandlers(ProposalRegistry registry) {}
+
+  /** Keeps the verdict if its proposal is {@link Explainable}. A repeated step is not kept. */
+  public void keep(Verdict verdict) {
+    if (verdict.proposal() instanceof Explainable explainable
+        && verdict.code() != ResultCode.ALREADY_APPLIED) {
+      String figures = verdict.proposal().getClass().getSimpleName() + ": " + verdict.detail();
+      explainable
+          .subjects()
+          .forEach(subject -> record(subject, verdict.position(), verdict.code(), figures));
+    }
+  }
+
+  @Override
+  public void record(Subject subject, Position position, ResultCode code, String figures) {
+    add(
+        new Decision(
+            position.offset(),
+            position.timeMillis(),
+            subject,
+            code,
+            figures,
+            Remedies.of(code),
+            1,
+            false));
+  }
+
+  @Override
+  public void alert(Subject subject, Position position, String text) {
+    Decision alert =
+        new Decision(
+            position.offset(), position.timeMillis(), subject, ResultCode.OK, text, "", 1, true);
+    add(alert);
+    alerts.add(alert);
+    if (alerts.size() > MAX_ALERTS) {
+      alerts.remove();
+    }
+  }
+
+  private void add(Decision decision) {
+    ArrayDeque<Decision> decisions = bySubject.remove(decision.subject());
+    if (decisions == null) {
+      decisions = new ArrayDeque<>();
+    }
+    bySubject.put(decision.subject(), decisions);
+    Decision last = decisions.peekLast();
+    if (last != null && isRepeated(last, decision)) {
+      decisions.removeLast();
+      decisions.add(repeated(decision, last.times() + 1));
+      return;
+    }
+    decisions.add(decision);
+    size++;
+    if (decisions.size() > MAX_PER_SUBJECT) {
+      decisions.remove();
+      size--;
+    }
+    trim();
+  }
+
+  private static boolean isRepeated(Decision last, Decision next) {
+    return last.code() == next.code() && last.figures().equals(next.figures());
+  }
+
+  private static Decision repeated(Decision decision, int times) {
+    return new Decision(
+        decision.offset(),
+        decision.timeMillis(),
+        decision.subject(),
+        decision.code(),
+        decision.figures(),
+        decision.remedy(),
+        times,
+        decision.isAlert());
+  }
+
+  private void trim() {
+    Iterator<ArrayDeque<Decision>> eldest = bySubject.values().iterator();
+    while (size > MAX_DECISIONS) {
+      size -= eldest.next().size();
+      eldest.remove();
+    }
+  }
+
+  /** Returns the kept decisions about a subject, oldest first. */
+  public List<Decision> about(Subject subject) {
+    ArrayDeque<Decision> decisions = bySubject.get(subject);
+    return decisions == null ? List.of() : List.copyOf(decisions);
+  }
+
+  /** Returns the kept alerts, oldest first. */
+  public List<Decision> alerts() {
+    return List.copyOf(alerts);
+  }
+
+  @Override
+  public Snapshot snapshot() {
+    List<Decision> all = new ArrayList<>(size);
+    bySubject.values().forEach(all::addAll);
+    return new Snapshot(all, List.copyOf(alerts));
+  }
+
+  @Override
+  public void restore(Snapshot snapshot) {
+    bySubject.clear();
+    alerts.clear();
+    alerts.addAll(snapshot.alerts());
+    size = snapshot.decisions().size();
+    for (Decision decision : snapshot.decisions()) {
+      bySubject.computeIfAbsent(decision.subject(), unused -> new ArrayDeque<>()).add(decision);
+    }
+  }
+}
--- a/core/src/main/java/org/persimmonloom/core/fold/FleetSnapshot.java
+++ b/core/src/main/java/org/persimmonloom/core/fold/FleetSnapshot.java
@@ -1,7 +1,9 @@
 package org.persimmonloom.core.fold;
 
 import org.persimmonloom.core.claim.ClaimTable;
+import org.persimmonloom.core.explain.DecisionJournal;
 import org.persimmonloom.core.host.HostTable;
+import org.persimmonloom.core.maintenance.WaveTable;
 import org.persimmonloom.core.member.EntryHostTable;
 import org.persimmonloom.core.release.ReleaseCatalog;
 
@@ -18,4 +20,6 @@
     EntryHostTable.Snapshot entryHosts,
     ReleaseCatalog.Snapshot releases,
     ClaimTable.Snapshot claims,
-    HostTable.Snapshot hosts) {}
+    HostTable.Snapshot hosts,
+    WaveTable.Snapshot waves,
+    DecisionJournal.Snapshot journal) {}
--- a/core/src/main/java/org/persimmonloom/core/fold/FleetState.java
+++ b/core/src/main/java/org/persimmonloom/core/fold/FleetState.java
@@ -5,8 +5,17 @@
 import java.util.List;
 import java.util.Optional;
 import org.persimmonloom.core.claim.ClaimTable;
+import org.persimmonloom.core.explain.DecisionJournal;
+import org.persimmonloom.core.host.HostLifecycle;
 import org.persimmonloom.core.host.HostTable;
+import org.persimmonloom.core.maintenance.AvailabilityBudgets;
+import org.persimmonloom.core.maintenance.DrainHandlers;
+import org.persimmonloom.core.maintenance.MaintenanceSteps;
+import org.persimmonloom.core.maintenance.MoveHandlers;
+import org.persimmonloom.core.maintenance.PoolStatus;
+import org.persimmonloom.core.maintenance.WaveTable;
 import org.persimmonloom.core.member.EntryHostTable;
+import org.persimmonloom.core.release.PoolDefinition;
 import org.persimmonloom.core.release.ReleaseCatalog;
 import org.persimmonloom.core.result.Failure;
 import org.persimmonloom.core.result.ResultCode;
@@ -23,25 +32,40 @@
   private final ProposalRegistry registry = new ProposalRegistry();
   private final EntryHostTable entryHosts = new EntryHostTable();
   private final ClaimTable claims = new ClaimTable();
+  private final DecisionJournal journal = new DecisionJournal();
   private final HostTable hosts;
   private final ReleaseCatalog releases;
+  private final AvailabilityBudgets budgets;
+  private final WaveTable waves;
   private final List<FoldPart<?>> parts;
   private long nextOffset;
   private long timeMillis;
 
   /** Creates the state before the first record. */
   public FleetState() {
-    hosts = new HostTable(this::poolExists);
+    hosts = new HostTable(this::pool);
     releases = new ReleaseCatalog(hosts);
+    budgets = new AvailabilityBudgets(releases::budgets, hosts);
+    waves = new WaveTable(hosts, budgets, journal);
+    hosts.addListener(waves);
     entryHosts.addListener(claims);
-    parts = List.of(entryHosts, releases, claims, hosts);
+    parts = List.of(entryHosts, releases, claims, hosts, waves, journal);
     parts.forEach(part -> part.registerHandlers(registry));
+    registerMaintenance();
     registry.register(
         SnapshotChunk.class, (chunk, position) -> Either.right("snapshot chunk " + chunk.index()));
   }
 
-  private boolean poolExists(String pool) {
-    return releases.pool(pool).isPresent();
+  private void registerMaintenance() {
+    new HostLifecycle(hosts, journal).registerHandlers(registry);
+    new MoveHandlers(hosts, waves, budgets).registerHandlers(registry);
+    DrainHandlers drains = new DrainHandlers(hosts, entryHosts, waves, budgets, journal);
+    drains.registerHandlers(registry);
+    entryHosts.addListener(drains);
+  }
+
+  private Optional<PoolDefinition> pool(String name) {
+    return releases.pool(name);
   }
 
   /**
@@ -72,8 +96,11 @@
     List<Verdict> verdicts = new ArrayList<>(batch.proposals().size());
     for (int index = 0; index < batch.proposals().size(); index++) {
       Position position = position(offset, index, timeMillis, batch);
-      verdicts.add(decide(batch.proposals().get(index), position));
+      Verdict verdict = decide(batch.proposals().get(index), position);
+      journal.keep(verdict);
+      verdicts.add(verdict);
     }
+    waves.evaluate(position(offset, batch.proposals().size(), timeMillis, batch));
     return Either.right(verdicts);
   }
 
@@ -128,6 +155,33 @@
     return hosts;
   }
 
+  public WaveTable waves() {
+    return waves;
+  }
+
+  public AvailabilityBudgets budgets() {
+    return budgets;
+  }
+
+  public DecisionJournal journal() {
+    return journal;
+  }
+
+  /** Returns the steps of waves and moves that are due. */
+  public MaintenanceSteps maintenanceSteps() {
+    return new MaintenanceSteps(hosts, waves, budgets);
+  }
+
+  /** Returns the state of a pool for planners and operators. */
+  public Optional<PoolStatus> poolStatus(String pool) {
+    return releases.pool(pool).map(it -> PoolStatus.of(it, hosts, budgets));
+  }
+
+  /** Returns the state of every pool, sorted by name. */
+  public List<PoolStatus> poolStatuses() {
+    return releases.pools().values().stream().map(it -> PoolStatus.of(it, hosts, budgets)).toList();
+  }
+
   /** Returns the whole state as a value. */
   public FleetSnapshot snapshot() {
     return new FleetSnapshot(
@@ -137,7 +191,9 @@
         entryHosts.snapshot(),
         releases.snapshot(),
         claims.snapshot(),
-        hosts.snapshot());
+        hosts.snapshot(),
+        waves.snapshot(),
+        journal.snapshot());
   }
 
   /** Replaces the state by the snapshot's, or returns why it can't be used. */
@@ -153,6 +209,8 @@
     releases.restore(snapshot.releases());
     claims.restore(snapshot.claims());
     hosts.restore(snapshot.hosts());
+    waves.restore(snapshot.waves());
+    journal.restore(snapshot.journal());
     return Optional.empty();
   }
 }
--- a/core/src/main/java/org/persimmonloom/core/host/HostTable.java
+++ b/core/src/main/java/org/persimmonloom/core/host/HostTable.java
@@ -1,15 +1,18 @@
 package org.persimmonloom.core.host;
 
 import io.vavr.control.Either;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
+import java.util.SortedMap;
 import java.util.TreeMap;
-import java.util.function.Predicate;
+import java.util.function.Function;
 import org.persimmonloom.core.fold.FoldPart;
 import org.persimmonloom.core.fold.Position;
 import org.persimmonloom.core.fold.ProposalRegistry;
+import org.persimmonloom.core.release.PoolDefinition;
 import org.persimmonloom.core.release.PoolOccupancy;
 import org.persimmonloom.core.result.Failure;
 import org.persimmonloom.core.result.ResultCode;
@@ -18,22 +21,31 @@
  * The hosts and the one pool that each belongs to. Confined to the thread that folds.
  *
  * <p>A host is one entry with one pool name, so that it can't be in two pools or in none at any
- * offset.
+ * offset. For each pool the table keeps the offset of its last change, by which a stale plan is
+ * recognised.
  */
 public final class HostTable implements FoldPart<HostTable.Snapshot>, PoolOccupancy {
   private final TreeMap<String, Host> hosts = new TreeMap<>();
-  private final Predicate<String> poolExists;
+  private final TreeMap<String, TreeMap<String, Host>> byPool = new TreeMap<>();
+  private final TreeMap<String, Long> poolChangedOffsets = new TreeMap<>();
+  private final List<HostListener> listeners = new ArrayList<>();
+  private final Function<String, Optional<PoolDefinition>> pools;
 
   /** The whole table. */
-  public record Snapshot(List<Host> hosts) {
+  public record Snapshot(List<Host> hosts, SortedMap<String, Long> poolChangedOffsets) {
     public Snapshot {
       hosts = List.copyOf(hosts);
     }
   }
 
-  /** Creates an empty table; {@code poolExists} tells whether a pool is defined. */
-  public HostTable(Predicate<String> poolExists) {
-    this.poolExists = poolExists;
+  /** Creates an empty table; {@code pools} finds the definition of a pool. */
+  public HostTable(Function<String, Optional<PoolDefinition>> pools) {
+    this.pools = pools;
+  }
+
+  /** Adds a listener, which is called in the order of addition. */
+  public void addListener(HostListener listener) {
+    listeners.add(listener);
   }
 
   @Override
@@ -45,34 +57,101 @@
     HostFacts facts = admitted.facts();
     Host known = hosts.get(facts.name());
     if (known != null) {
-      if (known.facts().equals(facts)) {
-        return Either.left(
-            Failure.of(ResultCode.ALREADY_APPLIED, facts.name() + " in pool " + known.pool()));
-      }
-      hosts.put(
-          facts.name(),
-          new Host(facts, known.pool(), known.state(), known.stateOffset(), known.stateMillis()));
-      return Either.right("facts of " + facts.name() + " updated");
+      return update(known, facts, position);
     }
-    if (!poolExists.test(facts.homePool())) {
+    Optional<PoolDefinition> pool = pools.apply(facts.homePool());
+    if (pool.isEmpty()) {
       return Either.left(Failure.of(ResultCode.POOL_UNKNOWN, facts.homePool()));
     }
-    hosts.put(
-        facts.name(),
+    if (!isKindOf(pool.get(), facts.kind())) {
+      return Either.left(
+          Failure.of(
+              ResultCode.MOVE_REFUSED,
+              facts.name(),
+              facts.homePool(),
+              "the pool holds no hosts of kind " + facts.kind()));
+    }
+    put(
         new Host(
-            facts,
-            facts.homePool(),
-            HostState.AVAILABLE,
-            position.offset(),
-            position.timeMillis()));
+            facts, facts.homePool(), HostState.AVAILABLE, position.offset(), position.timeMillis()),
+        position);
     return Either.right(facts.name() + " joined pool " + facts.homePool());
   }
 
+  private Either<Failure, String> update(Host known, HostFacts facts, Position position) {
+    if (known.facts().equals(facts)) {
+      return Either.left(
+          Failure.of(ResultCode.ALREADY_APPLIED, facts.name() + " in pool " + known.pool()));
+    }
+    if (known.facts().kind() != facts.kind()) {
+      return Either.left(
+          Failure.of(
+              ResultCode.HOST_STATE_CONFLICT, facts.name(), "of kind " + known.facts().kind()));
+    }
+    put(known.withFacts(facts), position);
+    return Either.right("facts of " + facts.name() + " updated");
+  }
+
+  /** Returns whether hosts of this kind may belong to the pool. */
+  public static boolean isKindOf(PoolDefinition pool, HostKind kind) {
+    return pool.holdsWorkers() == (kind == HostKind.WORKER);
+  }
+
+  /** Returns the definition of a pool. */
+  public Optional<PoolDefinition> pool(String name) {
+    return pools.apply(name);
+  }
+
+  /** Replaces or adds a host. Only handlers of the fold call this. */
+  public void put(Host host, Position position) {
+    Host before = hosts.get(host.name());
+    unindex(before);
+    index(host);
+    if (before != null) {
+      poolChangedOffsets.put(before.pool(), position.offset());
+    }
+    poolChangedOffsets.put(host.pool(), position.offset());
+    listeners.forEach(listener -> listener.hostChanged(before, host, position));
+  }
+
+  /** Records a confirmation, which changes nothing that a plan relies on. */
+  public void putDrain(Host host) {
+    unindex(hosts.get(host.name()));
+    index(host);
+  }
+
+  /** Removes a host. Only handlers of the fold call this. */
+  public void remove(Host host, Position position) {
+    unindex(host);
+    poolChangedOffsets.put(host.pool(), position.offset());
+    listeners.forEach(listener -> listener.hostChanged(host, null, position));
+  }
+
+  private void index(Host host) {
+    hosts.put(host.name(), host);
+    byPool.computeIfAbsent(host.pool(), unused -> new TreeMap<>()).put(host.name(), host);
+  }
+
+  private void unindex(Host host) {
+    if (host != null) {
+      hosts.remove(host.name());
+      byPool.get(host.pool()).remove(host.name());
+    }
+  }
+
   /** Returns the host with this name. */
   public Optional<Host> find(String name) {
     return Optional.ofNullable(hosts.get(name));
   }
 
+  /** Returns the host with this name, or {@link ResultCode#HOST_UNKNOWN}. */
+  public Either<Failure, Host> require(String name) {
+    Host host = hosts.get(name);
+    return host == null
+        ? Either.left(Failure.of(ResultCode.HOST_UNKNOWN, name))
+        : Either.right(host);
+  }
+
   /** Returns all hosts, sorted by name; a view. */
   public Collection<Host> all() {
     return Collections.unmodifiableCollection(hosts.values());
@@ -80,22 +159,32 @@
 
   /** Returns the hosts of a pool in any state, sorted by name. */
   public List<Host> inPool(String pool) {
-    return hosts.values().stream().filter(host -> host.pool().equals(pool)).toList();
+    TreeMap<String, Host> members = byPool.get(pool);
+    return members == null ? List.of() : List.copyOf(members.values());
+  }
+
+  /** Returns the offset of the last change to the pool's hosts; -1 if it never had any. */
+  public long poolChangedOffset(String pool) {
+    return poolChangedOffsets.getOrDefault(pool, -1L);
   }
 
   @Override
   public int hostCount(String pool) {
-    return inPool(pool).size();
+    TreeMap<String, Host> members = byPool.get(pool);
+    return members == null ? 0 : members.size();
   }
 
   @Override
   public Snapshot snapshot() {
-    return new Snapshot(List.copyOf(hosts.values()));
+    return new Snapshot(List.copyOf(hosts.values()), new TreeMap<>(poolChangedOffsets));
   }
 
   @Override
   public void restore(Snapshot snapshot) {
     hosts.clear();
-    snapshot.hosts().forEach(host -> hosts.put(host.name(), host));
+    byPool.clear();
+    poolChangedOffsets.clear();
+    poolChangedOffsets.putAll(snapshot.poolChangedOffsets());
+    snapshot.hosts().forEach(this::index);
   }
 }
--- /dev/null
+++ b/core/src/main/java/org/persimmonloom/core/host/ProbationOver.java
@@ -0,0 +1,23 @@
+package org.persimmonloom.core.host;
+
+import java.util.List;
+import java.util.Objects;
+import org.persimmonloom.core.explain.Explainable;
+import org.persimmonloom.core.explain.Subject;
+import org.persimmonloom.core.fold.Proposal;
+
+/**
+ * A returned host has stayed up for its probation and takes work again.
+ *
+ * @param stateOffset the state that the proposer saw
+ */
+public record ProbationOver(String host, long stateOffset) implements Proposal, Explainable {
+  public ProbationOver {
+    Objects.requireNonNull(host, "host");
+  }
+
+  @Override
+  public List<Subject> subjects() {
+    return List.of(Subject.host(host));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/persimmonloom/core/maintenance/DrainHandlers.java
@@ -0,0 +1,196 @@
+package org.persimmonloom.core.maintenance;
+
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.Optional;
+import org.persimmonloom.core.explain.DecisionRecorder;
+import org.persimmonloom.core.explain.Subject;
+import org.persimmonloom.core.fold.Position;
+import org.persimmonloom.core.fold.ProposalRegistry;
+import org.persimmonloom.core.host.Drain;
+import org.persimmonloom.core.host.DrainCancelled;
+import org.persimmonloom.core.host.DrainConfirmed;
+import org.persimmonloom.core.host.DrainRequested;
+import org.persimmonloom.core.host.Host;
+import org.persimmonloom.core.host.HostDown;
+import org.persimmonloom.core.host.HostState;
+import org.persimmonloom.core.host.HostTable;
+import org.persimmonloom.core.member.EntryHost;
+import org.persimmonloom.core.member.EntryHostListener;
+import org.persimmonloom.core.member.EntryHostTable;
+import org.persimmonloom.core.result.Failure;
+import org.persimmonloom.core.result.ResultCode;
+
+/**
+ * Decides the steps of a drain: requested (which grants it), confirmed, cancelled, down.
+ *
+ * <p>A host becomes {@link HostState#DRAINED} with the record after which every live entry host has
+ * confirmed this drain: the last confirmation, or the end of the last incarnation that had not
+ * confirmed. A confirmation counts for the incarnation that made it. Going down checks the budgets
+ * once more, because a drained host can still be put back into service and a rebooting one can't.
+ * Confined to the thread that folds.
+ */
+public final class DrainHandlers implements EntryHostListener {
+  private final HostTable hosts;
+  private final EntryHostTable entryHosts;
+  private final WaveTable waves;
+  private final AvailabilityBudgets budgets;
+  private final DecisionRecorder recorder;
+
+  /** Creates the handlers. */
+  public DrainHandlers(
+      HostTable hosts,
+      EntryHostTable entryHosts,
+      WaveTable waves,
+      AvailabilityBudgets budgets,
+      DecisionRecorder recorder) {
+    this.hosts = hosts;
+    this.entryHosts = entryHosts;
+    this.waves = waves;
+    this.budgets = budgets;
+    this.recorder = recorder;
+  }
+
+  /** Registers the handlers. */
+  public void registerHandlers(ProposalRegistry registry) {
+    registry.register(DrainRequested.class, this::request);
+    registry.register(DrainConfirmed.class, this::confirm);
+    registry.register(DrainCancelled.class, this::cancel);
+    registry.register(HostDown.class, this::goDown);
+  }
+
+  private Either<Failure, String> request(DrainRequested request, Position position) {
+    Either<Failure, Host> found = hosts.require(request.host());
+    Wave wave = waves.find(request.wave()).orElse(null);
+    if (found.isLeft() || wave == null) {
+      return Either.left(
+          found.isLeft() ? found.getLeft() : Failure.of(ResultCode.WAVE_UNKNOWN, request.wave()));
+    }
+    Host host = found.get();
+    Optional<Failure> refusal =
+        checkRequest(wave, host)
+            .or(() -> waves.checkOpen(wave, position.timeMillis()))
+            .or(() -> waves.checkTurn(wave, host, waves.busyHosts(wave)))
+            .or(() -> budgets.check(host));
+    if (refusal.isPresent()) {
+      return Either.left(refusal.get());
+    }
+    Host draining =
+        host.withState(HostState.DRAINING, WaveTable.drainFor(wave, position), position);
+    hosts.put(draining, position);
+    return Either.right("granted; " + roomText(draining));
+  }
+
+  private Optional<Failure> checkRequest(Wave wave, Host host) {
+    if (host.isInWave(wave.name())) {
+      return Optional.of(
+          Failure.of(ResultCode.ALREADY_APPLIED, host.name() + " is " + host.state()));
+    }
+    Wave.Progress progress = wave.progress().get(host.name());
+    if (!wave.status().isOpen() || progress == null || progress.step() != Wave.Step.PENDING) {
+      String state = progress == null ? "without host " + host.name() : progress.step().toString();
+      return Optional.of(
+          Failure.of(
+              ResultCode.WAVE_STATE_CONFLICT,
+              wave.name(),
+              wave.status().isOpen() ? state : wave.status()));
+    }
+    if (host.isUnavailable()) {
+      return Optional.of(conflict(host));
+    }
+    return Optional.empty();
+  }
+
+  private String roomText(Host host) {
+    StringBuilder text = new StringBuilder("budget room left:");
+    for (BudgetGroup group : budgets.groupsOf(host)) {
+      text.append(' ').append(group.key()).append('=').append(budgets.use(group).room());
+    }
+    return text.toString();
+  }
+
+  private static Failure conflict(Host host) {
+    return Failure.of(ResultCode.HOST_STATE_CONFLICT, host.name(), host.stateText());
+  }
+
+  private Either<Failure, Host> inDrain(String name, long drainOffset) {
+    return hosts
+        .require(name)
+        .flatMap(
+            host ->
+                host.drain() != null && host.drain().offset() == drainOffset
+                    ? Either.right(host)
+                    : Either.left(conflict(host)));
+  }
+
+  private Either<Failure, String> confirm(DrainConfirmed confirmed, Position position) {
+    return inDrain(confirmed.host(), confirmed.drainOffset())
+        .flatMap(
+            host -> {
+              if (host.state() != HostState.DRAINING) {
+                return Either.left(conflict(host));
+              }
+              if (host.drain().isConfirmedBy(position.author(), position.incarnation())) {
+                return Either.left(Failure.of(ResultCode.ALREADY_APPLIED, "confirmed"));
+              }
+              Drain drain = host.drain().confirmed(position.author(), position.incarnation());
+              hosts.putDrain(host.withDrain(drain));
+              settle(host.withDrain(drain), position);
+              return Either.right("confirmed by " + position.author());
+            });
+  }
+
+  /** Makes the host drained if every live entry host has confirmed; at least one has to. */
+  private void settle(Host host, Position position) {
+    List<EntryHost> live = entryHosts.live();
+    boolean isIdle =
+        !live.isEmpty()
+            && live.stream()
+                .allMatch(entry -> host.drain().isConfirmedBy(entry.name(), entry.incarnation()));
+    if (isIdle) {
+      hosts.put(host.withState(HostState.DRAINED, host.drain(), position), position);
+      recorder.record(
+          Subject.host(host.name()),
+          position,
+          ResultCode.OK,
+          "DRAINED: confirmed by " + live.size() + " live entry hosts");
+    }
+  }
+
+  @Override
+  public void incarnationEnded(String name, long incarnation, Position position) {
+    for (Host host : List.copyOf(hosts.all())) {
+      if (host.state() == HostState.DRAINING) {
+        settle(host, position);
+      }
+    }
+  }
+
+  private Either<Failure, String> cancel(DrainCancelled cancelled, Position position) {
+    return inDrain(cancelled.host(), cancelled.drainOffset())
+        .flatMap(
+            host -> {
+              if (host.state() != HostState.DRAINING && host.state() != HostState.DRAINED) {
+                return Either.left(conflict(host));
+              }
+              hosts.put(host.withState(HostState.AVAILABLE, null, position), position);
+              return Either.right("back in service: " + cancelled.reason());
+            });
+  }
+
+  private Either<Failure, String> goDown(HostDown down, Position position) {
+    return inDrain(down.host(), down.drainOffset())
+        .flatMap(
+            host -> {
+              if (host.state() != HostState.DRAINED || host.drain().cause() != Drain.Cause.WAVE) {
+                return Either.left(conflict(host));
+              }
+              Optional<Failure> refusal = budgets.check(host);
+              if (refusal.isPresent()) {
+                return Either.left(refusal.get());
+              }
+              hosts.put(host.withState(HostState.DOWN, host.drain(), position), position);
+              return Either.right("expected back in " + host.drain().expectedDownMillis() + " ms");
+            });
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/persimmonloom/core/maintenance/MaintenancePlan.java
@@ -0,0 +1,153 @@
+package org.persimmonloom.core.maintenance;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.persimmonloom.core.host.Host;
+import org.persimmonloom.core.host.HostLifecycle;
+import org.persimmonloom.core.result.Failure;
+import org.persimmonloom.core.result.ResultCode;
+
+/**
+ * Whether a window and the budgets allow a wave, computed before it starts.
+ *
+ * <p>The wave is played in rounds with the rules that grant drains: rack by rack within each pool,
+ * at most {@code maxAtOnce} hosts, every budget kept with the unplanned losses of now. All hosts of
+ * a round take one step, so the figure is exact if each step takes {@link #stepMillis} and an
+ * estimate otherwise. Hosts of other waves are not counted; a wave that overlaps makes both longer.
+ *
+ * @param hosts how many hosts are maintained
+ * @param rounds how many steps follow each other
+ * @param peakAtOnce the largest number of hosts out at once
+ * @param stepMillis time of one host from drain to the end of probation
+ * @param neededMillis time of all rounds
+ * @param windowMillis time there is
+ * @param hostsPerDay pace that maintains all hosts within the window
+ */
+public record MaintenancePlan(
+    int hosts,
+    int rounds,
+    int peakAtOnce,
+    long stepMillis,
+    long neededMillis,
+    long windowMillis,
+    double hostsPerDay) {
+  /** Every host is maintained once in this time. */
+  public static final long CYCLE_MILLIS = 21L * 24 * 60 * 60_000;
+
+  /** Time allowed for a drain, the longest deadline of a short request with its retries. */
+  public static final long DRAIN_MILLIS = 60_000;
+
+  private static final long DAY_MILLIS = 24L * 60 * 60_000;
+
+  /** The budgets that the plan has to keep. */
+  public interface Budgets {
+    /** Returns the groups that count a host. */
+    List<BudgetGroup> groupsOf(Host host);
+
+    /** Returns how many hosts of a group are unplanned losses. */
+    int unplanned(BudgetGroup group);
+  }
+
+  /** Returns whether the window is long enough. */
+  public boolean fits() {
+    return neededMillis <= windowMillis;
+  }
+
+  /** Returns the time of one host from the grant to the end of its probation. */
+  public static long stepMillis(long expectedDownMillis) {
+    long probation =
+        Math.max(
+            HostLifecycle.MIN_PROBATION_MILLIS,
+            Math.min(HostLifecycle.MAX_PROBATION_MILLIS, expectedDownMillis));
+    return DRAIN_MILLIS + expectedDownMillis + probation;
+  }
+
+  /**
+   * Returns the plan, or {@link ResultCode#BUDGET_EXHAUSTED} if a budget allows no host at all.
+   * Whether the window is long enough is told by {@link #fits()}.
+   */
+  public static Either<Failure, MaintenancePlan> of(
+      List<Host> hosts,
+      Budgets budgets,
+      int maxAtOnce,
+      long expectedDownMillis,
+      long windowMillis) {
+    long stepMillis = stepMillis(expectedDownMillis);
+    List<Candidate> ordered = new ArrayList<>();
+    hosts.stream()
+        .sorted(HostOrder.BY_RACK)
+        .forEach(host -> ordered.add(new Candidate(host, budgets.groupsOf(host))));
+    LinkedList<Candidate> remaining = new LinkedList<>(ordered);
+    Map<String, Integer> room = rooms(ordered, budgets);
+    int rounds = 0;
+    int peak = 0;
+    while (!remaining.isEmpty()) {
+      int granted = playRound(remaining, new TreeMap<>(room), maxAtOnce);
+      if (granted == 0) {
+        return Either.left(blocked(remaining.getFirst(), room, maxAtOnce));
+      }
+      rounds++;
+      peak = Math.max(peak, granted);
+    }
+    double perDay = windowMillis <= 0 ? 0 : hosts.size() * (double) DAY_MILLIS / windowMillis;
+    return Either.right(
+        new MaintenancePlan(
+            hosts.size(), rounds, peak, stepMillis, rounds * stepMillis, windowMillis, perDay));
+  }
+
+  private record Candidate(Host host, List<String> groups, List<Integer> limits) {
+    Candidate(Host host, List<BudgetGroup> groups) {
+      this(
+          host,
+          groups.stream().map(BudgetGroup::key).toList(),
+          groups.stream().map(BudgetGroup::maxUnavailable).toList());
+    }
+  }
+
+  private static Map<String, Integer> rooms(List<Candidate> candidates, Budgets budgets) {
+    Map<String, Integer> room = new TreeMap<>();
+    for (Candidate candidate : candidates) {
+      for (BudgetGroup group : budgets.groupsOf(candidate.host())) {
+        room.computeIfAbsent(
+            group.key(), unused -> group.maxUnavailable() - budgets.unplanned(group));
+      }
+    }
+    return room;
+  }
+
+  private static int playRound(
+      LinkedList<Candidate> remaining, Map<String, Integer> room, int maxAtOnce) {
+    Map<String, String> rackByPool = new TreeMap<>();
+    int granted = 0;
+    Iterator<Candidate> candidates = remaining.iterator();
+    while (candidates.hasNext() && granted < maxAtOnce) {
+      Candidate candidate = candidates.next();
+      String rack = HostOrder.rackOf(candidate.host());
+      boolean isRackInTurn = rack.equals(rackByPool.getOrDefault(candidate.host().pool(), rack));
+      boolean hasRoom = candidate.groups().stream().allMatch(group -> room.get(group) > 0);
+      if (isRackInTurn && hasRoom) {
+        candidate.groups().forEach(group -> room.merge(group, -1, Integer::sum));
+        rackByPool.put(candidate.host().pool(), rack);
+        candidates.remove();
+        granted++;
+      }
+    }
+    return granted;
+  }
+
+  private static Failure blocked(Candidate first, Map<String, Integer> room, int maxAtOnce) {
+    for (int index = 0; index < first.groups().size(); index++) {
+      String group = first.groups().get(index);
+      if (room.get(group) <= 0) {
+        return Failure.of(
+            ResultCode.BUDGET_EXHAUSTED, group, first.limits().get(index), "unplanned losses");
+      }
+    }
+    return Failure.of(ResultCode.USAGE, "max at once must be at least 1, not " + maxAtOnce);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/persimmonloom/core/maintenance/WaveTable.java
@@ -0,0 +1,393 @@
+package org.persimmonloom.core.maintenance;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.persimmonloom.core.explain.DecisionRecorder;
+import org.persimmonloom.core.explain.Subject;
+import org.persimmonloom.core.fold.FoldPart;
+import org.persimmonloom.core.fold.Position;
+import org.persimmonloom.core.fold.ProposalRegistry;
+import org.persimmonloom.core.host.Drain;
+import org.persimmonloom.core.host.Host;
+import org.persimmonloom.core.host.HostListener;
+import org.persimmonloom.core.host.HostState;
+import org.persimmonloom.core.host.HostTable;
+import org.persimmonloom.core.result.Failure;
+import org.persimmonloom.core.result.ResultCode;
+
+/**
+ * The maintenance waves: accepted requests, the progress of each host, and cancellation.
+ *
+ * <p>A host is in at most one open wave. Waves with different hosts may overlap in time and draw on
+ * the same budgets; the order of the grants in the log decides between them. The hosts of a wave
+ * are fixed when it is accepted: one that moves to another pool stays in the wave and is granted
+ * under the budgets of its new pool. Confined to the thread that folds.
+ */
+public final class WaveTable implements FoldPart<WaveTable.Snapshot>, HostListener {
+  /** Closed waves kept for operators who ask what became of them. */
+  static final int MAX_CLOSED = 32;
+
+  /** Bounds the state; 248 pools are maintained by far fewer waves at once. */
+  static final int MAX_OPEN = 64;
+
+  private final TreeMap<String, Wave> waves = new TreeMap<>();
+  private final HostTable hosts;
+  private final AvailabilityBudgets budgets;
+  private final DecisionRecorder recorder;
+  private final PauseMonitor pauses;
+
+  /** The whole table. */
+  public record Snapshot(List<Wave> waves, PauseMonitor.Snapshot pauses) {
+    public Snapshot {
+      waves = List.copyOf(waves);
+    }
+  }
+
+  /** Creates an empty table of waves over {@code hosts}. */
+  public WaveTable(HostTable hosts, AvailabilityBudgets budgets, DecisionRecorder recorder) {
+    this.hosts = hosts;
+    this.budgets = budgets;
+    this.recorder = recorder;
+    pauses = new PauseMonitor(budgets);
+  }
+
+  @Override
+  public void registerHandlers(ProposalRegistry registry) {
+    registry.register(MaintenanceRequested.class, this::request);
+    registry.register(MaintenanceCancelled.class, this::cancel);
+  }
+
+  private Either<Failure, String> request(MaintenanceRequested request, Position position) {
+    Wave known = waves.get(request.wave());
+    if (known != null) {
+      return Either.left(
+          known.request().equals(request)
+              ? Failure.of(ResultCode.ALREADY_APPLIED, "wave " + request.wave())
+              : Failure.of(ResultCode.WAVE_STATE_CONFLICT, request.wave(), known.status()));
+    }
+    if (open().size() >= MAX_OPEN) {
+      return Either.left(
+          Failure.of(ResultCode.WAVE_STATE_CONFLICT, request.wave(), "one of too many open waves"));
+    }
+    return resolve(request)
+        .flatMap(
+            members ->
+                plan(request, members, position.timeMillis(), false)
+                    .flatMap(plan -> accept(request, members, plan, position)));
+  }
+
+  private Either<Failure, String> accept(
+      MaintenanceRequested request, List<Host> members, MaintenancePlan plan, Position position) {
+    if (!plan.fits()) {
+      return Either.left(
+          Failure.of(ResultCode.WINDOW_TOO_SHORT, plan.neededMillis(), plan.windowMillis()));
+    }
+    SortedMap<String, Wave.Progress> progress = new TreeMap<>();
+    members.forEach(host -> progress.put(host.name(), Wave.Progress.PENDING));
+    waves.put(
+        request.wave(),
+        new Wave(request, position.offset(), WaveStatus.SCHEDULED, "", progress, 0));
+    return Either.right(
+        members.size() + " hosts in " + plan.rounds() + " rounds, " + plan.neededMillis() + " ms");
+  }
+
+  /** Returns the hosts that a request names, or why it can't be accepted. */
+  public Either<Failure, List<Host>> resolve(MaintenanceRequested request) {
+    TreeMap<String, Host> members = new TreeMap<>();
+    for (String pool : request.pools()) {
+      if (hosts.pool(pool).isEmpty()) {
+        return Either.left(Failure.of(ResultCode.POOL_UNKNOWN, pool));
+      }
+      hosts.inPool(pool).forEach(host -> members.put(host.name(), host));
+    }
+    for (String name : request.hosts()) {
+      Optional<Host> host = hosts.find(name);
+      if (host.isEmpty()) {
+        return Either.left(Failure.of(ResultCode.HOST_UNKNOWN, name));
+      }
+      members.put(name, host.get());
+    }
+    if (members.isEmpty() || request.maxAtOnce() < 1 || request.expectedDownMillis() < 0) {
+      return Either.left(
+          Failure.of(
+              ResultCode.USAGE,
+              "a wave needs a host, max at once of at least 1 and an expected down time"));
+    }
+    for (String name : members.keySet()) {
+      Optional<Wave> other = openWaveOf(name);
+      if (other.isPresent() && !other.get().name().equals(request.wave())) {
+        return Either.left(Failure.of(ResultCode.WAVE_CONFLICT, name, other.get().name()));
+      }
+    }
+    return Either.right(List.copyOf(members.values()));
+  }
+
+  /**
+   * Returns the plan of a request. Acceptance plans without the losses of now, since they may be
+   * over when the window starts; operators see the plan with them.
+   */
+  public Either<Failure, MaintenancePlan> plan(
+      MaintenanceRequested request, List<Host> members, long nowMillis, boolean countsLosses) {
+    MaintenancePlan.Budgets view =
+        new MaintenancePlan.Budgets() {
+          @Override
+          public List<BudgetGroup> groupsOf(Host host) {
+            return budgets.groupsOf(host);
+          }
+
+          @Override
+          public int unplanned(BudgetGroup group) {
+            return countsLosses ? budgets.use(group).unplanned().size() : 0;
+          }
+        };
+    long windowMillis =
+        request.windowEndMillis() - Math.max(nowMillis, request.windowStartMillis());
+    return MaintenancePlan.of(
+        members, view, request.maxAtOnce(), request.expectedDownMillis(), windowMillis);
+  }
+
+  private Either<Failure, String> cancel(MaintenanceCancelled cancelled, Position position) {
+    Wave wave = waves.get(cancelled.wave());
+    if (wave == null) {
+      return Either.left(Failure.of(ResultCode.WAVE_UNKNOWN, cancelled.wave()));
+    }
+    if (!wave.status().isOpen()) {
+      return Either.left(
+          wave.status() == WaveStatus.CANCELLED
+              ? Failure.of(ResultCode.ALREADY_APPLIED, "wave " + wave.name() + " is cancelled")
+              : Failure.of(ResultCode.WAVE_STATE_CONFLICT, wave.name(), wave.status()));
+    }
+    String why = "by " + cancelled.operator() + ": " + cancelled.reason();
+    int resumed = undrain(wave.name(), position);
+    close(waves.get(wave.name()), WaveStatus.CANCELLED, why, position);
+    return Either.right(resumed + " hosts back in service; hosts that are down finish");
+  }
+
+  private int undrain(String wave, Position position) {
+    int resumed = 0;
+    for (Host host : List.copyOf(hosts.all())) {
+      boolean isUp = host.state() == HostState.DRAINING || host.state() == HostState.DRAINED;
+      if (host.isInWave(wave) && isUp) {
+        hosts.put(host.withState(HostState.AVAILABLE, null, position), position);
+        resumed++;
+      }
+    }
+    return resumed;
+  }
+
+  private void close(Wave wave, WaveStatus status, String why, Position position) {
+    waves.put(wave.name(), wave.closed(status, why));
+    recorder.record(Subject.wave(wave.name()), position, ResultCode.OK, status + " " + why);
+    List<Wave> closed =
+        new ArrayList<>(waves.values().stream().filter(it -> !it.status().isOpen()).toList());
+    closed.sort(Comparator.comparingLong(Wave::offset));
+    for (int excess = closed.size() - MAX_CLOSED; excess > 0; excess--) {
+      waves.remove(closed.remove(0).name());
+    }
+  }
+
+  @Override
+  public void hostChanged(Host before, Host after, Position position) {
+    String name = before == null ? after.name() : before.name();
+    pauses.markChanged();
+    Optional<Wave> wave = openWaveOf(name);
+    if (before != null && before.drain() != null && before.drain().cause() == Drain.Cause.WAVE) {
+      wave = find(before.drain().owner());
+    }
+    wave.ifPresent(it -> follow(it, before, after, position));
+  }
+
+  private void follow(Wave wave, Host before, Host after, Position position) {
+    boolean was = before != null && before.isInWave(wave.name());
+    Wave.Progress next = null;
+    if (after == null) {
+      next = new Wave.Progress(Wave.Step.SKIPPED, "removed from the fleet");
+    } else if (after.isInWave(wave.name()) && !was) {
+      next = new Wave.Progress(Wave.Step.IN_PROGRESS, "");
+    } else if (was && after.state() == HostState.LOST) {
+      next = new Wave.Progress(Wave.Step.SKIPPED, "lost while " + before.state());
+    } else if (was && after.state() == HostState.AVAILABLE) {
+      next =
+          before.state() == HostState.RETURNED
+              ? new Wave.Progress(Wave.Step.DONE, "")
+              : Wave.Progress.PENDING;
+    }
+    if (next != null && next.step() == Wave.Step.PENDING && !wave.status().isOpen()) {
+      next = new Wave.Progress(Wave.Step.SKIPPED, wave.reason());
+    }
+    if (next != null) {
+      String host = before == null ? after.name() : before.name();
+      waves.put(wave.name(), wave.withProgress(host, next));
+    }
+  }
+
+  /** Follows time and losses: starts, pauses, resumes and closes waves. Called once per batch. */
+  public void evaluate(Position position) {
+    if (!pauses.isDue(position.timeMillis())) {
+      return;
+    }
+    List<Wave> open = open();
+    pauses.evaluate(pendingHosts(open), position.timeMillis());
+    open.forEach(wave -> evaluate(wave, position));
+  }
+
+  private List<Host> pendingHosts(List<Wave> open) {
+    List<Host> pending = new ArrayList<>();
+    open.forEach(wave -> pending.addAll(pendingHosts(wave)));
+    return pending;
+  }
+
+  /** Returns the hosts of a wave that still have to be maintained, in the order of the wave. */
+  public List<Host> pendingHosts(Wave wave) {
+    List<Host> pending = new ArrayList<>();
+    wave.progress()
+        .forEach(
+            (name, progress) -> {
+              if (progress.step() == Wave.Step.PENDING) {
+                hosts.find(name).ifPresent(pending::add);
+              }
+            });
+    pending.sort(HostOrder.BY_RACK);
+    return pending;
+  }
+
+  private void evaluate(Wave wave, Position position) {
+    long now = position.timeMillis();
+    boolean isBusy = wave.count(Wave.Step.IN_PROGRESS) > 0;
+    List<Host> pending = pendingHosts(wave);
+    if (!isBusy && pending.isEmpty()) {
+      close(wave, WaveStatus.DONE, "", position);
+    } else if (!isBusy && !isInTime(wave, now) && now >= wave.request().windowStartMillis()) {
+      close(wave, WaveStatus.INCOMPLETE, "the window ended", position);
+    } else if (now >= wave.request().windowStartMillis()) {
+      Optional<String> pause = pauseOf(pending);
+      WaveStatus status = pause.isPresent() ? WaveStatus.PAUSED : WaveStatus.RUNNING;
+      change(wave, status, pause.orElse(""), position);
+    }
+  }
+
+  private void change(Wave wave, WaveStatus status, String reason, Position position) {
+    if (wave.status() != status) {
+      recorder.record(Subject.wave(wave.name()), position, ResultCode.OK, status + " " + reason);
+    }
+    waves.put(wave.name(), wave.withStatus(status, reason));
+  }
+
+  /** Returns why no pending host can be granted until losses end; empty if one can. */
+  private Optional<String> pauseOf(List<Host> pending) {
+    Optional<String> reason = Optional.empty();
+    for (Host host : pending) {
+      reason = pauses.reason(host);
+      if (reason.isEmpty()) {
+        return reason;
+      }
+    }
+    return reason;
+  }
+
+  /** Returns whether a host that is drained now would be back within the window. */
+  static boolean isInTime(Wave wave, long nowMillis) {
+    long stepMillis = MaintenancePlan.stepMillis(wave.request().expectedDownMillis());
+    return nowMillis + stepMillis <= wave.request().windowEndMillis();
+  }
+
+  /** Returns why no host of the wave may be drained now, whichever it is. */
+  Optional<Failure> checkOpen(Wave wave, long nowMillis) {
+    if (nowMillis < wave.request().windowStartMillis()) {
+      return conflict(wave, "scheduled for " + wave.request().windowStartMillis());
+    }
+    if (!isInTime(wave, nowMillis)) {
+      return conflict(wave, "too close to the end of its window");
+    }
+    if (wave.count(Wave.Step.IN_PROGRESS) >= wave.request().maxAtOnce()) {
+      return conflict(wave, "at its limit of " + wave.request().maxAtOnce() + " hosts at once");
+    }
+    return Optional.empty();
+  }
+
+  /** Returns why this host of the wave must wait, apart from the budgets. */
+  Optional<Failure> checkTurn(Wave wave, Host host, List<Host> busy) {
+    Optional<String> pause = pauses.reason(host);
+    if (pause.isPresent()) {
+      return conflict(wave, "paused for " + host.name() + ": " + pause.get());
+    }
+    for (Host other : busy) {
+      boolean isOtherRack =
+          other.pool().equals(host.pool())
+              && !HostOrder.rackOf(other).equals(HostOrder.rackOf(host));
+      if (isOtherRack) {
+        return conflict(wave, "in rack " + HostOrder.rackOf(other) + " of pool " + host.pool());
+      }
+    }
+    return Optional.empty();
+  }
+
+  /** Returns the hosts that are out for the wave. */
+  List<Host> busyHosts(Wave wave) {
+    List<Host> busy = new ArrayList<>();
+    wave.progress()
+        .forEach(
+            (name, progress) -> {
+              if (progress.step() == Wave.Step.IN_PROGRESS) {
+                hosts.find(name).ifPresent(busy::add);
+              }
+            });
+    return busy;
+  }
+
+  private static Optional<Failure> conflict(Wave wave, String state) {
+    return Optional.of(Failure.of(ResultCode.WAVE_STATE_CONFLICT, wave.name(), state));
+  }
+
+  /** Returns the drain that a wave starts. */
+  static Drain drainFor(Wave wave, Position position) {
+    return Drain.started(
+        Drain.Cause.WAVE, wave.name(), position.offset(), wave.request().expectedDownMillis());
+  }
+
+  /** Returns the wave with this name, open or closed. */
+  public Optional<Wave> find(String name) {
+    return Optional.ofNullable(waves.get(name));
+  }
+
+  /** Returns the open wave that a host belongs to and is not yet through. */
+  public Optional<Wave> openWaveOf(String host) {
+    return waves.values().stream()
+        .filter(wave -> wave.status().isOpen())
+        .filter(
+            wave -> {
+              Wave.Progress progress = wave.progress().get(host);
+              return progress != null
+                  && (progress.step() == Wave.Step.PENDING
+                      || progress.step() == Wave.Step.IN_PROGRESS);
+            })
+        .findFirst();
+  }
+
+  /** Returns the open waves, sorted by name. */
+  public List<Wave> open() {
+    return waves.values().stream().filter(wave -> wave.status().isOpen()).toList();
+  }
+
+  /** Returns all waves that are kept, sorted by name. */
+  public List<Wave> all() {
+    return List.copyOf(waves.values());
+  }
+
+  @Override
+  public Snapshot snapshot() {
+    return new Snapshot(List.copyOf(waves.values()), pauses.snapshot());
+  }
+
+  @Override
+  public void restore(Snapshot snapshot) {
+    waves.clear();
+    snapshot.waves().forEach(wave -> waves.put(wave.name(), wave));
+    pauses.restore(snapshot.pauses());
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/persimmonloom/core/host/HostListTrackerTest.java
@@ -0,0 +1,145 @@
+package org.persimmonloom.core.host;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.persimmonloom.core.fold.Proposal;
+
+class HostListTrackerTest {
+  private final HostListTracker tracker = new HostListTracker();
+  private final List<Host> known = new ArrayList<>();
+
+  /** Twelve hosts in three racks of four, each rack in a data centre of its own. */
+  HostListTrackerTest() {
+    IntStream.range(0, 12)
+        .mapToObj(i -> facts("h" + (char) ('a' + i), "r" + i / 4))
+        .forEach(it -> known.add(new Host(it, "a", HostState.AVAILABLE, 5, 0)));
+  }
+
+  private static HostFacts facts(String name, String rack) {
+    return new HostFacts(
+        name, HostKind.EXECUTOR, "10.0.0.1:1", rack, "dc-" + rack, "r", 8, 1_024, 0, "a");
+  }
+
+  private HostListTracker.Decision read(long now, String... absent) {
+    return read(now, Set.of(), absent);
+  }
+
+  private HostListTracker.Decision read(long now, Set<String> leaving, String... absent) {
+    List<HostFacts> live =
+        known.stream()
+            .filter(host -> !List.of(absent).contains(host.name()))
+            .map(Host::facts)
+            .toList();
+    return tracker.read(live, leaving, known, pool -> pool.equals("a"), now);
+  }
+
+  private void replace(String name, HostState state, Drain drain, boolean unlisted) {
+    known.replaceAll(
+        host ->
+            host.name().equals(name)
+                ? new Host(host.facts(), "a", state, 9, 0, drain, unlisted)
+                : host);
+  }
+
+  /** Guards against a host that is given up because one reading missed it. */
+  @Test
+  void lostOnlyAfterTwoReadingsTenSecondsApart() {
+    assertThat(read(0, "ha").proposals()).isEmpty();
+    assertThat(read(9_999, "ha").proposals()).isEmpty();
+    assertThat(read(10_000, "ha").proposals()).singleElement().isInstanceOf(HostLost.class);
+    assertThat(read(11_000).proposals()).isEmpty();
+    assertThat(read(12_000, "ha").proposals()).isEmpty();
+  }
+
+  /** Guards against lost hosts, and thus moves, when a wrong list drops a whole rack. */
+  @Test
+  void massDisappearanceMakesUnlistedInsteadOfLost() {
+    HostListTracker.Decision first = read(0, "ha", "hb", "hc");
+    assertThat(first.massEvents()).anyMatch(it -> it.startsWith("rack dc-r0/r0: 3 of 4"));
+    HostsUnlisted unlisted = (HostsUnlisted) first.proposals().get(0);
+    assertThat(unlisted.hosts()).containsExactly("ha", "hb", "hc");
+    List.of("ha", "hb", "hc").forEach(it -> replace(it, HostState.AVAILABLE, null, true));
+    assertThat(read(60_000, "ha", "hb", "hc").proposals()).isEmpty();
+    assertThat(read(61_000, "ha").proposals())
+        .containsExactly(new HostsUnlisted(List.of("hb", "hc"), "the list", false));
+    assertThat(read(71_000, "ha").proposals()).anyMatch(HostLost.class::isInstance);
+  }
+
+  /** Guards against treating two coincidental failures in a rack of four as a wrong list. */
+  @Test
+  void twoHostsOfOneRackAreNoMassEvent() {
+    read(0, "ha", "hb");
+    assertThat(read(10_000, "ha", "hb").proposals())
+        .hasSize(2)
+        .allMatch(HostLost.class::isInstance);
+  }
+
+  /** Guards against a mass event that goes unseen because it is spread over several readings. */
+  @Test
+  void hostsThatVanishOneByOneAreCountedTogether() {
+    read(0, "ha");
+    read(1_000, "ha", "he");
+    read(2_000, "ha", "he", "hi");
+    assertThat(read(3_000, "ha", "he", "hi", "hf").massEvents()).isNotEmpty();
+    assertThat(read(10_000, "ha", "he", "hi", "hf").proposals())
+        .noneMatch(HostLost.class::isInstance);
+  }
+
+  /** Guards against a failed rack that is never given up, and a lost list that is. */
+  @Test
+  void rackIsLostAfterItsLimitAndTheListNever() {
+    long limit = HostListTracker.RACK_CONFIRM_MILLIS;
+    HostListTracker racks = new HostListTracker();
+    List<Host> one = known.stream().map(host -> inDataCentre(host, "dc")).toList();
+    List<HostFacts> live = one.subList(3, 12).stream().map(Host::facts).toList();
+    racks.read(live, Set.of(), one, pool -> true, 0);
+    List<Proposal> late = racks.read(live, Set.of(), one, pool -> true, limit).proposals();
+    assertThat(late).hasSize(3).allMatch(HostLost.class::isInstance);
+    tracker.read(Collections.emptyList(), Set.of(), known, pool -> true, 0);
+    assertThat(
+            tracker
+                .read(Collections.emptyList(), Set.of(), known, pool -> true, limit * 10)
+                .proposals())
+        .noneMatch(HostLost.class::isInstance);
+  }
+
+  private static Host inDataCentre(Host host, String dataCentre) {
+    HostFacts old = host.facts();
+    HostFacts facts =
+        new HostFacts(
+            old.name(), old.kind(), old.address(), old.rack(), dataCentre, "r", 8, 1_024, 0, "a");
+    return new Host(facts, "a", host.state(), 5, 0);
+  }
+
+  /** Guards against maintenance that looks like a failure, and a return that is seen too early. */
+  @Test
+  void downHostIsExpectedToBeAbsentAndReturnsAfterIt() {
+    replace("ha", HostState.DOWN, Drain.started(Drain.Cause.WAVE, "w", 8, 5_000), false);
+    assertThat(read(1_000).proposals()).isEmpty();
+    assertThat(read(2_000, "ha").proposals()).isEmpty();
+    assertThat(read(3_000).proposals()).containsExactly(new HostReturned("ha", 9));
+  }
+
+  /** Guards against a reboot between two readings that is never seen to end. */
+  @Test
+  void hostThatNeverVanishedIsBackAfterTheExpectedTime() {
+    replace("ha", HostState.DOWN, Drain.started(Drain.Cause.WAVE, "w", 8, 5_000), false);
+    assertThat(read(14_999).proposals()).isEmpty();
+    assertThat(read(15_000).proposals()).containsExactly(new HostReturned("ha", 9));
+  }
+
+  /** Guards against new work on a host that the platform is about to take. */
+  @Test
+  void leavingHostStopsGettingWorkUntilTheMarkIsGone() {
+    assertThat(read(0, Set.of("ha")).proposals()).containsExactly(new HostLeaving("ha", 5));
+    replace("ha", HostState.DRAINING, Drain.started(Drain.Cause.LEAVING, "", 9, 0), false);
+    assertThat(read(1_000, Set.of("ha")).proposals()).isEmpty();
+    assertThat(read(2_000).proposals()).singleElement().isInstanceOf(DrainCancelled.class);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/persimmonloom/core/maintenance/DrainTest.java
@@ -0,0 +1,185 @@
+package org.persimmonloom.core.maintenance;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.persimmonloom.core.maintenance.FleetFixture.budget;
+
+import org.junit.jupiter.api.Test;
+import org.persimmonloom.core.fold.FleetSnapshot;
+import org.persimmonloom.core.fold.FleetState;
+import org.persimmonloom.core.fold.ProposalTypes;
+import org.persimmonloom.core.fold.Verdict;
+import org.persimmonloom.core.host.DrainCancelled;
+import org.persimmonloom.core.host.DrainConfirmed;
+import org.persimmonloom.core.host.DrainRequested;
+import org.persimmonloom.core.host.HostLeaving;
+import org.persimmonloom.core.host.HostLost;
+import org.persimmonloom.core.host.HostRemoved;
+import org.persimmonloom.core.host.HostReturned;
+import org.persimmonloom.core.host.HostState;
+import org.persimmonloom.core.host.ProbationOver;
+import org.persimmonloom.core.member.EntryHostLeft;
+import org.persimmonloom.core.result.ResultCode;
+
+class DrainTest {
+  private final FleetFixture fleet = FleetFixture.withPools(budget("all", "*", "pool", 1));
+
+  private long startDrain() {
+    fleet.admit("a", "r1", "h1", "h2", "h3");
+    fleet.wave("w1", 2, 5_000, "a");
+    assertThat(fleet.grant("h1", "w1")).isEqualTo(ResultCode.OK);
+    return fleet.host("h1").drain().offset();
+  }
+
+  /** Guards against a host that counts as drained while an entry host may still send to it. */
+  @Test
+  void drainedOnlyAfterEveryLiveEntryHostConfirmed() {
+    long drain = startDrain();
+    assertThat(fleet.code(new DrainConfirmed("h1", drain))).isEqualTo(ResultCode.OK);
+    assertThat(fleet.code(new DrainConfirmed("h1", drain))).isEqualTo(ResultCode.ALREADY_APPLIED);
+    assertThat(fleet.stateOf("h1")).isEqualTo(HostState.DRAINING);
+    fleet.by("e2", 1, new DrainConfirmed("h1", drain));
+    assertThat(fleet.stateOf("h1")).isEqualTo(HostState.DRAINED);
+  }
+
+  /** Guards against a dead entry host that blocks a drain for ever. */
+  @Test
+  void endedIncarnationNoLongerCounts() {
+    long drain = startDrain();
+    fleet.code(new DrainConfirmed("h1", drain));
+    fleet.by("e2", 1, new EntryHostLeft());
+    assertThat(fleet.stateOf("h1")).isEqualTo(HostState.DRAINED);
+  }
+
+  /** Guards against the confirmation of an earlier run standing in for a new process. */
+  @Test
+  void newIncarnationConfirmsAnew() {
+    long drain = startDrain();
+    fleet.by("e2", 1, new DrainConfirmed("h1", drain));
+    fleet.enter("e2", 2);
+    fleet.code(new DrainConfirmed("h1", drain));
+    assertThat(fleet.stateOf("h1")).isEqualTo(HostState.DRAINING);
+    fleet.by("e2", 2, new DrainConfirmed("h1", drain));
+    assertThat(fleet.stateOf("h1")).isEqualTo(HostState.DRAINED);
+  }
+
+  /** Guards against the confirmation of a cancelled drain completing the next one. */
+  @Test
+  void confirmationCountsForItsDrainOnly() {
+    long drain = startDrain();
+    fleet.by("e2", 1, new DrainConfirmed("h1", drain));
+    assertThat(fleet.code(new DrainCancelled("h1", drain, "test"))).isEqualTo(ResultCode.OK);
+    assertThat(fleet.stateOf("h1")).isEqualTo(HostState.AVAILABLE);
+    assertThat(fleet.grant("h1", "w1")).isEqualTo(ResultCode.OK);
+    assertThat(fleet.code(new DrainConfirmed("h1", drain)))
+        .isEqualTo(ResultCode.HOST_STATE_CONFLICT);
+    fleet.code(new DrainConfirmed("h1", fleet.host("h1").drain().offset()));
+    assertThat(fleet.stateOf("h1")).isEqualTo(HostState.DRAINING);
+  }
+
+  /** Guards against steps out of order and against a probation that is cut short. */
+  @Test
+  void wholeCycleInOrder() {
+    startDrain();
+    assertThat(fleet.down("h1")).isEqualTo(ResultCode.HOST_STATE_CONFLICT);
+    fleet.confirm("h1");
+    assertThat(fleet.down("h1")).isEqualTo(ResultCode.OK);
+    long down = fleet.host("h1").stateOffset();
+    assertThat(fleet.code(new ProbationOver("h1", down))).isEqualTo(ResultCode.HOST_STATE_CONFLICT);
+    assertThat(fleet.code(new HostReturned("h1", down))).isEqualTo(ResultCode.OK);
+    assertThat(fleet.code(new HostReturned("h1", down))).isEqualTo(ResultCode.HOST_STATE_CONFLICT);
+    long back = fleet.host("h1").stateOffset();
+    assertThat(fleet.code(new ProbationOver("h1", back))).isEqualTo(ResultCode.HOST_STATE_CONFLICT);
+    fleet.pass(5_000);
+    assertThat(fleet.code(new ProbationOver("h1", back))).isEqualTo(ResultCode.OK);
+    assertThat(fleet.stateOf("h1")).isEqualTo(HostState.AVAILABLE);
+    assertThat(fleet.state.waves().find("w1").orElseThrow().count(Wave.Step.DONE)).isEqualTo(1);
+  }
+
+  /** Guards against a refusal that does not say which budget and which hosts are in the way. */
+  @Test
+  void refusalNamesBudgetAndHolders() {
+    startDrain();
+    Verdict verdict = fleet.propose(new DrainRequested("h2", "w1"));
+    assertThat(verdict.code()).isEqualTo(ResultCode.BUDGET_EXHAUSTED);
+    assertThat(verdict.detail()).contains("all@a").contains("allows 1").contains("h1");
+  }
+
+  /** Guards against planned maintenance on top of an unplanned loss. */
+  @Test
+  void unplannedLossUsesBudget() {
+    fleet.admit("a", "r1", "h1", "h2");
+    fleet.wave("w1", 2, 5_000, "a");
+    assertThat(fleet.lose("h2")).isEqualTo(ResultCode.OK);
+    assertThat(fleet.grant("h1", "w1"))
+        .isIn(ResultCode.BUDGET_EXHAUSTED, ResultCode.WAVE_STATE_CONFLICT);
+  }
+
+  /** Guards against a reboot after losses used up the budget during the drain. */
+  @Test
+  void budgetIsCheckedAgainBeforeGoingDown() {
+    startDrain();
+    fleet.confirm("h1");
+    fleet.lose("h2");
+    assertThat(fleet.down("h1")).isEqualTo(ResultCode.BUDGET_EXHAUSTED);
+    fleet.step();
+    assertThat(fleet.stateOf("h1")).isEqualTo(HostState.AVAILABLE);
+  }
+
+  /** Guards against a budget per rack that counts the whole pool, or hosts of another pool. */
+  @Test
+  void rackBudgetCountsOneRackOfOnePool() {
+    FleetFixture racks =
+        FleetFixture.withPools(budget("p", "a", "pool", 4) + budget("r", "a", "rack", 1));
+    racks.admit("a", "r1", "h1", "h2");
+    racks.admit("a", "r2", "h3");
+    racks.admit("b", "r1", "x1");
+    racks.lose("x1");
+    racks.lose("h1");
+    assertThat(racks.state.budgets().check(racks.host("h2"))).isPresent();
+    assertThat(racks.state.budgets().check(racks.host("h3"))).isEmpty();
+  }
+
+  /** Guards against a reboot that silently takes longer than announced. */
+  @Test
+  void hostThatIsNotBackInTimeIsLostWithAlert() {
+    startDrain();
+    fleet.confirm("h1");
+    fleet.down("h1");
+    long down = fleet.host("h1").stateOffset();
+    assertThat(fleet.code(new HostLost("h1", down, "early")))
+        .isEqualTo(ResultCode.HOST_STATE_CONFLICT);
+    fleet.pass(40_001);
+    fleet.step();
+    assertThat(fleet.stateOf("h1")).isEqualTo(HostState.LOST);
+    assertThat(fleet.state.journal().alerts()).anyMatch(it -> it.subject().id().equals("h1"));
+    assertThat(fleet.state.waves().find("w1").orElseThrow().count(Wave.Step.SKIPPED)).isEqualTo(1);
+  }
+
+  /** Guards against work on a host that the platform takes, and against removal of a live host. */
+  @Test
+  void leavingHostDrainsWithoutAskingBudget() {
+    fleet.admit("a", "r1", "h1", "h2");
+    fleet.lose("h2");
+    assertThat(fleet.code(new HostLeaving("h1", fleet.host("h1").stateOffset())))
+        .isEqualTo(ResultCode.OK);
+    assertThat(fleet.host("h1").isUnplannedLoss()).isTrue();
+    assertThat(fleet.code(new HostRemoved("h1", "op"))).isEqualTo(ResultCode.HOST_STATE_CONFLICT);
+    assertThat(fleet.code(new HostRemoved("h2", "op"))).isEqualTo(ResultCode.OK);
+    assertThat(fleet.state.hosts().hostCount("a")).isEqualTo(1);
+  }
+
+  /** Guards against state that a restarted entry host would not have. */
+  @Test
+  void snapshotRestoresDrainsWavesAndJournal() {
+    startDrain();
+    fleet.lose("h3");
+    fleet.pass(1_000);
+    byte[] bytes = ProposalTypes.CODEC.encode(fleet.state.snapshot());
+    FleetState copy = new FleetState();
+    assertThat(copy.restore(ProposalTypes.CODEC.decode(bytes, FleetSnapshot.class).get()))
+        .isEmpty();
+    assertThat(ProposalTypes.CODEC.encode(copy.snapshot())).isEqualTo(bytes);
+    assertThat(copy.maintenanceSteps().due(fleet.now))
+        .isEqualTo(fleet.state.maintenanceSteps().due(fleet.now));
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/persimmonloom/core/maintenance/WaveTest.java
@@ -0,0 +1,184 @@
+package org.persimmonloom.core.maintenance;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.persimmonloom.core.maintenance.FleetFixture.budget;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.persimmonloom.core.fold.Proposal;
+import org.persimmonloom.core.host.DrainRequested;
+import org.persimmonloom.core.host.Host;
+import org.persimmonloom.core.host.HostMoveRequested;
+import org.persimmonloom.core.host.HostRemoved;
+import org.persimmonloom.core.host.HostReturned;
+import org.persimmonloom.core.host.HostState;
+import org.persimmonloom.core.result.ResultCode;
+
+class WaveTest {
+  private final FleetFixture fleet = FleetFixture.withPools(budget("all", "*", "pool", 2));
+
+  private Wave wave(String name) {
+    return fleet.state.waves().find(name).orElseThrow();
+  }
+
+  /** Runs due steps, confirms drains and brings hosts back, as entry hosts would. */
+  private List<String> runToEnd(FleetFixture fixture, int steps) {
+    List<String> granted = new ArrayList<>();
+    for (int step = 0; step < steps; step++) {
+      for (Proposal proposal : fixture.step()) {
+        if (proposal instanceof DrainRequested drain) {
+          granted.add(drain.host());
+        }
+      }
+      for (Host host : List.copyOf(fixture.state.hosts().all())) {
+        if (host.state() == HostState.DRAINING) {
+          fixture.confirm(host.name());
+        } else if (host.state() == HostState.DOWN) {
+          fixture.code(new HostReturned(host.name(), host.stateOffset()));
+        }
+        assertThat(fixture.state.poolStatus(host.pool()).orElseThrow().budgetRoom())
+            .isGreaterThanOrEqualTo(0);
+      }
+      fixture.pass(1_000);
+    }
+    return granted;
+  }
+
+  /** Guards against a wave that enters a second rack before the first is done. */
+  @Test
+  void waveGoesRackByRackAndEnds() {
+    fleet.admit("a", "r2", "h1", "h2");
+    fleet.admit("a", "r1", "h3", "h4", "h5");
+    fleet.wave("w1", 2, 1_000, "a");
+    assertThat(runToEnd(fleet, 30)).containsExactly("h3", "h4", "h5", "h1", "h2");
+    assertThat(wave("w1").status()).isEqualTo(WaveStatus.DONE);
+    assertThat(wave("w1").count(Wave.Step.DONE)).isEqualTo(5);
+  }
+
+  /** Guards against two operators' waves that together break a budget or share a host. */
+  @Test
+  void overlappingWavesShareBudgetsButNoHost() {
+    fleet.admit("a", "r1", "h1", "h2", "h3", "h4");
+    fleet.propose(request("w1", "h1", "h2"));
+    assertThat(fleet.propose(request("w2", "h2", "h3")).code()).isEqualTo(ResultCode.WAVE_CONFLICT);
+    assertThat(fleet.propose(request("w2", "h3", "h4")).code()).isEqualTo(ResultCode.OK);
+    assertThat(fleet.grant("h1", "w1")).isEqualTo(ResultCode.OK);
+    assertThat(fleet.grant("h3", "w2")).isEqualTo(ResultCode.OK);
+    assertThat(fleet.grant("h2", "w1")).isEqualTo(ResultCode.BUDGET_EXHAUSTED);
+    runToEnd(fleet, 30);
+    assertThat(wave("w1").status()).isEqualTo(WaveStatus.DONE);
+    assertThat(wave("w2").status()).isEqualTo(WaveStatus.DONE);
+  }
+
+  private MaintenanceRequested request(String wave, String... hosts) {
+    return new MaintenanceRequested(
+        wave, List.of(), List.of(hosts), fleet.now, fleet.now + FleetFixture.DAY, 4, 1_000, "op");
+  }
+
+  /** Guards against drains that go on after their budget was lowered. */
+  @Test
+  void loweredBudgetGivesBackTheLatestDrain() {
+    fleet.admit("a", "r1", "h1", "h2", "h3");
+    fleet.wave("w1", 2, 1_000, "a");
+    fleet.grant("h1", "w1");
+    fleet.grant("h2", "w1");
+    fleet.release("[release]\nname = low\n[change budget all]\nmax_unavailable = 1\n");
+    fleet.step();
+    assertThat(fleet.stateOf("h1")).isEqualTo(HostState.DRAINING);
+    assertThat(fleet.stateOf("h2")).isEqualTo(HostState.AVAILABLE);
+    assertThat(runToEnd(fleet, 30)).contains("h2", "h3");
+    assertThat(wave("w1").status()).isEqualTo(WaveStatus.DONE);
+  }
+
+  /** Guards against grants during losses and against a wave that flips with each lost host. */
+  @Test
+  void pausesOnLossesAndResumesWithHysteresis() {
+    fleet.admit("a", "r1", "h1", "h2", "h3", "h4");
+    fleet.wave("w1", 2, 1_000, "a");
+    fleet.lose("h1");
+    fleet.lose("h2");
+    fleet.pass(1_000);
+    assertThat(wave("w1").status()).isEqualTo(WaveStatus.PAUSED);
+    assertThat(wave("w1").reason()).contains("all@a").contains("h1, h2");
+    fleet.code(new HostReturned("h1", fleet.host("h1").stateOffset()));
+    fleet.pass(20_000);
+    fleet.step();
+    assertThat(fleet.stateOf("h1")).isEqualTo(HostState.AVAILABLE);
+    assertThat(fleet.grant("h3", "w1")).isEqualTo(ResultCode.WAVE_STATE_CONFLICT);
+    fleet.pass(PauseMonitor.RESUME_MILLIS - 1_000);
+    assertThat(wave("w1").status()).isEqualTo(WaveStatus.PAUSED);
+    fleet.pass(2_000);
+    assertThat(wave("w1").status()).isEqualTo(WaveStatus.RUNNING);
+    assertThat(fleet.grant("h3", "w1")).isEqualTo(ResultCode.OK);
+  }
+
+  /** Guards against losses in one pool that stop the wave in every other. */
+  @Test
+  void pauseCoversOnlyTheExhaustedBudget() {
+    fleet.admit("a", "r1", "h1", "h2", "h3");
+    fleet.admit("b", "r1", "x1");
+    fleet.wave("w1", 2, 1_000, "a", "b");
+    fleet.lose("h1");
+    fleet.lose("h2");
+    fleet.pass(1_000);
+    assertThat(wave("w1").status()).isEqualTo(WaveStatus.RUNNING);
+    assertThat(fleet.grant("h3", "w1")).isEqualTo(ResultCode.WAVE_STATE_CONFLICT);
+    assertThat(fleet.grant("x1", "w1")).isEqualTo(ResultCode.OK);
+  }
+
+  /** Guards against a cancelled wave that keeps hosts out or interrupts a reboot. */
+  @Test
+  void cancellationReturnsDrainsAndLetsRebootsFinish() {
+    fleet.admit("a", "r1", "h1", "h2", "h3");
+    fleet.wave("w1", 2, 1_000, "a");
+    fleet.grant("h1", "w1");
+    fleet.grant("h2", "w1");
+    fleet.confirm("h1");
+    fleet.down("h1");
+    assertThat(fleet.code(new MaintenanceCancelled("w1", "op", "test"))).isEqualTo(ResultCode.OK);
+    assertThat(fleet.stateOf("h1")).isEqualTo(HostState.DOWN);
+    assertThat(fleet.stateOf("h2")).isEqualTo(HostState.AVAILABLE);
+    assertThat(runToEnd(fleet, 5)).isEmpty();
+    assertThat(fleet.stateOf("h1")).isEqualTo(HostState.AVAILABLE);
+    assertThat(wave("w1").status()).isEqualTo(WaveStatus.CANCELLED);
+    assertThat(wave("w1").count(Wave.Step.SKIPPED)).isEqualTo(2);
+    assertThat(wave("w1").count(Wave.Step.DONE)).isEqualTo(1);
+    assertThat(fleet.code(new MaintenanceCancelled("w1", "op", "again")))
+        .isEqualTo(ResultCode.ALREADY_APPLIED);
+  }
+
+  /** Guards against drains that can't end within the window. */
+  @Test
+  void windowBoundsTheGrants() {
+    fleet.admit("a", "r1", "h1");
+    long start = fleet.now + 100_000;
+    long end = start + MaintenancePlan.stepMillis(1_000);
+    MaintenanceRequested request =
+        new MaintenanceRequested("w1", List.of("a"), List.of(), start, end, 1, 1_000, "op");
+    assertThat(fleet.code(request)).isEqualTo(ResultCode.OK);
+    assertThat(fleet.code(request)).isEqualTo(ResultCode.ALREADY_APPLIED);
+    assertThat(fleet.grant("h1", "w1")).isEqualTo(ResultCode.WAVE_STATE_CONFLICT);
+    fleet.pass(50_000);
+    fleet.pass(50_001);
+    assertThat(fleet.grant("h1", "w1")).isEqualTo(ResultCode.WAVE_STATE_CONFLICT);
+    fleet.pass(1_000);
+    assertThat(wave("w1").status()).isEqualTo(WaveStatus.INCOMPLETE);
+  }
+
+  /** Guards against a wave that waits for ever for a host that left the fleet or its pool. */
+  @Test
+  void removedHostIsSkippedAndMovedHostFollowsItsPool() {
+    fleet.admit("a", "r1", "h1", "h2", "h3");
+    long last = fleet.state.nextOffset() - 1;
+    assertThat(fleet.code(new HostMoveRequested("h2", "b", last, "test"))).isEqualTo(ResultCode.OK);
+    fleet.wave("w1", 2, 1_000, "a");
+    fleet.lose("h1");
+    fleet.code(new HostRemoved("h1", "op"));
+    runToEnd(fleet, 30);
+    assertThat(fleet.host("h2").pool()).isEqualTo("b");
+    assertThat(wave("w1").progress().get("h1").reason()).contains("removed");
+    assertThat(wave("w1").count(Wave.Step.DONE)).isEqualTo(2);
+    assertThat(wave("w1").status()).isEqualTo(WaveStatus.DONE);
+  }
+}
