--- a/runtime/src/main/java/org/persimmonloom/runtime/entry/EntryModule.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/entry/EntryModule.java
@@ -12,17 +12,11 @@
 import org.persimmonloom.runtime.log.Proposer;
 import org.persimmonloom.runtime.settings.EntrySettings;
 
-/** Provides the clients of the platform and the libraries' objects. */
+/** Provides the clients of the platform and the registry of metrics. */
 @Module
 public final class EntryModule {
   private EntryModule() {}
 
-  @Provides
-  @Singleton
-  static OkHttpClient httpClient() {
-    return new OkHttpClient();
-  }
-
   @Provides
   @Singleton
   static PrometheusRegistry metrics() {
--- a/tool/src/main/java/org/persimmonloom/tool/command/Main.java
+++ b/tool/src/main/java/org/persimmonloom/tool/command/Main.java
@@ -17,6 +17,7 @@
     Map<String, Command> commands = new LinkedHashMap<>();
     commands.put("release apply", new ReleaseApplyCommand());
     commands.put("release show", new ReleaseShowCommand());
+    commands.put("demo", new DemoCommand());
     commands.put("standin", new StandInCommand());
     return commands;
   }
--- /dev/null
+++ b/tool/src/main/java/org/persimmonloom/tool/demo/DemoScript.java
@@ -0,0 +1,38 @@
+package org.persimmonloom.tool.demo;
+
+import java.util.List;
+import org.persimmonloom.tool.demo.step.ApplyNote;
+import org.persimmonloom.tool.demo.step.DisturbEndpoint;
+import org.persimmonloom.tool.demo.step.DisturbLog;
+import org.persimmonloom.tool.demo.step.LeaveEndpoint;
+import org.persimmonloom.tool.demo.step.LoseEntryHost;
+import org.persimmonloom.tool.demo.step.PauseEntryHost;
+import org.persimmonloom.tool.demo.step.RaceOperators;
+import org.persimmonloom.tool.demo.step.SilenceConnections;
+import org.persimmonloom.tool.demo.step.StopEntryHost;
+import org.persimmonloom.tool.standin.EndpointFault;
+
+/** The steps of a demo, in the order in which they begin. */
+public final class DemoScript {
+  private DemoScript() {}
+
+  /**
+   * Returns the steps of {@code persimmonloom demo}. Release notes come while no entry host is
+   * disturbed, because the roll-out time counts all entry hosts.
+   */
+  public static List<ScheduledStep> standard() {
+    return List.of(
+        new ScheduledStep(0.05, new SilenceConnections(1, 3)),
+        new ScheduledStep(0.10, new DisturbEndpoint(2, EndpointFault.FAIL_EVERYTHING, 1, 4_000)),
+        new ScheduledStep(0.22, new DisturbEndpoint(3, EndpointFault.CROSSED_ANSWER, 0.1, 1_000)),
+        new ScheduledStep(0.25, new DisturbEndpoint(4, EndpointFault.SHORT_ANSWER, 0.1, 1_000)),
+        new ScheduledStep(0.28, new DisturbEndpoint(5, EndpointFault.LATE_ANSWER, 0.1, 1_000)),
+        new ScheduledStep(0.32, new ApplyNote("probe-middle")),
+        new ScheduledStep(0.38, new RaceOperators("probe-left", "probe-right")),
+        new ScheduledStep(0.46, new DisturbLog(1_000, 2_500)),
+        new ScheduledStep(0.65, new PauseEntryHost(1, 3_000)),
+        new ScheduledStep(0.72, new LeaveEndpoint(6)),
+        new ScheduledStep(0.80, new LoseEntryHost(2)),
+        new ScheduledStep(0.88, new StopEntryHost(3)));
+  }
+}
--- /dev/null
+++ b/tool/src/main/java/org/persimmonloom/tool/demo/EntryHostProcess.java
@@ -0,0 +1,169 @@
+package org.persimmonloom.tool.demo;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import okhttp3.ConnectionPool;
+import okhttp3.OkHttpClient;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.persimmonloom.core.result.Failure;
+import org.persimmonloom.runtime.entry.EntryHostService;
+import org.persimmonloom.runtime.settings.EntrySettings;
+import org.persimmonloom.runtime.settings.EntrySettingsParser;
+
+/**
+ * One entry host inside this process, behind a {@link NetworkGate}. Started once and then stopped
+ * or lost once; other methods are safe for any thread.
+ */
+public final class EntryHostProcess {
+  /** Token of the operators in a demo. */
+  public static final String TOKEN = "demo-operator-token";
+
+  private static final Logger LOGGER = LogManager.getLogger(EntryHostProcess.class);
+  private static final int IDLE_CONNECTIONS = 64;
+  private static final long IDLE_SECONDS = 5;
+
+  private final String name;
+  private final Addresses addresses;
+  private final NetworkGate gate = new NetworkGate();
+  private final OkHttpClient callerClient;
+  private final EntryHostService service;
+  private volatile boolean isUp;
+
+  /** Where an entry host listens. */
+  public record Addresses(
+      InetSocketAddress caller, InetSocketAddress operator, InetSocketAddress peer) {}
+
+  /** Creates an entry host that will listen at the addresses. */
+  public EntryHostProcess(
+      String name,
+      String dataCentre,
+      String region,
+      Addresses addresses,
+      List<InetSocketAddress> seeds,
+      Platform platform) {
+    this.name = name;
+    this.addresses = addresses;
+    this.callerClient =
+        new OkHttpClient.Builder()
+            .socketFactory(GatedSocketFactory.ofCaller(gate))
+            .connectionPool(new ConnectionPool(IDLE_CONNECTIONS, IDLE_SECONDS, TimeUnit.SECONDS))
+            .retryOnConnectionFailure(false)
+            .build();
+    String seedText = String.join(",", seeds.stream().map(EntryHostProcess::text).toList());
+    String settings =
+        """
+        [entry]
+        name = %s
+        data_centre = %s
+        region = %s
+        [caller]
+        address = %s
+        [operator]
+        address = %s
+        token = %s
+        [peer]
+        address = %s
+        seeds = %s
+        [platform]
+        log_url = %s
+        host_list_url = %s
+        [stop]
+        balancer_delay_millis = 1000
+        deadline_millis = 15000
+        """
+            .formatted(
+                name,
+                dataCentre,
+                region,
+                text(addresses.caller()),
+                text(addresses.operator()),
+                TOKEN,
+                text(addresses.peer()),
+                seedText,
+                platform.logUrl(),
+                platform.hostListUrl());
+    service =
+        DaggerDemoEntryComponent.factory()
+            .create(parse(settings), InstantSource.system(), gate)
+            .entryHost();
+  }
+
+  private static EntrySettings parse(String settings) {
+    return new EntrySettingsParser()
+        .parse(settings)
+        .getOrElseThrow((Failure failure) -> new IllegalStateException(failure.toString()));
+  }
+
+  private static String text(InetSocketAddress address) {
+    return address.getHostString() + ":" + address.getPort();
+  }
+
+  /** Starts it. */
+  public void start() {
+    service.start();
+    isUp = true;
+  }
+
+  /** Stops it as a signal would. Blocks until it has stopped. */
+  public void stop() throws InterruptedException {
+    isUp = false;
+    service.stop();
+  }
+
+  /** Cuts all its connections, then ends its threads without letting it say anything. */
+  public void lose() throws IOException {
+    isUp = false;
+    gate.cut();
+    Thread thread =
+        new Thread(
+            () -> {
+              try {
+                service.stop();
+              } catch (InterruptedException | RuntimeException e) {
+                LOGGER.debug("a lost entry host did not stop cleanly", e);
+              }
+            },
+            "lose-" + name);
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  /** Returns the gate of its connections. */
+  public NetworkGate gate() {
+    return gate;
+  }
+
+  /** Returns a client whose connections end at the gate. */
+  public OkHttpClient callerClient() {
+    return callerClient;
+  }
+
+  /** Returns whether it was started and neither stopped nor lost. */
+  public boolean isUp() {
+    return isUp;
+  }
+
+  /** Returns its name. */
+  public String name() {
+    return name;
+  }
+
+  /** Returns the address of its callers' listener as a URL without path. */
+  public String callerUrl() {
+    return "http://" + text(addresses.caller());
+  }
+
+  /** Returns the address of its operators' listener as a URL without path. */
+  public String operatorUrl() {
+    return "http://" + text(addresses.operator());
+  }
+
+  /** Returns where it accepts connections of other entry hosts. */
+  public InetSocketAddress peerAddress() {
+    return addresses.peer();
+  }
+}
