--- a/tool/src/main/java/org/persimmonloom/tool/command/Main.java
+++ b/tool/src/main/java/org/persimmonloom/tool/command/Main.java
@@ -8,8 +8,8 @@
 import java.util.Map;
 import org.persimmonloom.core.result.Failure;
 import org.persimmonloom.core.result.ResultCode;
-import org.persimmonloom.tool.measure.SlopesCommand;
 import org.persimmonloom.tool.measure.MeasureRoutingCommand;
+import org.persimmonloom.tool.measure.SlopesCommand;
 
 /** The operators' command. Its exit code is the number of the result code. */
 public final class Main {
