--- a/tool/src/main/java/org/persimmonloom/tool/command/DemoCommand.java
+++ b/tool/src/main/java/org/persimmonloom/tool/command/DemoCommand.java
@@ -4,6 +4,7 @@
 import com.beust.jcommander.Parameters;
 import io.vavr.control.Either;
 import java.io.IOException;
+import java.util.List;
 import org.apache.logging.log4j.Level;
 import org.apache.logging.log4j.core.config.Configurator;
 import org.persimmonloom.core.result.Failure;
@@ -17,7 +18,7 @@
 @Parameters(
     commandDescription =
         "Run 8 entry hosts with their platform in one process, under load and faults, and judge"
-            + " the run. Example: persimmonloom demo --deployment bot --seed 7")
+            + " the run")
 final class DemoCommand implements Command {
   @Parameter(names = "--deployment", description = "depot or bot")
   private String deployment = "depot";
@@ -31,6 +32,11 @@
   @Parameter(names = "--logs", description = "show the log lines of the entry hosts")
   private boolean showsLogs;
 
+  @Override
+  public List<String> examples() {
+    return List.of("persimmonloom demo --deployment bot --seed 7");
+  }
+
   @Override
   public Either<Failure, String> run() {
     if (!deployment.equals("depot") && !deployment.equals("bot")) {
--- a/tool/src/main/java/org/persimmonloom/tool/command/Main.java
+++ b/tool/src/main/java/org/persimmonloom/tool/command/Main.java
@@ -2,6 +2,7 @@
 
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.ParameterException;
+import com.beust.jcommander.Parameters;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -15,11 +16,13 @@
 public final class Main {
   private Main() {}
 
-  private static Map<String, Command> commands() {
+  static Map<String, Command> commands() {
     Map<String, Command> commands = new LinkedHashMap<>();
     commands.put("measure routing", new MeasureRoutingCommand());
     commands.put("release apply", new ReleaseApplyCommand());
     commands.put("release show", new ReleaseShowCommand());
+    commands.put("release status", new ReleaseStatusCommand());
+    commands.put("release validate", new ReleaseValidateCommand());
     commands.put("demo", new DemoCommand());
     commands.put("standin", new StandInCommand());
     commands.put("measure slopes", new SlopesCommand());
@@ -37,7 +40,8 @@
     for (int length = Math.min(2, words.size()); length > 0; length--) {
       Command command = commands.get(String.join(" ", words.subList(0, length)));
       if (command != null) {
-        return run(command, new ArrayList<>(words.subList(length, words.size())));
+        String name = String.join(" ", words.subList(0, length));
+        return run(name, command, new ArrayList<>(words.subList(length, words.size())));
       }
     }
     System.err.println(
@@ -47,10 +51,11 @@
     return ResultCode.USAGE;
   }
 
-  private static ResultCode run(Command command, List<String> options) {
-    JCommander parser = JCommander.newBuilder().addObject(command).build();
+  private static ResultCode run(String name, Command command, List<String> options) {
+    JCommander parser =
+        JCommander.newBuilder().programName("persimmonloom " + name).addObject(command).build();
     if (options.contains("--help")) {
-      parser.usage();
+      printHelp(parser, command);
       return ResultCode.OK;
     }
     try {
@@ -71,4 +76,16 @@
               return ResultCode.OK;
             });
   }
+
+  private static void printHelp(JCommander parser, Command command) {
+    Parameters description = command.getClass().getAnnotation(Parameters.class);
+    if (description != null) {
+      System.out.println(description.commandDescription());
+    }
+    parser.usage();
+    if (!command.examples().isEmpty()) {
+      System.out.println("  Examples:");
+      command.examples().forEach(example -> System.out.println("    " + example));
+    }
+  }
 }
--- a/tool/src/main/java/org/persimmonloom/tool/command/OperatorClient.java
+++ b/tool/src/main/java/org/persimmonloom/tool/command/OperatorClient.java
@@ -15,10 +15,13 @@
 
 /** The options that name an entry host, and the calls of its operators' interface. */
 public final class OperatorClient {
+  private static final String DEFAULT_ENTRY = "127.0.0.1:7080";
+
   @Parameter(
       names = "--entry",
-      description = "ip:port of the operators' listener of any entry host")
-  private String entry = "127.0.0.1:7080";
+      description =
+          "ip:port of the operators' listener of any entry host; 127.0.0.1:7080 if not given")
+  private String entry;
 
   @Parameter(names = "--token", description = "operator token; PERSIMMONLOOM_TOKEN if not given")
   private String token = System.getenv().getOrDefault("PERSIMMONLOOM_TOKEN", "");
@@ -36,9 +39,18 @@
     return call(request(path).post(RequestBody.create(body, text)).build());
   }
 
+  /** Returns whether the command names an entry host. */
+  public boolean isEntryGiven() {
+    return entry != null;
+  }
+
+  private String address() {
+    return entry == null ? DEFAULT_ENTRY : entry;
+  }
+
   private Request.Builder request(String path) {
     return new Request.Builder()
-        .url(HttpUrl.get("http://" + entry + path))
+        .url(HttpUrl.get("http://" + address() + path))
         .header("Authorization", "Bearer " + token);
   }
 
@@ -53,7 +65,7 @@
               .fromJson(text, Failure.class)
               .getOrElse(Failure.of(ResultCode.INTERNAL, "status " + response.code())));
     } catch (IOException e) {
-      return Either.left(Failure.of(ResultCode.PEER_UNAVAILABLE, entry, e.getMessage()));
+      return Either.left(Failure.of(ResultCode.PEER_UNAVAILABLE, address(), e.getMessage()));
     }
   }
 }
--- a/tool/src/main/java/org/persimmonloom/tool/command/ReleaseApplyCommand.java
+++ b/tool/src/main/java/org/persimmonloom/tool/command/ReleaseApplyCommand.java
@@ -4,11 +4,10 @@
 import com.beust.jcommander.Parameters;
 import com.beust.jcommander.ParametersDelegate;
 import io.vavr.control.Either;
-import java.io.IOException;
-import java.nio.file.Files;
-import java.nio.file.Path;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
 import org.persimmonloom.core.result.Failure;
-import org.persimmonloom.core.result.ResultCode;
 
 @Parameters(commandDescription = "Apply a release note")
 final class ReleaseApplyCommand implements Command {
@@ -20,14 +19,17 @@
   @Parameter(names = "--operator", description = "name shown to operators who race")
   private String operator = System.getProperty("user.name");
 
+  @Override
+  public List<String> examples() {
+    return List.of(
+        "persimmonloom release apply --file config/examples/first-release.ini --operator anna");
+  }
+
   @Override
   public Either<Failure, String> run() {
-    String text;
-    try {
-      text = Files.readString(Path.of(file));
-    } catch (IOException e) {
-      return Either.left(Failure.of(ResultCode.USAGE, "cannot read " + file));
-    }
-    return client.post("/release?operator=" + operator, text);
+    String path = "/release?operator=" + URLEncoder.encode(operator, StandardCharsets.UTF_8);
+    return NoteFile.read(file)
+        .flatMap(text -> client.post(path, text))
+        .mapLeft(NoteFile::withLines);
   }
 }
--- a/tool/src/main/java/org/persimmonloom/tool/command/StandInCommand.java
+++ b/tool/src/main/java/org/persimmonloom/tool/command/StandInCommand.java
@@ -24,8 +24,7 @@
 @Parameters(
     commandDescription =
         "Run stand-ins of the log, the host list and the endpoints of one service until killed."
-            + " Lines on standard input switch faults; 'help' lists them."
-            + " Example: persimmonloom standin --endpoints 8 --pool scan-executors")
+            + " Lines on standard input switch faults; 'help' lists them")
 final class StandInCommand implements Command {
   private static final int HOSTS_PER_RACK = 4;
 
@@ -41,6 +40,11 @@
   @Parameter(names = "--print-executions", description = "print each execution")
   private boolean printsExecutions;
 
+  @Override
+  public List<String> examples() {
+    return List.of("persimmonloom standin --endpoints 8 --pool scan-executors");
+  }
+
   @Override
   public Either<Failure, String> run() {
     LogStandIn log = new LogStandIn(local(port));
