Fold jobs, their leases and the health of workers

Cause: long work had no state in the fold.

The fold holds a lease of 15 minutes that one record per worker extends; an attempt is given up only 999.3 s after the last extension, when no worker's lease can be left. A worker's later boot ends its attempts at once. Failing jobs are parked, failing workers quarantined within the budgets and a quarter of the pool.

Conclusion: placement and the controller of workers can be built on the table.

--- a/core/src/main/java/org/persimmonloom/core/fold/FleetSnapshot.java
+++ b/core/src/main/java/org/persimmonloom/core/fold/FleetSnapshot.java
@@ -2,6 +2,7 @@
 
 import org.persimmonloom.core.claim.ClaimTable;
 import org.persimmonloom.core.host.HostTable;
+import org.persimmonloom.core.job.JobTable;
 import org.persimmonloom.core.member.EntryHostTable;
 import org.persimmonloom.core.release.ReleaseCatalog;
 
@@ -18,4 +19,5 @@
     EntryHostTable.Snapshot entryHosts,
     ReleaseCatalog.Snapshot releases,
     ClaimTable.Snapshot claims,
-    HostTable.Snapshot hosts) {}
+    HostTable.Snapshot hosts,
+    JobTable.Snapshot jobs) {}
--- a/core/src/main/java/org/persimmonloom/core/fold/FleetState.java
+++ b/core/src/main/java/org/persimmonloom/core/fold/FleetState.java
@@ -5,9 +5,16 @@
 import java.util.List;
 import java.util.Optional;
 import org.persimmonloom.core.claim.ClaimTable;
+import org.persimmonloom.core.host.Host;
 import org.persimmonloom.core.host.HostTable;
+import org.persimmonloom.core.job.JobEnvironment;
+import org.persimmonloom.core.job.JobTable;
+import org.persimmonloom.core.job.QuarantineBudget;
+import org.persimmonloom.core.job.WorkerRecord;
 import org.persimmonloom.core.member.EntryHostTable;
 import org.persimmonloom.core.release.ReleaseCatalog;
+import org.persimmonloom.core.release.ServiceDefinition;
+import org.persimmonloom.core.release.TeamDefinition;
 import org.persimmonloom.core.result.Failure;
 import org.persimmonloom.core.result.ResultCode;
 
@@ -25,6 +32,7 @@
   private final ClaimTable claims = new ClaimTable();
   private final HostTable hosts;
   private final ReleaseCatalog releases;
+  private final JobTable jobs = new JobTable(new JobsView());
   private final List<FoldPart<?>> parts;
   private long nextOffset;
   private long timeMillis;
@@ -34,7 +42,7 @@
     hosts = new HostTable(this::poolExists);
     releases = new ReleaseCatalog(hosts);
     entryHosts.addListener(claims);
-    parts = List.of(entryHosts, releases, claims, hosts);
+    parts = List.of(entryHosts, releases, claims, hosts, jobs);
     parts.forEach(part -> part.registerHandlers(registry));
     registry.register(
         SnapshotChunk.class, (chunk, position) -> Either.right("snapshot chunk " + chunk.index()));
@@ -128,6 +136,46 @@
     return hosts;
   }
 
+  public JobTable jobs() {
+    return jobs;
+  }
+
+  /** What the job table reads of the other tables. */
+  private final class JobsView implements JobEnvironment {
+    @Override
+    public Optional<Host> host(String name) {
+      return hosts.find(name);
+    }
+
+    @Override
+    public int hostCount(String pool) {
+      return hosts.hostCount(pool);
+    }
+
+    @Override
+    public Optional<TeamDefinition> team(String name) {
+      return Optional.ofNullable(releases.teams().get(name));
+    }
+
+    @Override
+    public Optional<ServiceDefinition> service(String name) {
+      return releases.service(name);
+    }
+
+    @Override
+    public Optional<Failure> quarantineRefusal(String worker) {
+      return hosts
+          .find(worker)
+          .flatMap(
+              host ->
+                  QuarantineBudget.refusal(
+                      host,
+                      hosts.all(),
+                      releases.budgets().values(),
+                      name -> jobs.worker(name).filter(WorkerRecord::isQuarantined).isPresent()));
+    }
+  }
+
   /** Returns the whole state as a value. */
   public FleetSnapshot snapshot() {
     return new FleetSnapshot(
@@ -137,7 +185,8 @@
         entryHosts.snapshot(),
         releases.snapshot(),
         claims.snapshot(),
-        hosts.snapshot());
+        hosts.snapshot(),
+        jobs.snapshot());
   }
 
   /** Replaces the state by the snapshot's, or returns why it can't be used. */
@@ -153,6 +202,7 @@
     releases.restore(snapshot.releases());
     claims.restore(snapshot.claims());
     hosts.restore(snapshot.hosts());
+    jobs.restore(snapshot.jobs());
     return Optional.empty();
   }
 }
--- /dev/null
+++ b/core/src/main/java/org/persimmonloom/core/job/JobEvents.java
@@ -0,0 +1,290 @@
+package org.persimmonloom.core.job;
+
+import io.vavr.control.Either;
+import java.util.function.BiFunction;
+import org.persimmonloom.core.fold.Position;
+import org.persimmonloom.core.fold.ProposalRegistry;
+import org.persimmonloom.core.result.Failure;
+import org.persimmonloom.core.result.ResultCode;
+
+/**
+ * Decides what happens to attempts after their placement.
+ *
+ * <p>Each record names its attempt and is refused with {@link ResultCode#LEASE_STALE} unless that
+ * attempt is live. Records of progress are also refused after the fold's lease ended, since their
+ * author was paused past it. An end is accepted as long as the attempt is live: it is true whenever
+ * it arrives, and refusing it would repeat work. Confined to the thread that folds.
+ */
+final class JobEvents {
+  /** Preemptions of one job; afterwards it runs to its end, so that long jobs finish. */
+  static final int MAX_PREEMPTIONS = 2;
+
+  /** Distinct healthy workers on which a job fails before it is parked. */
+  static final int MAX_FAILED_WORKERS = 3;
+
+  /** Failures of any cause before a job is parked; bounds jobs that meet only failing workers. */
+  static final int MAX_FAILURES = 10;
+
+  /** Kills for memory before a job is parked; three doublings cover a size declared 8 times low. */
+  static final int MAX_MEMORY_KILLS = 4;
+
+  private final JobStore store;
+  private final RunTimeEstimates estimates;
+
+  JobEvents(JobStore store, RunTimeEstimates estimates) {
+    this.store = store;
+    this.estimates = estimates;
+  }
+
+  void registerHandlers(ProposalRegistry registry) {
+    registry.register(
+        JobStarted.class, (it, at) -> progress(it.job(), it.attempt(), at, this::start));
+    registry.register(
+        JobCheckpointed.class,
+        (it, at) ->
+            progress(
+                it.job(), it.attempt(), at, (job, pos) -> job.withCheckpoint(it.checkpoint())));
+    registry.register(JobThrottled.class, this::throttle);
+    registry.register(JobPreempted.class, this::preempt);
+    registry.register(JobStopped.class, (it, at) -> end(it.job(), it.attempt(), at, this::stopped));
+    registry.register(
+        JobFinished.class,
+        (it, at) -> end(it.job(), it.attempt(), at, (job, pos) -> finished(job, it, pos)));
+    registry.register(
+        JobFailed.class,
+        (it, at) -> end(it.job(), it.attempt(), at, (job, pos) -> failed(job, it, pos)));
+    registry.register(JobLeaseExpired.class, this::expire);
+    registry.register(JobCancelled.class, this::cancel);
+    registry.register(JobParked.class, this::park);
+    registry.register(JobReleased.class, this::release);
+  }
+
+  private Either<Failure, String> progress(
+      String name, int attempt, Position at, BiFunction<Job, Position, Job> change) {
+    Job job = store.find(name);
+    if (job == null || !job.isLive(attempt) || at.timeMillis() >= job.live().leaseUntilMillis()) {
+      return stale(name, attempt);
+    }
+    store.put(change.apply(job, at));
+    return Either.right("attempt " + attempt);
+  }
+
+  private Either<Failure, String> end(
+      String name, int attempt, Position at, BiFunction<Job, Position, Job> change) {
+    Job job = store.find(name);
+    if (job == null || !job.isLive(attempt)) {
+      return stale(name, attempt);
+    }
+    Job next = change.apply(job, at);
+    if (next == job) {
+      return Either.left(Failure.of(ResultCode.JOB_STATE_CONFLICT, name, job.state()));
+    }
+    store.put(next);
+    return Either.right(next.state() + (next.reason().isEmpty() ? "" : ": " + next.reason()));
+  }
+
+  private static Either<Failure, String> stale(String name, int attempt) {
+    return Either.left(Failure.of(ResultCode.LEASE_STALE, name, attempt));
+  }
+
+  private Job start(Job job, Position at) {
+    return job.state() == JobState.RUNNING
+        ? job
+        : job.withLive(JobState.RUNNING, job.live().started(at.timeMillis()), at.timeMillis());
+  }
+
+  private Either<Failure, String> throttle(JobThrottled throttled, Position position) {
+    if (throttled.percent() < 1 || throttled.percent() > 100) {
+      return Either.left(
+          Failure.of(ResultCode.JOB_INVALID, throttled.job(), "percent must be from 1 to 100"));
+    }
+    return progress(
+        throttled.job(),
+        throttled.attempt(),
+        position,
+        (job, at) ->
+            job.withLive(job.state(), job.live().throttled(throttled.percent()), at.timeMillis()));
+  }
+
+  private Either<Failure, String> preempt(JobPreempted preempted, Position position) {
+    Job job = store.find(preempted.job());
+    Job urgent = store.find(preempted.forJob());
+    if (job == null || !job.isLive(preempted.attempt())) {
+      return stale(preempted.job(), preempted.attempt());
+    }
+    if (!isPreemptible(job)) {
+      return Either.left(
+          Failure.of(ResultCode.JOB_STATE_CONFLICT, job.name(), "not preemptible: " + job.state()));
+    }
+    if (urgent == null || urgent.state() != JobState.QUEUED || !urgent.spec().isUrgent()) {
+      return Either.left(
+          Failure.of(ResultCode.JOB_STATE_CONFLICT, preempted.forJob(), "not queued and urgent"));
+    }
+    Attempt stopping = job.live().stopping(Attempt.Stop.PREEMPT, preempted.forJob());
+    store.put(
+        job.withLive(job.state(), stopping, position.timeMillis())
+            .withHistory(job.history().preempted()));
+    return Either.right("stops for " + preempted.forJob());
+  }
+
+  static boolean isPreemptible(Job job) {
+    return job.state() == JobState.RUNNING
+        && job.live().stop() == Attempt.Stop.NONE
+        && job.spec().isRepeatable()
+        && !job.spec().isUrgent()
+        && job.history().preemptions() < MAX_PREEMPTIONS;
+  }
+
+  /** An attempt that nobody asked to stop does not end this way. */
+  private Job stopped(Job job, Position at) {
+    return switch (job.live().stop()) {
+      case NONE -> job;
+      case CANCEL -> job.detached(JobState.CANCELLED, job.reason(), at.timeMillis());
+      case PREEMPT ->
+          job.detached(
+              JobState.QUEUED, "preempted for " + job.live().stoppedFor(), at.timeMillis());
+    };
+  }
+
+  private Job finished(Job job, JobFinished finished, Position at) {
+    String worker = job.live().worker();
+    estimates.observe(
+        job.spec(),
+        new RunTimeEstimates.Sample(
+            finished.runMillis(), finished.usedCores(), finished.peakMemoryMb()),
+        at.offset());
+    WorkerRecord record = store.worker(worker);
+    boolean isTest =
+        record.isQuarantined() && job.live().placedMillis() >= record.quarantinedMillis();
+    store.putWorker(record.succeeded(isTest));
+    for (String failed : job.history().failedWorkers()) {
+      if (!failed.equals(worker)) {
+        store.putWorker(store.worker(failed).charged(job.name()));
+      }
+    }
+    return job.detached(JobState.FINISHED, "", at.timeMillis());
+  }
+
+  private Job failed(Job job, JobFailed failed, Position at) {
+    long now = at.timeMillis();
+    WorkerRecord worker = store.worker(job.live().worker());
+    Job next;
+    if (failed.cause() == FailureCause.OUT_OF_MEMORY) {
+      next =
+          job.withHistory(job.history().killedForMemory())
+              .withMemoryFloor(job.live().size().memoryMb() * 2);
+    } else {
+      boolean countsAgainstJob = failed.cause() == FailureCause.ERROR && worker.isHealthy();
+      next =
+          job.withHistory(
+              countsAgainstJob
+                  ? job.history().failedOn(worker.worker())
+                  : job.history().failedOnce());
+      store.putWorker(worker.failed(now));
+    }
+    if (job.live().stop() == Attempt.Stop.CANCEL) {
+      return next.detached(JobState.CANCELLED, job.reason(), now);
+    }
+    if (!job.spec().isRepeatable() && failed.cause() != FailureCause.NOT_STARTED) {
+      return next.detached(JobState.FAILED, failed.detail(), now);
+    }
+    return requeueOrPark(next, failed, now);
+  }
+
+  private static Job requeueOrPark(Job job, JobFailed failed, long nowMillis) {
+    JobHistory history = job.history();
+    String last = "; last: " + failed.cause() + " " + failed.detail();
+    if (history.failedWorkers().size() >= MAX_FAILED_WORKERS) {
+      String reason = "failed on healthy workers " + history.failedWorkers() + last;
+      return job.detached(JobState.PARKED, reason, nowMillis);
+    }
+    if (history.memoryKills() >= MAX_MEMORY_KILLS) {
+      String reason = "killed for memory " + history.memoryKills() + " times" + last;
+      return job.detached(JobState.PARKED, reason, nowMillis);
+    }
+    if (history.failures() >= MAX_FAILURES) {
+      String reason = "failed " + history.failures() + " times" + last;
+      return job.detached(JobState.PARKED, reason, nowMillis);
+    }
+    return job.detached(JobState.QUEUED, "retry" + last, nowMillis);
+  }
+
+  private Either<Failure, String> expire(JobLeaseExpired expired, Position position) {
+    Job job = store.find(expired.job());
+    if (job == null || !job.isLive(expired.attempt())) {
+      return stale(expired.job(), expired.attempt());
+    }
+    if (!expired.isConfirmed()
+        && !LeaseRules.isCertainlyExpired(job.live(), position.timeMillis())) {
+      long untilMillis = job.live().leaseUntilMillis() + LeaseRules.EXPIRY_MARGIN_MILLIS;
+      return Either.left(
+          Failure.of(
+              ResultCode.JOB_STATE_CONFLICT,
+              job.name(),
+              "leased until " + untilMillis + " at " + job.live().worker()));
+    }
+    Job next = lost(job, "lease expired at " + job.live().worker(), position.timeMillis());
+    store.put(next);
+    return Either.right(next.state().toString());
+  }
+
+  /**
+   * Returns the job after its attempt was lost. A start could have happened from the placement on,
+   * because any entry host may have sent it.
+   */
+  static Job lost(Job job, String reason, long nowMillis) {
+    if (job.live().stop() == Attempt.Stop.CANCEL) {
+      return job.detached(JobState.CANCELLED, job.reason() + "; " + reason, nowMillis);
+    }
+    return job.detached(
+        job.spec().isRepeatable() ? JobState.QUEUED : JobState.OUTCOME_UNKNOWN, reason, nowMillis);
+  }
+
+  private Either<Failure, String> cancel(JobCancelled cancelled, Position position) {
+    Job job = store.find(cancelled.job());
+    if (job == null) {
+      return Either.left(Failure.of(ResultCode.JOB_UNKNOWN, cancelled.job()));
+    }
+    String reason = "cancelled by " + cancelled.operator();
+    boolean isCancelled =
+        job.state() == JobState.CANCELLED
+            || (job.live() != null && job.live().stop() == Attempt.Stop.CANCEL);
+    if (isCancelled) {
+      return Either.left(Failure.of(ResultCode.ALREADY_APPLIED, job.reason()));
+    }
+    if (job.state().isEnded()) {
+      return Either.left(Failure.of(ResultCode.JOB_STATE_CONFLICT, job.name(), job.state()));
+    }
+    if (job.live() == null) {
+      store.put(job.detached(JobState.CANCELLED, reason, position.timeMillis()));
+      return Either.right("cancelled");
+    }
+    Attempt stopping = job.live().stopping(Attempt.Stop.CANCEL, "");
+    store.put(job.withLive(job.state(), stopping, position.timeMillis()).withReason(reason));
+    return Either.right("stopping attempt " + stopping.number() + " at " + stopping.worker());
+  }
+
+  private Either<Failure, String> park(JobParked parked, Position position) {
+    Job job = store.find(parked.job());
+    if (job == null) {
+      return Either.left(Failure.of(ResultCode.JOB_UNKNOWN, parked.job()));
+    }
+    if (job.state() != JobState.QUEUED) {
+      return Either.left(Failure.of(ResultCode.JOB_STATE_CONFLICT, job.name(), job.state()));
+    }
+    store.put(job.detached(JobState.PARKED, parked.reason(), position.timeMillis()));
+    return Either.right(parked.reason());
+  }
+
+  private Either<Failure, String> release(JobReleased released, Position position) {
+    Job job = store.find(released.job());
+    if (job == null) {
+      return Either.left(Failure.of(ResultCode.JOB_UNKNOWN, released.job()));
+    }
+    if (job.state() != JobState.PARKED) {
+      return Either.left(Failure.of(ResultCode.JOB_STATE_CONFLICT, job.name(), job.state()));
+    }
+    store.put(job.released(position.timeMillis()));
+    return Either.right("queued by " + released.operator());
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/persimmonloom/core/job/JobFailed.java
@@ -0,0 +1,14 @@
+package org.persimmonloom.core.job;
+
+import java.util.Objects;
+import org.persimmonloom.core.fold.Proposal;
+
+/** Records the failure of an attempt; nothing of it runs any more. */
+public record JobFailed(String job, int attempt, FailureCause cause, String detail)
+    implements Proposal {
+  public JobFailed {
+    Objects.requireNonNull(job, "job");
+    Objects.requireNonNull(cause, "cause");
+    Objects.requireNonNull(detail, "detail");
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/persimmonloom/core/job/JobLeaseExpired.java
@@ -0,0 +1,16 @@
+package org.persimmonloom.core.job;
+
+import java.util.Objects;
+import org.persimmonloom.core.fold.Proposal;
+
+/**
+ * Gives up an attempt whose lease is over at the worker.
+ *
+ * @param isConfirmed whether the worker itself reported that the lease ran out and the task ended;
+ *     otherwise the fold waits for {@link LeaseRules#EXPIRY_MARGIN_MILLIS}
+ */
+public record JobLeaseExpired(String job, int attempt, boolean isConfirmed) implements Proposal {
+  public JobLeaseExpired {
+    Objects.requireNonNull(job, "job");
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/persimmonloom/core/job/JobStopped.java
@@ -0,0 +1,11 @@
+package org.persimmonloom.core.job;
+
+import java.util.Objects;
+import org.persimmonloom.core.fold.Proposal;
+
+/** Records that the worker confirmed the end of an attempt that was to be stopped. */
+public record JobStopped(String job, int attempt) implements Proposal {
+  public JobStopped {
+    Objects.requireNonNull(job, "job");
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/persimmonloom/core/job/JobStore.java
@@ -0,0 +1,140 @@
+package org.persimmonloom.core.job;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.SortedSet;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/**
+ * The jobs and workers of the fold with the sums that are derived from them.
+ *
+ * <p>The room taken of a worker and the use of a team are changed only in {@link #put}, from the
+ * former and the next value of one job, so that no path through the handlers can leak room.
+ * Confined to the thread that folds.
+ */
+final class JobStore {
+  private final TreeMap<String, Job> jobs = new TreeMap<>();
+  private final TreeMap<String, WorkerRecord> workers = new TreeMap<>();
+  private final TreeMap<String, TreeSet<String>> jobsByWorker = new TreeMap<>();
+  private final TreeMap<String, JobSize> usedByWorker = new TreeMap<>();
+  private final TreeMap<String, JobSize> usedByTeam = new TreeMap<>();
+  private final TreeSet<String> queued = new TreeSet<>();
+  private final TreeMap<Long, TreeSet<String>> endedByTime = new TreeMap<>();
+  private int endedCount;
+
+  Job find(String name) {
+    return jobs.get(name);
+  }
+
+  void put(Job next) {
+    Job former = jobs.put(next.name(), next);
+    if (former != null) {
+      remove(former);
+    }
+    if (next.live() != null) {
+      change(next, next.live().size());
+      jobsByWorker
+          .computeIfAbsent(next.live().worker(), unused -> new TreeSet<>())
+          .add(next.name());
+    }
+    if (next.state() == JobState.QUEUED) {
+      queued.add(next.name());
+    }
+    if (next.state().isEnded()) {
+      endedByTime.computeIfAbsent(next.sinceMillis(), unused -> new TreeSet<>()).add(next.name());
+      endedCount++;
+    }
+  }
+
+  private void remove(Job former) {
+    queued.remove(former.name());
+    if (former.live() == null) {
+      return;
+    }
+    String worker = former.live().worker();
+    change(former, JobSize.NONE.minus(former.live().size()));
+    TreeSet<String> names = jobsByWorker.get(worker);
+    names.remove(former.name());
+    if (names.isEmpty()) {
+      jobsByWorker.remove(worker);
+    }
+  }
+
+  private void change(Job job, JobSize size) {
+    add(usedByWorker, job.live().worker(), size);
+    add(usedByTeam, job.spec().team(), size);
+  }
+
+  private static void add(TreeMap<String, JobSize> sums, String name, JobSize size) {
+    JobSize sum = sums.getOrDefault(name, JobSize.NONE).plus(size);
+    if (sum.equals(JobSize.NONE)) {
+      sums.remove(name);
+    } else {
+      sums.put(name, sum);
+    }
+  }
+
+  /** Discards the jobs that ended before the given fold time. */
+  void discardEndedBefore(long millis) {
+    var expired = endedByTime.headMap(millis);
+    for (TreeSet<String> names : expired.values()) {
+      names.forEach(jobs::remove);
+      endedCount -= names.size();
+    }
+    expired.clear();
+  }
+
+  int openCount() {
+    return jobs.size() - endedCount;
+  }
+
+  WorkerRecord worker(String name) {
+    return workers.get(name);
+  }
+
+  void putWorker(WorkerRecord next) {
+    workers.put(next.worker(), next);
+  }
+
+  JobSize usedOf(String worker) {
+    return usedByWorker.getOrDefault(worker, JobSize.NONE);
+  }
+
+  JobSize usedByTeam(String team) {
+    return usedByTeam.getOrDefault(team, JobSize.NONE);
+  }
+
+  /** Returns the jobs with a live attempt at the worker, sorted by name. */
+  List<Job> liveAt(String worker) {
+    List<Job> live = new ArrayList<>();
+    for (String name : jobsByWorker.getOrDefault(worker, new TreeSet<>())) {
+      live.add(jobs.get(name));
+    }
+    return live;
+  }
+
+  SortedSet<String> queued() {
+    return queued;
+  }
+
+  Collection<Job> jobs() {
+    return jobs.values();
+  }
+
+  Collection<WorkerRecord> workers() {
+    return workers.values();
+  }
+
+  void clear() {
+    jobs.clear();
+    workers.clear();
+    jobsByWorker.clear();
+    usedByWorker.clear();
+    usedByTeam.clear();
+    queued.clear();
+    endedByTime.clear();
+    endedCount = 0;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/persimmonloom/core/job/LeaseRules.java
@@ -0,0 +1,69 @@
+package org.persimmonloom.core.job;
+
+import org.persimmonloom.core.member.EntryHostTable;
+
+/**
+ * Lengths of the leases of jobs, and when a lease has certainly expired at a worker.
+ *
+ * <p>There are two leases. The fold holds a long one, which one record per worker extends. The
+ * worker holds a short one on its own clock, which an entry host renews directly. A start or
+ * renewal names a reading of the worker's clock that the sender took before it looked at the fold,
+ * and the worker counts its lease from that reading. So neither a pause of the sender nor a delay
+ * in the network extends a lease.
+ *
+ * <p>An entry host that last read the log at fold time t, and has measured e milliseconds since,
+ * renews only while t + e is below {@code leaseUntilMillis}. It needs no contact with the log, so
+ * tasks survive an outage of the log as long as the fold's lease. The last lease at a worker then
+ * ends at most {@link #WORKER_LEASE_MILLIS} later on the worker's clock. Against that, fold time
+ * may run ahead of real time by {@link EntryHostTable#MAX_CLOCK_LEAD_MILLIS}, and both clocks may
+ * run slow. {@link #EXPIRY_MARGIN_MILLIS} is the sum of these.
+ */
+public final class LeaseRules {
+  /**
+   * The worker's lease. Three renewal periods, so that two lost renewals end no task; short,
+   * because a task that nobody owns any more runs on for this long.
+   */
+  public static final long WORKER_LEASE_MILLIS = 30_000;
+
+  /** How often an entry host polls and renews each of its workers. */
+  public static final long RENEW_EVERY_MILLIS = 10_000;
+
+  /**
+   * The fold's lease. An outage of the log ends no task for at least the lease without one renewal
+   * period, 10 minutes. The price is that a job on a worker that died waits at most 17 minutes; a
+   * worker that rebooted reports it, and its jobs don't wait.
+   */
+  public static final long FOLD_LEASE_MILLIS = 15 * 60_000L;
+
+  /** How often the fold's leases at a worker are extended: 4,200 workers make 14 records/s. */
+  public static final long RECORD_RENEWAL_EVERY_MILLIS = 5 * 60_000L;
+
+  /**
+   * How far a clock may run slow. Quartz drifts by less than 0.02 %; one percent also covers clocks
+   * that are slewed.
+   */
+  static final long CLOCK_RATE_PERCENT = 1;
+
+  /** Fold time after the end of the fold's lease when no worker's lease is left. */
+  public static final long EXPIRY_MARGIN_MILLIS =
+      EntryHostTable.MAX_CLOCK_LEAD_MILLIS
+          + WORKER_LEASE_MILLIS
+          + (FOLD_LEASE_MILLIS + WORKER_LEASE_MILLIS) * CLOCK_RATE_PERCENT / 100;
+
+  private LeaseRules() {}
+
+  /** Returns whether the attempt's lease is over at its worker. */
+  public static boolean isCertainlyExpired(Attempt attempt, long foldTimeMillis) {
+    return foldTimeMillis >= attempt.leaseUntilMillis() + EXPIRY_MARGIN_MILLIS;
+  }
+
+  /**
+   * Returns whether an entry host may start or renew the attempt.
+   *
+   * @param foldTimeMillis fold time at the last complete read of the log
+   * @param sinceReadMillis measured since that read
+   */
+  public static boolean mayRenew(Attempt attempt, long foldTimeMillis, long sinceReadMillis) {
+    return foldTimeMillis + sinceReadMillis < attempt.leaseUntilMillis();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/persimmonloom/core/job/WorkerQuarantined.java
@@ -0,0 +1,18 @@
+package org.persimmonloom.core.job;
+
+import java.util.Objects;
+import org.persimmonloom.core.fold.Proposal;
+
+/**
+ * Takes a worker out of placement because it fails jobs that succeed elsewhere.
+ *
+ * @param plannedOffset first offset that the decision did not know
+ * @param figures the figures of the decision
+ */
+public record WorkerQuarantined(String worker, long plannedOffset, String figures)
+    implements Proposal {
+  public WorkerQuarantined {
+    Objects.requireNonNull(worker, "worker");
+    Objects.requireNonNull(figures, "figures");
+  }
+}
