--- /dev/null
+++ b/core/src/main/java/org/persimmonloom/core/job/PlanningState.java
@@ -0,0 +1,156 @@
+package org.persimmonloom.core.job;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.persimmonloom.core.fold.FleetState;
+import org.persimmonloom.core.host.Host;
+import org.persimmonloom.core.host.HostKind;
+import org.persimmonloom.core.release.ServiceDefinition;
+import org.persimmonloom.core.release.TeamDefinition;
+
+/**
+ * A copy of what a planning run needs, so that planning does not hold the lock of the fold. It
+ * changes while the plan takes room and quota. Not safe for use by several threads.
+ */
+public final class PlanningState {
+  private final long offset;
+  private final List<Job> queued;
+  private final Map<String, List<WorkerSlot>> slotsByPool = new TreeMap<>();
+  private final Map<String, String> poolByService = new TreeMap<>();
+  private final Map<String, JobSize> quotas = new TreeMap<>();
+  private final Map<String, JobSize> used = new TreeMap<>();
+  private final Map<String, JobSize> largestByPool = new TreeMap<>();
+  private final Map<String, JobDemand> demands = new TreeMap<>();
+  private final Map<String, int[]> kindsByRack = new HashMap<>();
+  private int racks;
+
+  private PlanningState(FleetState fleet) {
+    offset = fleet.nextOffset();
+    queued = fleet.jobs().queued();
+  }
+
+  /** Copies the state; call it under the lock of the fold. */
+  public static PlanningState of(FleetState fleet, MaintenanceOutlook outlook) {
+    PlanningState state = new PlanningState(fleet);
+    for (ServiceDefinition service : fleet.releases().services().values()) {
+      state.poolByService.put(service.name(), service.workers());
+    }
+    for (TeamDefinition team : fleet.releases().teams().values()) {
+      state.quotas.put(team.name(), JobTable.quota(team));
+      state.used.put(team.name(), fleet.jobs().usedByTeam(team.name()));
+    }
+    state.addWorkers(fleet, outlook);
+    state.addDemands(fleet);
+    return state;
+  }
+
+  private void addWorkers(FleetState fleet, MaintenanceOutlook outlook) {
+    Map<String, Integer> rackIndices = new HashMap<>();
+    for (Host host : fleet.hosts().all()) {
+      if (host.facts().kind() != HostKind.WORKER) {
+        continue;
+      }
+      String rack = host.facts().dataCentre() + '/' + host.facts().rack();
+      int index = rackIndices.computeIfAbsent(rack, unused -> rackIndices.size());
+      WorkerSlot slot =
+          new WorkerSlot(
+              host,
+              fleet.jobs().worker(host.name()).orElse(null),
+              fleet.jobs().liveAt(host.name()),
+              index,
+              outlook.nextDrainMillis(host.name()));
+      slotsByPool.computeIfAbsent(host.pool(), unused -> new ArrayList<>()).add(slot);
+      largestByPool.merge(host.pool(), slot.capacity(), PlanningState::largest);
+    }
+    racks = rackIndices.size();
+    for (List<WorkerSlot> slots : slotsByPool.values()) {
+      slots.forEach(slot -> slot.live().forEach(job -> count(job, slot)));
+    }
+  }
+
+  private void addDemands(FleetState fleet) {
+    RunTimeEstimates estimates = fleet.jobs().estimates();
+    for (Job job : queued) {
+      demands.put(job.name(), JobDemand.of(job, estimates, limit(job)));
+    }
+    for (List<WorkerSlot> slots : slotsByPool.values()) {
+      for (WorkerSlot slot : slots) {
+        for (Job job : slot.live()) {
+          demands.put(job.name(), JobDemand.of(job, estimates, limit(job)));
+        }
+      }
+    }
+  }
+
+  private JobSize limit(Job job) {
+    JobSize quota = quota(job);
+    JobSize largest = largestByPool.getOrDefault(poolOf(job), quota);
+    return new JobSize(
+        Math.min(quota.cores(), largest.cores()),
+        Math.min(quota.memoryMb(), largest.memoryMb()),
+        Math.min(quota.accelerators(), largest.accelerators()));
+  }
+
+  private static JobSize largest(JobSize one, JobSize other) {
+    return new JobSize(
+        Math.max(one.cores(), other.cores()),
+        Math.max(one.memoryMb(), other.memoryMb()),
+        Math.max(one.accelerators(), other.accelerators()));
+  }
+
+  long offset() {
+    return offset;
+  }
+
+  List<Job> queued() {
+    return queued;
+  }
+
+  String poolOf(Job job) {
+    return poolByService.getOrDefault(job.spec().service(), "");
+  }
+
+  List<WorkerSlot> slots(Job job) {
+    return slotsByPool.getOrDefault(poolOf(job), List.of());
+  }
+
+  /** Returns the largest value of each component among the workers of the job's pool. */
+  JobSize largestIn(Job job) {
+    return largestByPool.getOrDefault(poolOf(job), JobSize.NONE);
+  }
+
+  JobDemand demand(Job job) {
+    return demands.get(job.name());
+  }
+
+  JobSize quota(Job job) {
+    return quotas.getOrDefault(job.spec().team(), JobSize.NONE);
+  }
+
+  JobSize used(Job job) {
+    return used.getOrDefault(job.spec().team(), JobSize.NONE);
+  }
+
+  boolean isWithinQuota(Job job) {
+    return used(job).plus(demand(job).size()).fitsIn(quota(job));
+  }
+
+  /** Returns how many live attempts of the job's kind each rack has. */
+  int[] kindByRack(Job job) {
+    return kindsByRack.computeIfAbsent(
+        RunTimeEstimates.kindOf(job.spec()), unused -> new int[racks]);
+  }
+
+  void take(Job job, WorkerSlot slot) {
+    slot.take(demand(job).size());
+    used.merge(job.spec().team(), demand(job).size(), JobSize::plus);
+    count(job, slot);
+  }
+
+  private void count(Job job, WorkerSlot slot) {
+    kindByRack(job)[slot.rackIndex()]++;
+  }
+}
