Run jobs at workers from every entry host

Cause: placed jobs were never started, renewed or ended.

Change: runtime.worker visits workers, compares their reports with the fold (core.job.WorkerVisit) and starts, renews, checkpoints and stops tasks. Workers are divided by rendezvous hashing; starts and stops that wait pass to the next host after 1.5 s. Proposals of one tick are grouped into one append. A start or renewal names a reading of the worker's clock taken before the lease check. Stand-ins of workers run tasks as timers with faults and keep a ledger of all runs. Operators get the routes and commands of jobs.

--- a/core/src/main/java/org/persimmonloom/core/job/Attempt.java
+++ b/core/src/main/java/org/persimmonloom/core/job/Attempt.java
@@ -6,6 +6,8 @@
  * @param number rises with each placement of the job and is never reused
  * @param boot the worker's boot at placement; a worker refuses a start meant for another boot
  * @param size what is reserved at the worker
+ * @param placedOffset offset of its placement; workers report it, so that an entry host that is
+ *     behind does not stop an attempt it does not know yet
  * @param startedMillis fold time at which the start was recorded; 0 before
  * @param leaseUntilMillis fold time up to which entry hosts may renew it; see {@link LeaseRules}
  * @param stop why it is being stopped
@@ -18,6 +20,7 @@
     long boot,
     JobSize size,
     long placedMillis,
+    long placedOffset,
     long startedMillis,
     long leaseUntilMillis,
     Stop stop,
@@ -48,6 +51,16 @@
 
   private Attempt with(long started, long until, Stop reason, String forJob, int percent) {
     return new Attempt(
-        number, worker, boot, size, placedMillis, started, until, reason, forJob, percent);
+        number,
+        worker,
+        boot,
+        size,
+        placedMillis,
+        placedOffset,
+        started,
+        until,
+        reason,
+        forJob,
+        percent);
   }
 }
--- a/core/src/main/java/org/persimmonloom/core/job/JobDemand.java
+++ b/core/src/main/java/org/persimmonloom/core/job/JobDemand.java
@@ -23,21 +23,31 @@
    * component that was learned is limited to what one worker and the team's quota can give, because
    * it is a guess; the floor after a kill for memory is not.
    */
-  static JobDemand of(Job job, RunTimeEstimates estimates, JobSize limit) {
+  static JobDemand of(Job job, Learned learned, JobSize limit) {
     JobSpec spec = job.spec();
-    OptionalLong cores = estimates.cores(spec, CORES_QUANTILE);
-    OptionalLong memoryMb = estimates.memoryMb(spec, MEMORY_QUANTILE);
-    long learnedCores =
-        cores.isPresent() ? bound(cores.getAsLong(), limit.cores()) : spec.size().cores();
-    long learnedMemory =
-        memoryMb.isPresent()
-            ? bound(memoryMb.getAsLong() * (100 + MEMORY_HEADROOM_PERCENT) / 100, limit.memoryMb())
+    long cores =
+        learned.cores().isPresent()
+            ? bound(learned.cores().getAsLong(), limit.cores())
+            : spec.size().cores();
+    long memoryMb =
+        learned.memoryMb().isPresent()
+            ? bound(
+                learned.memoryMb().getAsLong() * (100 + MEMORY_HEADROOM_PERCENT) / 100,
+                limit.memoryMb())
             : spec.size().memoryMb();
     JobSize size =
-        new JobSize(
-            learnedCores, Math.max(learnedMemory, job.memoryFloorMb()), spec.size().accelerators());
-    long runMillis = estimates.runMillis(spec, RUN_QUANTILE).orElse(spec.declaredRunMillis());
-    return new JobDemand(size, runMillis);
+        new JobSize(cores, Math.max(memoryMb, job.memoryFloorMb()), spec.size().accelerators());
+    return new JobDemand(size, learned.runMillis().orElse(spec.declaredRunMillis()));
+  }
+
+  /** The quantiles of one kind; each is empty while there are too few samples. */
+  record Learned(OptionalLong runMillis, OptionalLong cores, OptionalLong memoryMb) {
+    static Learned of(JobSpec spec, RunTimeEstimates estimates) {
+      return new Learned(
+          estimates.runMillis(spec, RUN_QUANTILE),
+          estimates.cores(spec, CORES_QUANTILE),
+          estimates.memoryMb(spec, MEMORY_QUANTILE));
+    }
   }
 
   private static long bound(long value, long limit) {
--- a/core/src/main/java/org/persimmonloom/core/job/JobTable.java
+++ b/core/src/main/java/org/persimmonloom/core/job/JobTable.java
@@ -161,6 +161,7 @@
                 worker.boot(),
                 placed.size(),
                 position.timeMillis(),
+                position.offset(),
                 0,
                 leaseUntilMillis,
                 Attempt.Stop.NONE,
--- a/core/src/main/java/org/persimmonloom/core/job/LeaseRules.java
+++ b/core/src/main/java/org/persimmonloom/core/job/LeaseRules.java
@@ -20,10 +20,11 @@
  */
 public final class LeaseRules {
   /**
-   * The worker's lease. Three renewal periods, so that two lost renewals end no task; short,
-   * because a task that nobody owns any more runs on for this long.
+   * The worker's lease. An entry host that pauses is replaced as owner of its workers after at most
+   * 25 s ({@link EntryHostTable#LOST_AFTER_MILLIS}) and one visit; the lease is longer than that
+   * after any lost renewal. It is short because a task that nobody owns runs on for this long.
    */
-  public static final long WORKER_LEASE_MILLIS = 30_000;
+  public static final long WORKER_LEASE_MILLIS = 60_000;
 
   /** How often an entry host polls and renews each of its workers. */
   public static final long RENEW_EVERY_MILLIS = 10_000;
--- a/core/src/main/java/org/persimmonloom/core/job/PlanningState.java
+++ b/core/src/main/java/org/persimmonloom/core/job/PlanningState.java
@@ -23,7 +23,7 @@
   private final Map<String, JobSize> quotas = new TreeMap<>();
   private final Map<String, JobSize> used = new TreeMap<>();
   private final Map<String, JobSize> largestByPool = new TreeMap<>();
-  private final Map<String, JobDemand> demands = new TreeMap<>();
+  private final Map<String, JobDemand> demands = new HashMap<>();
   private final Map<String, int[]> kindsByRack = new HashMap<>();
   private int racks;
 
@@ -72,19 +72,24 @@
   }
 
   private void addDemands(FleetState fleet) {
-    RunTimeEstimates estimates = fleet.jobs().estimates();
-    for (Job job : queued) {
-      demands.put(job.name(), JobDemand.of(job, estimates, limit(job)));
-    }
+    Map<String, JobDemand.Learned> learned = new HashMap<>();
+    queued.forEach(job -> addDemand(job, fleet.jobs().estimates(), learned));
     for (List<WorkerSlot> slots : slotsByPool.values()) {
       for (WorkerSlot slot : slots) {
-        for (Job job : slot.live()) {
-          demands.put(job.name(), JobDemand.of(job, estimates, limit(job)));
-        }
+        slot.live().forEach(job -> addDemand(job, fleet.jobs().estimates(), learned));
       }
     }
   }
 
+  private void addDemand(
+      Job job, RunTimeEstimates estimates, Map<String, JobDemand.Learned> learned) {
+    JobDemand.Learned ofKind =
+        learned.computeIfAbsent(
+            RunTimeEstimates.kindOf(job.spec()),
+            unused -> JobDemand.Learned.of(job.spec(), estimates));
+    demands.put(job.name(), JobDemand.of(job, ofKind, limit(job)));
+  }
+
   private JobSize limit(Job job) {
     JobSize quota = quota(job);
     JobSize largest = largestByPool.getOrDefault(poolOf(job), quota);
--- a/runtime/src/main/java/org/persimmonloom/runtime/entry/EntryHostService.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/entry/EntryHostService.java
@@ -7,6 +7,7 @@
 import org.persimmonloom.runtime.log.GroupCommitter;
 import org.persimmonloom.runtime.log.LogFollower;
 import org.persimmonloom.runtime.operator.OperatorListener;
+import org.persimmonloom.runtime.worker.JobController;
 
 /** One entry host: starts its services in order of need and stops them in reverse. */
 @Singleton
@@ -14,6 +15,7 @@
   private final LogFollower follower;
   private final GroupCommitter committer;
   private final HostListWatcher hostList;
+  private final JobController jobs;
   private final OperatorListener operators;
   private final CallerListener callers;
 
@@ -22,11 +24,13 @@
       LogFollower follower,
       GroupCommitter committer,
       HostListWatcher hostList,
+      JobController jobs,
       OperatorListener operators,
       CallerListener callers) {
     this.follower = follower;
     this.committer = committer;
     this.hostList = hostList;
+    this.jobs = jobs;
     this.operators = operators;
     this.callers = callers;
   }
@@ -36,6 +40,7 @@
     follower.start();
     committer.start();
     hostList.start();
+    jobs.start();
     operators.start();
     callers.start();
   }
@@ -44,6 +49,7 @@
   public void stop() throws InterruptedException {
     callers.stop();
     operators.stop();
+    jobs.stop();
     hostList.stop();
     committer.stop();
     follower.stop();
--- a/tool/src/main/java/org/persimmonloom/tool/command/Command.java
+++ b/tool/src/main/java/org/persimmonloom/tool/command/Command.java
@@ -7,4 +7,9 @@
 public interface Command {
   /** Returns the text to print, or why the command failed. */
   Either<Failure, String> run();
+
+  /** Returns example calls, one a line, for {@code --help}. */
+  default String examples() {
+    return "";
+  }
 }
--- a/tool/src/main/java/org/persimmonloom/tool/command/Main.java
+++ b/tool/src/main/java/org/persimmonloom/tool/command/Main.java
@@ -17,6 +17,11 @@
     Map<String, Command> commands = new LinkedHashMap<>();
     commands.put("release apply", new ReleaseApplyCommand());
     commands.put("release show", new ReleaseShowCommand());
+    commands.put("job submit", new JobSubmitCommand());
+    commands.put("job list", new JobListCommand());
+    commands.put("job show", new JobShowCommand());
+    commands.put("job cancel", new JobCancelCommand());
+    commands.put("job release", new JobReleaseCommand());
     commands.put("standin", new StandInCommand());
     return commands;
   }
@@ -46,6 +51,9 @@
     JCommander parser = JCommander.newBuilder().addObject(command).build();
     if (options.contains("--help")) {
       parser.usage();
+      if (!command.examples().isEmpty()) {
+        System.out.println("Examples:\n" + command.examples().indent(2).stripTrailing());
+      }
       return ResultCode.OK;
     }
     try {
--- a/tool/src/main/java/org/persimmonloom/tool/command/OperatorClient.java
+++ b/tool/src/main/java/org/persimmonloom/tool/command/OperatorClient.java
@@ -25,6 +25,15 @@
 
   private final OkHttpClient client = new OkHttpClient();
 
+  /** Creates a client whose options are parsed. */
+  public OperatorClient() {}
+
+  /** Creates a client of one entry host. */
+  public OperatorClient(String entry, String token) {
+    this.entry = entry;
+    this.token = token;
+  }
+
   /** Returns the JSON answer of {@code GET path}. */
   public Either<Failure, String> get(String path) {
     return call(request(path).build());
