--- a/runtime/src/main/java/org/persimmonloom/runtime/entry/EntryHostService.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/entry/EntryHostService.java
@@ -21,6 +21,7 @@
 import org.persimmonloom.runtime.peer.ClusterView;
 import org.persimmonloom.runtime.peer.PeerMesh;
 import org.persimmonloom.runtime.settings.EntrySettings;
+import org.persimmonloom.runtime.worker.JobController;
 
 /**
  * One entry host: starts its services in order of need and stops them in reverse.
@@ -40,6 +41,7 @@
   private final GroupCommitter committer;
   private final PeerMesh mesh;
   private final HostListWatcher hostList;
+  private final JobController jobs;
   private final OperatorListener operators;
   private final CallerListener callers;
   private final RequestService requests;
@@ -56,6 +58,7 @@
       GroupCommitter committer,
       PeerMesh mesh,
       HostListWatcher hostList,
+      JobController jobs,
       OperatorListener operators,
       CallerListener callers,
       RequestService requests,
@@ -71,6 +74,7 @@
     this.committer = committer;
     this.mesh = mesh;
     this.hostList = hostList;
+    this.jobs = jobs;
     this.operators = operators;
     this.callers = callers;
     this.requests = requests;
@@ -90,6 +94,7 @@
     committer.start();
     hostList.start();
     requests.start(endpoints);
+    jobs.start();
     operators.start();
     callers.start();
   }
@@ -117,6 +122,7 @@
     settle(deadlineMillis);
     callers.stop();
     operators.stop();
+    jobs.stop();
     hostList.stop();
     timer.stop();
     committer.stop();
--- a/runtime/src/main/java/org/persimmonloom/runtime/entry/EntryModule.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/entry/EntryModule.java
@@ -8,6 +8,8 @@
 import org.persimmonloom.runtime.fleet.HostListClient;
 import org.persimmonloom.runtime.log.GroupCommitter;
 import org.persimmonloom.runtime.log.HttpPlatformLog;
+import org.persimmonloom.runtime.log.LogReadAge;
+import org.persimmonloom.runtime.log.LogStatus;
 import org.persimmonloom.runtime.log.PlatformLog;
 import org.persimmonloom.runtime.log.Proposer;
 import org.persimmonloom.runtime.peer.ClusterService;
@@ -59,4 +61,9 @@
   static Currency currency(ClusterService cluster) {
     return cluster;
   }
+
+  @Provides
+  static LogReadAge logReadAge(LogStatus status) {
+    return status;
+  }
 }
--- a/runtime/src/main/java/org/persimmonloom/runtime/log/LogFollower.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/log/LogFollower.java
@@ -70,6 +70,7 @@
   private void followOnce() throws IOException {
     long from = state.nextOffset();
     long startMillis = clock.millis();
+    long startNanos = System.nanoTime();
     LogPage page = log.read(from, PAGE_RECORDS, WAIT_MILLIS);
     status.endSeen(page.nextOffset());
     long offset = page.fromOffset();
@@ -84,7 +85,7 @@
       offset++;
     }
     if (offset >= page.nextOffset()) {
-      status.readToEnd(startMillis);
+      status.readToEnd(startMillis, startNanos);
     }
   }
 
--- a/runtime/src/main/java/org/persimmonloom/runtime/log/LogStatus.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/log/LogStatus.java
@@ -1,16 +1,21 @@
 package org.persimmonloom.runtime.log;
 
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import javax.inject.Inject;
 import javax.inject.Singleton;
 import org.persimmonloom.core.result.Failure;
 
 /** How the follower stands with the platform log. Safe for any thread. */
 @Singleton
-public final class LogStatus {
+public final class LogStatus implements LogReadAge {
   private static final long UNKNOWN = -1;
 
+  /** Far from the overflow of a sum with a time of day. */
+  private static final long NEVER_READ_MILLIS = Long.MAX_VALUE / 2;
+
   private volatile long readMillis = UNKNOWN;
+  private volatile long readNanos;
   private volatile long endOffset = UNKNOWN;
   private volatile Failure stopped;
   private volatile Failure waiting;
@@ -23,11 +28,20 @@
    *
    * @param startMillis when the read began. Its end would claim too much after a pause between the
    *     log's answer and its processing.
+   * @param startNanos the same moment by {@link System#nanoTime}
    */
-  void readToEnd(long startMillis) {
+  void readToEnd(long startMillis, long startNanos) {
+    readNanos = startNanos;
     readMillis = startMillis;
   }
 
+  @Override
+  public long sinceCompleteReadMillis() {
+    return readMillis == UNKNOWN
+        ? NEVER_READ_MILLIS
+        : TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - readNanos);
+  }
+
   void endSeen(long nextOffset) {
     endOffset = nextOffset;
   }
--- a/tool/src/main/java/org/persimmonloom/tool/command/Main.java
+++ b/tool/src/main/java/org/persimmonloom/tool/command/Main.java
@@ -24,6 +24,11 @@
     commands.put("release status", new ReleaseStatusCommand());
     commands.put("release validate", new ReleaseValidateCommand());
     commands.put("demo", new DemoCommand());
+    commands.put("job submit", new JobSubmitCommand());
+    commands.put("job list", new JobListCommand());
+    commands.put("job show", new JobShowCommand());
+    commands.put("job cancel", new JobCancelCommand());
+    commands.put("job release", new JobReleaseCommand());
     commands.put("standin", new StandInCommand());
     commands.put("measure slopes", new SlopesCommand());
     return commands;
