--- a/tool/src/main/java/org/persimmonloom/tool/command/Main.java
+++ b/tool/src/main/java/org/persimmonloom/tool/command/Main.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import org.persimmonloom.core.result.Failure;
 import org.persimmonloom.core.result.ResultCode;
+import org.persimmonloom.tool.measure.PolicyMeasureCommand;
 
 /** The operators' command. Its exit code is the number of the result code. */
 public final class Main {
@@ -17,6 +18,7 @@
     Map<String, Command> commands = new LinkedHashMap<>();
     commands.put("release apply", new ReleaseApplyCommand());
     commands.put("release show", new ReleaseShowCommand());
+    commands.put("measure", new PolicyMeasureCommand());
     commands.put("standin", new StandInCommand());
     return commands;
   }
--- /dev/null
+++ b/tool/src/main/java/org/persimmonloom/tool/measure/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Drivers that measure the decision functions of the core, without sockets and in simulated time.
+ */
+package org.persimmonloom.tool.measure;
