Keep the buffer in executors rather than in workers

Cause: the buffer was split evenly, but only executors run short work; long work may wait. Change: 12.5 % of the executors (more or less by weights) and one worker.

--- a/core/src/main/java/org/persimmonloom/core/capacity/CapacityLimits.java
+++ b/core/src/main/java/org/persimmonloom/core/capacity/CapacityLimits.java
@@ -1,5 +1,6 @@
 package org.persimmonloom.core.capacity;
 
+import org.persimmonloom.core.host.HostKind;
 import org.persimmonloom.core.release.Weights;
 
 /**
@@ -17,7 +18,7 @@
  *
  * @param burstCoverage share of the burst above the trend that a pool's own slots cover; the queue
  *     and borrowed idle slots absorb the rest
- * @param bufferShare share of all hosts of a kind that is kept in reserve
+ * @param bufferShare share of all executors that is kept in reserve
  * @param shortfallThreshold hosts that a pool must lack before it gets one
  * @param surplusThreshold hosts that a pool must have too many before it gives one up
  * @param moveIntervalMillis least time between two starts of moves of one kind of host
@@ -45,7 +46,7 @@
     boolean isRolloutFirst = rollout > shortWait;
     return new CapacityLimits(
         clamp(0.375 + 0.3 * (shortWait - buffer), 0.2, 0.6),
-        clamp(0.05 + 0.1 * (shortWait - buffer), 0.025, 0.1),
+        clamp(0.125 + 0.15 * (shortWait - buffer), 0.05, 0.2),
         clamp(0.75 + 2 * (moves - EVEN_SHARE), 0.5, 2),
         clamp(1.5 + 4 * (moves - EVEN_SHARE) - 2 * (buffer - EVEN_SHARE), 1, 3),
         Math.round(moveMillis * clamp(moves, 0.1, 1)),
@@ -53,9 +54,12 @@
         (int) Math.round(clamp(1 + 4 * (rollout - shortWait), 0, 3)));
   }
 
-  /** Returns how many hosts of a kind with {@code hosts} in all are kept in reserve. */
-  public int bufferHosts(int hosts) {
-    return Math.max(1, (int) Math.round(bufferShare * hosts));
+  /**
+   * Returns how many hosts of a kind with {@code hosts} in all are kept in reserve. Workers run
+   * long work, which may wait; one host in reserve lets a move start at once.
+   */
+  public int bufferHosts(HostKind kind, int hosts) {
+    return kind == HostKind.WORKER ? 1 : Math.max(1, (int) Math.round(bufferShare * hosts));
   }
 
   private static double clamp(double value, double low, double high) {
--- a/core/src/main/java/org/persimmonloom/core/capacity/TrendPolicy.java
+++ b/core/src/main/java/org/persimmonloom/core/capacity/TrendPolicy.java
@@ -52,7 +52,7 @@
       List<PoolBalance> ofKind =
           balances.stream().filter(each -> each.pool().kind() == kind).toList();
       int hosts = ofKind.stream().mapToInt(each -> each.pool().hosts().size()).sum();
-      buffers.put(kind, limits.bufferHosts(hosts));
+      buffers.put(kind, limits.bufferHosts(kind, hosts));
       KindPlanner planner =
           new KindPlanner(view, ofKind, limits, settings, buffers.get(kind), nowMillis);
       planner.plan().ifPresent(moves::add);
