Add a band between shortfall and surplus and payback thresholds

Change: shortfall and surplus use different shares of the burst; the thresholds are linear in the weight of moves over the worth of a host; workers must cover a tenth of the burst only.

--- a/core/src/main/java/org/persimmonloom/core/capacity/CapacityLimits.java
+++ b/core/src/main/java/org/persimmonloom/core/capacity/CapacityLimits.java
@@ -16,8 +16,14 @@
  *   <li>host moves: a gap must be larger before a host moves, and moves are further apart.
  * </ul>
  *
- * @param burstCoverage share of the burst above the trend that a pool's own slots cover; the queue
- *     and borrowed idle slots absorb the rest
+ * <p>The thresholds follow from what a move pays back. One more host at a pool in need is worth the
+ * weights of short wait and buffer together, one host returned is worth the weight of the buffer;
+ * the thresholds are linear in the ratio of the weight of moves to that worth.
+ *
+ * @param burstCoverage share of the burst above the trend that a pool's own slots must cover; the
+ *     queue and borrowed idle slots absorb the rest
+ * @param ampleCoverage share above which slots count as too many; the distance to the burst
+ *     coverage is a band in which nothing moves, and grows with the demand of the pool
  * @param bufferShare share of all executors that is kept in reserve
  * @param shortfallThreshold hosts that a pool must lack before it gets one
  * @param surplusThreshold hosts that a pool must have too many before it gives one up
@@ -27,13 +33,17 @@
  */
 public record CapacityLimits(
     double burstCoverage,
+    double ampleCoverage,
     double bufferShare,
     double shortfallThreshold,
     double surplusThreshold,
     long moveIntervalMillis,
     int unplannedReserve,
     int waveOverdraft) {
-  private static final double EVEN_SHARE = 0.25;
+  private static final double COVERAGE_BAND = 0.1;
+
+  /** Keeps the ratio of two weights finite when one is zero. */
+  private static final double LEAST_SHARE = 0.01;
 
   /** Returns the limits for these weights; a move takes {@code moveMillis}. */
   public static CapacityLimits from(Weights weights, long moveMillis) {
@@ -43,12 +53,14 @@
     double buffer = weights.buffer() * scale;
     double rollout = weights.rollout() * scale;
     double moves = weights.moves() * scale;
+    double coverage = clamp(0.275 + 0.3 * (shortWait - buffer), 0.15, 0.5);
     boolean isRolloutFirst = rollout > shortWait;
     return new CapacityLimits(
-        clamp(0.375 + 0.3 * (shortWait - buffer), 0.2, 0.6),
+        coverage,
+        coverage + COVERAGE_BAND,
         clamp(0.125 + 0.15 * (shortWait - buffer), 0.05, 0.2),
-        clamp(0.75 + 2 * (moves - EVEN_SHARE), 0.5, 2),
-        clamp(1.5 + 4 * (moves - EVEN_SHARE) - 2 * (buffer - EVEN_SHARE), 1, 3),
+        0.5 + 1.5 * clamp(moves / Math.max(shortWait + buffer, LEAST_SHARE), 0, 4),
+        0.75 + 1.25 * clamp(moves / Math.max(buffer, LEAST_SHARE), 0, 4),
         Math.round(moveMillis * clamp(moves, 0.1, 1)),
         isRolloutFirst ? 0 : 1,
         (int) Math.round(clamp(1 + 4 * (rollout - shortWait), 0, 3)));
--- a/core/src/main/java/org/persimmonloom/core/capacity/KindPlanner.java
+++ b/core/src/main/java/org/persimmonloom/core/capacity/KindPlanner.java
@@ -186,14 +186,14 @@
     String reason =
         String.format(
             Locale.ROOT,
-            "%s has %.0f hosts to come and needs %.1f, %s has %.0f and needs %.1f; a shortfall under"
+            "%s has %.0f hosts to come and needs %.1f, %s has %.0f and ample are %.1f; a shortfall under"
                 + " %.1f or a surplus under %.1f beyond the error would not move it",
             target.pool().name(),
             target.toCome(),
             target.needed(),
             donor.pool().name(),
             donor.toCome(),
-            donor.needed(),
+            donor.ample(),
             limits.shortfallThreshold(),
             limits.surplusThreshold());
     outcomes.put(target.pool().name(), "gets " + host.name() + " from " + donor.pool().name());
--- a/core/src/main/java/org/persimmonloom/core/capacity/PoolBalance.java
+++ b/core/src/main/java/org/persimmonloom/core/capacity/PoolBalance.java
@@ -1,6 +1,7 @@
 package org.persimmonloom.core.capacity;
 
 import java.util.Locale;
+import org.persimmonloom.core.host.HostKind;
 import org.persimmonloom.core.host.HostState;
 
 /**
@@ -12,12 +13,22 @@
  * lost hosts come back sooner than a replacement would arrive.
  *
  * @param toCome hosts that will serve the pool
- * @param needed hosts that cover the trend and a share of the burst; not rounded
+ * @param needed hosts that cover the trend and a share of the burst; not rounded. Workers run long
+ *     work, which may wait, so that they cover a small share only
+ * @param ample hosts beyond which the pool has too many
  * @param error standard error of {@code needed}
  * @param isKnown whether the reports are recent and complete enough to act on
  */
 record PoolBalance(
-    PoolView pool, double toCome, double needed, double error, boolean isKnown, String basis) {
+    PoolView pool,
+    double toCome,
+    double needed,
+    double ample,
+    double error,
+    boolean isKnown,
+    String basis) {
+  private static final double WORKER_COVERAGE = 0.1;
+
   static PoolBalance of(
       PoolView pool,
       CapacityView view,
@@ -29,7 +40,12 @@
             .filter(host -> !host.isLeaving() && isToCome(host, settings, nowMillis))
             .count();
     DemandForecast demand = pool.demand();
-    double slots = demand.trend() + limits.burstCoverage() * demand.burst();
+    double coverage =
+        pool.kind() == HostKind.WORKER
+            ? Math.min(WORKER_COVERAGE, limits.burstCoverage())
+            : limits.burstCoverage();
+    double slots = demand.trend() + coverage * demand.burst();
+    double ample = demand.trend() + limits.ampleCoverage() * demand.burst();
     boolean isKnown =
         demand.lagMillis() <= settings.maxLagMillis()
             && demand.coverage() >= settings.minCoverage();
@@ -38,16 +54,17 @@
         pool,
         staying + view.arriving(pool.name()),
         slots / pool.slotsPerHost(),
+        ample / pool.slotsPerHost(),
         demand.error() * burstFactor / pool.slotsPerHost(),
         isKnown,
-        basis(demand, limits, isKnown));
+        basis(demand, coverage, isKnown));
   }
 
   private static boolean isToCome(HostView host, CapacitySettings settings, long nowMillis) {
     return host.state() != HostState.LOST || nowMillis - host.stateMillis() < settings.moveMillis();
   }
 
-  private static String basis(DemandForecast demand, CapacityLimits limits, boolean isKnown) {
+  private static String basis(DemandForecast demand, double coverage, boolean isKnown) {
     if (!isKnown) {
       return String.format(
           Locale.ROOT,
@@ -61,7 +78,7 @@
         demand.trend(),
         demand.slopePerMinute(),
         demand.peak(),
-        100 * limits.burstCoverage());
+        100 * coverage);
   }
 
   /** Returns the hosts that the pool lacks; negative if it has too many. */
@@ -76,10 +93,6 @@
 
   /** Returns the hosts too many after the uncertainty of the trend is taken off. */
   double certainSurplus() {
-    return -gap() - error;
-  }
-
-  PoolBalance withHosts(double change) {
-    return new PoolBalance(pool, toCome + change, needed, error, isKnown, basis);
+    return toCome - ample - error;
   }
 }
--- a/core/src/main/java/org/persimmonloom/core/capacity/TrendPolicy.java
+++ b/core/src/main/java/org/persimmonloom/core/capacity/TrendPolicy.java
@@ -80,8 +80,10 @@
   private static String change(PoolBalance balance, CapacityLimits limits) {
     return String.format(
         Locale.ROOT,
-        "stays; it would get a host at a need of %.1f and give one up at %.1f",
+        "stays; it would get a host at a need of %.1f and give one up with ample hosts at %.1f"
+            + " (now %.1f)",
         balance.toCome() + balance.error() + limits.shortfallThreshold(),
-        balance.toCome() - balance.error() - limits.surplusThreshold());
+        balance.toCome() - balance.error() - limits.surplusThreshold(),
+        balance.ample());
   }
 }
