--- a/tool/src/main/java/org/persimmonloom/tool/command/Main.java
+++ b/tool/src/main/java/org/persimmonloom/tool/command/Main.java
@@ -11,6 +11,7 @@
 import org.persimmonloom.core.result.ResultCode;
 import org.persimmonloom.tool.measure.MeasureRoutingCommand;
 import org.persimmonloom.tool.measure.SlopesCommand;
+import org.persimmonloom.tool.measure.PolicyMeasureCommand;
 
 /** The operators' command. Its exit code is the number of the result code. */
 public final class Main {
@@ -29,6 +30,7 @@
     commands.put("job show", new JobShowCommand());
     commands.put("job cancel", new JobCancelCommand());
     commands.put("job release", new JobReleaseCommand());
+    commands.put("measure", new PolicyMeasureCommand());
     commands.put("standin", new StandInCommand());
     commands.put("measure slopes", new SlopesCommand());
     return commands;
