Make the log side survive outages, gaps and lost registrations

Cause: an append that failed, an expired record or a lost registration could end the cycle of the committer or the follower, or leave a proposer with a wrong answer. A log without its first records could not be started from.

A simulation of eight hosts found that a host which gets its records from peers was not current while a newer record was on its way. The evidence of reads by peers is now kept for 5 s instead of only in the latest heartbeat.

--- a/core/src/main/java/org/persimmonloom/core/member/CurrencyRule.java
+++ b/core/src/main/java/org/persimmonloom/core/member/CurrencyRule.java
@@ -58,9 +58,9 @@
       return new Decision(Basis.LOG, own.logReadMillis() + CURRENT_FOR_MILLIS);
     }
     OptionalLong peerReadMillis =
-        view.all().stream()
-            .filter(peer -> peer.heartbeat().nextOffset() <= own.nextOffset())
-            .mapToLong(PeerView.Heard::logReadMillis)
+        view.readEvidence().stream()
+            .filter(evidence -> evidence.nextOffset() <= own.nextOffset())
+            .mapToLong(PeerView.ReadEvidence::readMillis)
             .filter(millis -> isFresh(millis, nowMillis))
             .max();
     if (peerReadMillis.isPresent()) {
--- a/core/src/main/java/org/persimmonloom/core/member/PeerView.java
+++ b/core/src/main/java/org/persimmonloom/core/member/PeerView.java
@@ -1,5 +1,6 @@
 package org.persimmonloom.core.member;
 
+import java.util.ArrayDeque;
 import java.util.Collection;
 import java.util.Optional;
 import java.util.TreeMap;
@@ -22,6 +23,9 @@
   /** A peer that is silent for this long may be proposed as lost. */
   public static final long LOST_AFTER_MILLIS = 10_000;
 
+  private static final int MAX_EVIDENCE = 1_024;
+
+  private final ArrayDeque<ReadEvidence> readEvidence = new ArrayDeque<>();
   private final TreeMap<String, Heard> heard = new TreeMap<>();
   private final TreeMap<String, Long> knownSince = new TreeMap<>();
 
@@ -38,6 +42,14 @@
     }
   }
 
+  /**
+   * A peer read the log to its end.
+   *
+   * @param nextOffset first offset that the peer had not folded
+   * @param readMillis moment at which the log had no records from that offset on
+   */
+  public record ReadEvidence(long nextOffset, long readMillis) {}
+
   /** Replaces the names of the registered peers; a new one counts as heard when it appears. */
   public void setPeers(Collection<String> names, long nowMillis) {
     knownSince.keySet().retainAll(names);
@@ -59,10 +71,31 @@
                 || (known.heartbeat().incarnation() == heartbeat.incarnation()
                     && known.heardMillis() > heardMillis));
     if (!isOutdated) {
-      heard.put(heartbeat.name(), new Heard(heartbeat, heardMillis, isDirect));
+      Heard entry = new Heard(heartbeat, heardMillis, isDirect);
+      heard.put(heartbeat.name(), entry);
+      addReadEvidence(new ReadEvidence(heartbeat.nextOffset(), entry.logReadMillis()), heardMillis);
     }
   }
 
+  private void addReadEvidence(ReadEvidence evidence, long heardMillis) {
+    long oldestMillis = heardMillis - CurrencyRule.CURRENT_FOR_MILLIS;
+    readEvidence.removeIf(other -> other.readMillis() < oldestMillis);
+    if (evidence.readMillis() >= oldestMillis) {
+      readEvidence.add(evidence);
+    }
+    if (readEvidence.size() > MAX_EVIDENCE) {
+      readEvidence.poll();
+    }
+  }
+
+  /**
+   * Returns what peers said of their reads within the last seconds. Not only their latest
+   * heartbeats: those are ahead of this host while it still fetches the newest records.
+   */
+  public Collection<ReadEvidence> readEvidence() {
+    return readEvidence;
+  }
+
   /** Returns the latest heartbeat of a peer. */
   public Optional<Heard> find(String name) {
     return Optional.ofNullable(heard.get(name));
--- a/core/src/main/java/org/persimmonloom/core/result/ResultCode.java
+++ b/core/src/main/java/org/persimmonloom/core/result/ResultCode.java
@@ -79,6 +79,7 @@
   SNAPSHOT_INVALID(146, "snapshot at offset {0}: {1}"),
   LOG_GAP(147, "records from offset {0} have expired; the log starts at {1}"),
   PROPOSAL_UNDECIDED(148, "no verdict within {0} ms; read the state back before repeating"),
+  PROPOSAL_TOO_LARGE(149, "{0} proposals of {1} bytes; a batch holds {2} of {3} bytes"),
 
   // Settings, commands and measurements.
   SETTINGS_INVALID(160, "the settings have {0} errors: {1}"),
--- /dev/null
+++ b/core/src/test/java/org/persimmonloom/core/member/CurrencySimulationTest.java
@@ -0,0 +1,152 @@
+package org.persimmonloom.core.member;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Eight hosts that exchange heartbeats in simulated time, with delays and a log that grows. */
+class CurrencySimulationTest {
+  private static final int HOSTS = 8;
+  private static final long STEP_MILLIS = 100;
+  private static final long BEAT_MILLIS = 500;
+
+  private final Random random = new Random(5);
+  private final List<EntryHost> registered = MemberFixtures.registered(HOSTS, 0);
+  private final List<SimulatedHost> hosts = new ArrayList<>();
+  private long now = 1_000_000;
+  private long logEnd = 10;
+
+  private static final class SimulatedHost {
+    private final PeerView view = new PeerView();
+    private long nextOffset;
+    private long readMillis;
+    private boolean hasLog = true;
+    private boolean hasPeers = true;
+    private boolean isPaused;
+  }
+
+  @BeforeEach
+  void create() {
+    for (int index = 0; index < HOSTS; index++) {
+      hosts.add(new SimulatedHost());
+    }
+    run(2_000);
+  }
+
+  private String name(int index) {
+    return registered.get(index).name();
+  }
+
+  private void run(long millis) {
+    for (long end = now + millis; now < end; now += STEP_MILLIS) {
+      logEnd += hosts.stream().anyMatch(host -> host.hasLog) ? random.nextInt(3) : 0;
+      hosts.stream().filter(host -> !host.isPaused).forEach(this::follow);
+      if (now % BEAT_MILLIS == 0) {
+        beat();
+      }
+    }
+  }
+
+  private void follow(SimulatedHost host) {
+    if (host.hasLog) {
+      host.nextOffset = logEnd;
+      host.readMillis = now;
+    } else if (host.hasPeers) {
+      host.nextOffset =
+          host.view.all().stream()
+              .mapToLong(heard -> heard.heartbeat().nextOffset())
+              .reduce(host.nextOffset, Math::max);
+    }
+  }
+
+  private void beat() {
+    for (int from = 0; from < HOSTS; from++) {
+      SimulatedHost sender = hosts.get(from);
+      Heartbeat heartbeat =
+          new Heartbeat(
+              name(from),
+              1,
+              sender.nextOffset,
+              1,
+              now - sender.readMillis,
+              Map.of(),
+              List.of(),
+              List.of());
+      for (SimulatedHost receiver : hosts) {
+        boolean arrives =
+            sender.hasPeers && receiver.hasPeers && !sender.isPaused && !receiver.isPaused;
+        if (receiver != sender && arrives) {
+          receiver.view.hear(heartbeat, now - random.nextInt(600), true);
+        }
+      }
+    }
+  }
+
+  private CurrencyRule.Basis basis(int index) {
+    SimulatedHost host = hosts.get(index);
+    CurrencyRule.Own own = new CurrencyRule.Own(name(index), 1, host.nextOffset, host.readMillis);
+    return CurrencyRule.decide(own, registered, host.view, now).basis();
+  }
+
+  private boolean isCurrent(int index) {
+    return basis(index) != CurrencyRule.Basis.NONE;
+  }
+
+  /** Guards against a host that serves from an old state while the others decide without it. */
+  @Test
+  void hostCutOffFromLogAndPeersIsNotCurrentAfterFiveSeconds() {
+    hosts.get(0).hasLog = false;
+    hosts.get(0).hasPeers = false;
+    run(CurrencyRule.CURRENT_FOR_MILLIS + STEP_MILLIS);
+    assertThat(isCurrent(0)).isFalse();
+    for (int index = 1; index < HOSTS; index++) {
+      assertThat(basis(index)).isEqualTo(CurrencyRule.Basis.LOG);
+    }
+  }
+
+  /** Guards against refusals by all hosts in an outage, and against a part that goes on alone. */
+  @Test
+  void outageOfTheLogLeavesTheMajorityCurrent() {
+    hosts.forEach(host -> host.hasLog = false);
+    for (int step = 0; step < 600; step++) {
+      run(STEP_MILLIS);
+      for (int index = 0; index < HOSTS; index++) {
+        assertThat(isCurrent(index)).isTrue();
+      }
+    }
+    hosts.subList(0, 4).forEach(host -> host.hasPeers = false);
+    run(CurrencyRule.CURRENT_FOR_MILLIS + 1_000);
+    for (int index = 0; index < HOSTS; index++) {
+      assertThat(isCurrent(index)).isFalse();
+    }
+  }
+
+  /** Guards against a host that refuses although a peer supplies it with records. */
+  @Test
+  void hostWithoutTheLogStaysCurrentThroughItsPeers() {
+    hosts.get(0).hasLog = false;
+    int current = 0;
+    for (int step = 0; step < 300; step++) {
+      run(STEP_MILLIS);
+      current += isCurrent(0) ? 1 : 0;
+    }
+    assertThat(current).isEqualTo(300);
+  }
+
+  /** Guards against a paused host that accepts requests on what it knew before the pause. */
+  @Test
+  void pausedHostIsNotCurrentWhenItResumes() {
+    hosts.get(0).isPaused = true;
+    run(30_000);
+    assertThat(isCurrent(0)).isFalse();
+    hosts.get(0).isPaused = false;
+    run(STEP_MILLIS);
+    assertThat(isCurrent(0)).isTrue();
+    assertThat(hosts.get(0).nextOffset).isEqualTo(logEnd);
+  }
+}
--- a/runtime/src/main/java/org/persimmonloom/runtime/entry/EntryHostService.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/entry/EntryHostService.java
@@ -7,6 +7,7 @@
 import org.persimmonloom.runtime.fleet.HostListWatcher;
 import org.persimmonloom.runtime.log.GroupCommitter;
 import org.persimmonloom.runtime.log.LogFollower;
+import org.persimmonloom.runtime.log.SnapshotWriter;
 import org.persimmonloom.runtime.operator.OperatorListener;
 import org.persimmonloom.runtime.operator.StoppingFlag;
 import org.persimmonloom.runtime.peer.PeerMesh;
@@ -17,6 +18,7 @@
   private final LogFollower follower;
   private final GroupCommitter committer;
   private final PeerMesh mesh;
+  private final SnapshotWriter snapshots;
   private final StoppingFlag stopping;
   private final HostListWatcher hostList;
   private final OperatorListener operators;
@@ -27,6 +29,7 @@
       LogFollower follower,
       GroupCommitter committer,
       PeerMesh mesh,
+      SnapshotWriter snapshots,
       StoppingFlag stopping,
       HostListWatcher hostList,
       OperatorListener operators,
@@ -34,6 +37,7 @@
     this.follower = follower;
     this.committer = committer;
     this.mesh = mesh;
+    this.snapshots = snapshots;
     this.stopping = stopping;
     this.hostList = hostList;
     this.operators = operators;
@@ -56,6 +60,7 @@
     callers.stop();
     operators.stop();
     hostList.stop();
+    snapshots.stop();
     committer.stop();
     follower.stop();
     mesh.stop();
--- a/runtime/src/main/java/org/persimmonloom/runtime/entry/EntryModule.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/entry/EntryModule.java
@@ -12,6 +12,7 @@
 import org.persimmonloom.runtime.log.HttpPlatformLog;
 import org.persimmonloom.runtime.log.PlatformLog;
 import org.persimmonloom.runtime.log.Proposer;
+import org.persimmonloom.runtime.log.RecordSource;
 import org.persimmonloom.runtime.peer.ClusterService;
 import org.persimmonloom.runtime.peer.ClusterView;
 import org.persimmonloom.runtime.peer.Currency;
@@ -19,6 +20,7 @@
 import org.persimmonloom.runtime.peer.LoadSource;
 import org.persimmonloom.runtime.peer.PeerChannel;
 import org.persimmonloom.runtime.peer.PeerMesh;
+import org.persimmonloom.runtime.peer.RecordExchange;
 import org.persimmonloom.runtime.settings.EntrySettings;
 
 /** Provides the clients of the platform and the libraries' objects. */
@@ -55,6 +57,11 @@
     return committer;
   }
 
+  @Provides
+  static RecordSource recordSource(RecordExchange exchange) {
+    return exchange;
+  }
+
   @Provides
   static PeerChannel peerChannel(PeerMesh mesh) {
     return mesh;
--- a/runtime/src/main/java/org/persimmonloom/runtime/entry/OperatorModule.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/entry/OperatorModule.java
@@ -7,6 +7,7 @@
 import org.persimmonloom.runtime.operator.Readiness;
 import org.persimmonloom.runtime.operator.ReleaseApplyRoute;
 import org.persimmonloom.runtime.operator.ReleaseShowRoute;
+import org.persimmonloom.runtime.operator.ReleaseStatusRoute;
 
 /** Collects the paths of the operators' interface. */
 @Module
@@ -19,6 +20,10 @@
   @IntoSet
   OperatorRoute releaseShow(ReleaseShowRoute route);
 
+  @Binds
+  @IntoSet
+  OperatorRoute releaseStatus(ReleaseStatusRoute route);
+
   @Binds
   Readiness readiness(HostReadiness readiness);
 }
--- a/runtime/src/main/java/org/persimmonloom/runtime/log/FoldListener.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/log/FoldListener.java
@@ -13,4 +13,7 @@
    * @param verdicts one for each proposal; empty if the batch was dropped as repeated or stale
    */
   void folded(long offset, Batch batch, List<Verdict> verdicts);
+
+  /** Called after the state was replaced by a snapshot: the batches in between were not seen. */
+  default void restored() {}
 }
--- a/runtime/src/main/java/org/persimmonloom/runtime/log/ReplicatedState.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/log/ReplicatedState.java
@@ -66,28 +66,46 @@
       return Optional.empty();
     }
     Batch batch = decoded.get();
+    Either<Failure, List<Verdict>> verdicts = apply(offset, batch);
+    if (verdicts.isLeft()) {
+      return Optional.of(verdicts.getLeft());
+    }
+    listeners.forEach(
+        listener -> notify(listener, () -> listener.folded(offset, batch, verdicts.get())));
+    return Optional.empty();
+  }
+
+  private Either<Failure, List<Verdict>> apply(long offset, Batch batch) {
     lock.writeLock().lock();
-    Either<Failure, List<Verdict>> verdicts;
     try {
-      verdicts = state.apply(offset, batch);
+      return state.apply(offset, batch);
     } finally {
       lock.writeLock().unlock();
     }
-    if (verdicts.isLeft()) {
-      return Optional.of(verdicts.getLeft());
+  }
+
+  /** A listener that fails must not keep the others from a batch, which is shown only once. */
+  private static void notify(FoldListener listener, Runnable call) {
+    try {
+      call.run();
+    } catch (RuntimeException e) {
+      LOGGER.error("fold listener {} failed", listener.getClass().getName(), e);
     }
-    listeners.forEach(listener -> listener.folded(offset, batch, verdicts.get()));
-    return Optional.empty();
   }
 
   /** Replaces the state by a snapshot, or returns why it can't be used. */
   Optional<Failure> restore(FleetSnapshot snapshot) {
     lock.writeLock().lock();
     try {
-      return state.restore(snapshot);
+      Optional<Failure> failure = state.restore(snapshot);
+      if (failure.isPresent()) {
+        return failure;
+      }
     } finally {
       lock.writeLock().unlock();
     }
+    listeners.forEach(listener -> notify(listener, listener::restored));
+    return Optional.empty();
   }
 
   private void write(Runnable change) {
--- a/runtime/src/main/java/org/persimmonloom/runtime/operator/ProposalRoutes.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/operator/ProposalRoutes.java
@@ -13,6 +13,7 @@
 import org.persimmonloom.core.result.ResultCode;
 import org.persimmonloom.runtime.log.ProposalException;
 import org.persimmonloom.runtime.log.Proposer;
+import org.persimmonloom.runtime.log.UndecidedProposalException;
 
 /** Proposes on behalf of an operator and waits for the verdict. Safe for any thread. */
 @Singleton
@@ -41,6 +42,9 @@
       if (e.getCause() instanceof ProposalException refused) {
         return Either.left(refused.failure());
       }
+      if (e.getCause() instanceof UndecidedProposalException) {
+        return Either.left(Failure.of(ResultCode.PROPOSAL_UNDECIDED, WAIT_MILLIS));
+      }
       return Either.left(Failure.of(ResultCode.INTERNAL, e.getCause()));
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
