Measure the fold and bound what peers may queue

Questions of peers waited in an unbounded queue, and a step of the clock back kept a silent peer alive.

At most 1,024 questions wait for a handler. Heartbeats of the future are dropped.

--- a/core/src/main/java/org/persimmonloom/core/member/PeerView.java
+++ b/core/src/main/java/org/persimmonloom/core/member/PeerView.java
@@ -50,8 +50,14 @@
    */
   public record ReadEvidence(long nextOffset, long readMillis) {}
 
-  /** Replaces the names of the registered peers; a new one counts as heard when it appears. */
+  /**
+   * Replaces the names of the registered peers; a new one counts as heard when it appears. What was
+   * heard in the future is dropped: after a step of the clock back, it would keep later heartbeats
+   * out and a silent peer alive.
+   */
   public void setPeers(Collection<String> names, long nowMillis) {
+    heard.values().removeIf(entry -> entry.heardMillis() > nowMillis);
+    knownSince.replaceAll((name, millis) -> Math.min(millis, nowMillis));
     knownSince.keySet().retainAll(names);
     names.forEach(name -> knownSince.putIfAbsent(name, nowMillis));
     heard
--- a/core/src/test/java/org/persimmonloom/core/member/MembershipRulesTest.java
+++ b/core/src/test/java/org/persimmonloom/core/member/MembershipRulesTest.java
@@ -64,6 +64,19 @@
     assertThat(view.isSuspect("entry-2", 9_000)).isTrue();
   }
 
+  /** Guards against a silent peer that counts as alive after the own clock stepped back. */
+  @Test
+  void clockThatStepsBackDoesNotHideSilence() {
+    PeerView view = new PeerView();
+    view.setPeers(List.of("entry-2"), 500_000);
+    view.hear(MemberFixtures.heartbeat("entry-2", 1, 1), 500_000, true);
+    view.setPeers(List.of("entry-2"), 100_000);
+    assertThat(view.isSuspect("entry-2", 100_000)).isTrue();
+    assertThat(view.silentMillis("entry-2", 111_000)).isEqualTo(11_000);
+    view.hear(MemberFixtures.heartbeat("entry-2", 1, 2), 101_000, true);
+    assertThat(view.isSuspect("entry-2", 101_000)).isFalse();
+  }
+
   /** Guards against a starting host that serves an old state, or is never ready under load. */
   @Test
   void goalTakesInTheFirstOffsetOfEachSource() {
--- a/runtime/src/main/java/org/persimmonloom/runtime/log/HttpPlatformLog.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/log/HttpPlatformLog.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import okhttp3.Call;
 import okhttp3.HttpUrl;
 import okhttp3.MediaType;
 import okhttp3.OkHttpClient;
@@ -58,9 +59,9 @@
   }
 
   private <T> T call(Request request, long timeoutMillis, Class<T> type) throws IOException {
-    OkHttpClient limited =
-        client.newBuilder().callTimeout(timeoutMillis, TimeUnit.MILLISECONDS).build();
-    try (Response response = limited.newCall(request).execute()) {
+    Call call = client.newCall(request);
+    call.timeout().timeout(timeoutMillis, TimeUnit.MILLISECONDS);
+    try (Response response = call.execute()) {
       if (!response.isSuccessful()) {
         throw new IOException("platform log answered with status " + response.code());
       }
--- a/runtime/src/main/java/org/persimmonloom/runtime/peer/PeerMesh.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/peer/PeerMesh.java
@@ -11,10 +11,13 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Queue;
+import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
 import javax.inject.Inject;
 import javax.inject.Singleton;
@@ -38,6 +41,7 @@
   private static final Logger LOGGER = LogManager.getLogger(PeerMesh.class);
   private static final long SELECT_MILLIS = 50;
   private static final int HANDLER_THREADS = 2;
+  private static final int MAX_WAITING_QUESTIONS = 1_024;
 
   private final EntrySettings settings;
   private final InstantSource clock;
@@ -47,7 +51,13 @@
   private final LinkTable links;
   private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
   private final ExecutorService handlers =
-      Executors.newFixedThreadPool(HANDLER_THREADS, task -> daemon(task, "peer-handler"));
+      new ThreadPoolExecutor(
+          HANDLER_THREADS,
+          HANDLER_THREADS,
+          0,
+          TimeUnit.MILLISECONDS,
+          new ArrayBlockingQueue<>(MAX_WAITING_QUESTIONS),
+          task -> daemon(task, "peer-handler"));
   private final ByteBuffer buffer = PeerLink.readBuffer();
   private Thread thread;
   private Selector selector;
@@ -234,12 +244,21 @@
     } else if (message instanceof PeerMessage.Beat beat) {
       receiveBeat(link, beat);
     } else if (message instanceof PeerMessage.Question question) {
-      handlers.execute(() -> answer(link, question));
+      dispatch(link, question, nowMillis);
     } else if (message instanceof PeerMessage.Answer answer) {
       questions.answered(link.peerName(), answer);
     }
   }
 
+  private void dispatch(PeerLink link, PeerMessage.Question question, long nowMillis) {
+    try {
+      handlers.execute(() -> answer(link, question));
+    } catch (RejectedExecutionException e) {
+      PeerMessage.Answer busy = PeerQuestions.error(question, "too many questions wait");
+      links.send(link, FrameDecoder.frame(busy).get(), nowMillis);
+    }
+  }
+
   private void receiveBeat(PeerLink link, PeerMessage.Beat beat) {
     link.setPeerSentMillis(beat.sentMillis());
     long aliveMillis = beat.echoMillis();
--- a/tool/src/main/java/org/persimmonloom/tool/command/Main.java
+++ b/tool/src/main/java/org/persimmonloom/tool/command/Main.java
@@ -17,6 +17,8 @@
     Map<String, Command> commands = new LinkedHashMap<>();
     commands.put("release apply", new ReleaseApplyCommand());
     commands.put("release show", new ReleaseShowCommand());
+    commands.put("release status", new ReleaseStatusCommand());
+    commands.put("measure fold", new MeasureFoldCommand());
     commands.put("standin", new StandInCommand());
     return commands;
   }
