Let one host propose a loss first when fold time jumps

Cause: in a run of eight processes two hosts proposed the loss of a killed one within 5 ms. Hosts that start together renew together, so fold time moves in steps, and the delay by rank, counted in fold time, had passed for both at once.

Change: the delay counts on the own clock from the moment at which both limits were seen to be passed.

Conclusion: the simulation guards the order of proposals; the run of processes was not repeated.

--- a/core/src/main/java/org/persimmonloom/core/member/LossRule.java
+++ b/core/src/main/java/org/persimmonloom/core/member/LossRule.java
@@ -1,59 +1,81 @@
 package org.persimmonloom.core.member;
 
 import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
-import java.util.stream.Stream;
 import net.openhft.hashing.LongHashFunction;
 
 /**
  * Decides when this entry host proposes that another one is lost.
  *
  * <p>One host proposes first, by rendezvous order for the lost incarnation; the others follow with
- * a delay that grows with their rank, so that a fleet does not append the same proposal at once. A
- * proposal that the fold would refuse is not made. Stateless.
+ * a delay that grows with their rank, so that a fleet does not append the same proposal at once.
+ * The delay counts from the moment at which both limits were seen to be passed, on the own clock:
+ * fold time moves in steps of up to 10 s, because hosts that started together renew together. A
+ * proposal that the fold would refuse is not made, and one is repeated only after a while. Confined
+ * to one thread or guarded by its owner's lock.
  */
 public final class LossRule {
-  private static final long RANK_DELAY_MILLIS = 2_000;
-  private static final long MAX_JITTER_MILLIS = 1_000;
+  static final long RANK_DELAY_MILLIS = 2_000;
+  static final long MAX_JITTER_MILLIS = 1_000;
 
-  private LossRule() {}
+  /** How long to wait for the fold of a proposal before it is made again. */
+  static final long REPEAT_MILLIS = 5_000;
 
-  /** Returns the incarnations that {@code self} should propose as lost now. */
-  public static List<EntryHostLost> due(
-      String self,
-      Collection<EntryHost> registered,
-      PeerView view,
-      long foldTimeMillis,
-      long nowMillis) {
-    Set<String> reporters =
-        Stream.concat(
-                Stream.of(self),
-                registered.stream()
-                    .map(EntryHost::name)
-                    .filter(name -> !view.isSuspect(name, nowMillis)))
-            .collect(Collectors.toSet());
-    return registered.stream()
-        .filter(host -> !host.name().equals(self))
-        .filter(
-            host ->
-                overdueMillis(host, view, foldTimeMillis, nowMillis)
-                    >= delayMillis(self, host, reporters))
-        .map(host -> new EntryHostLost(host.name(), host.incarnation()))
-        .toList();
+  private final String self;
+  private final Map<EntryHostLost, Long> overdueSince = new HashMap<>();
+  private final Map<EntryHostLost, Long> proposed = new HashMap<>();
+
+  /** Creates the rule of the entry host with this name. */
+  public LossRule(String self) {
+    this.self = self;
+  }
+
+  /** Returns the incarnations that this host proposes as lost now. */
+  public List<EntryHostLost> due(
+      Collection<EntryHost> registered, PeerView view, long foldTimeMillis, long nowMillis) {
+    Set<EntryHostLost> overdue =
+        registered.stream()
+            .filter(host -> !host.name().equals(self))
+            .filter(host -> isOverdue(host, view, foldTimeMillis, nowMillis))
+            .map(host -> new EntryHostLost(host.name(), host.incarnation()))
+            .collect(Collectors.toCollection(LinkedHashSet::new));
+    overdueSince.keySet().retainAll(overdue);
+    overdue.forEach(loss -> overdueSince.putIfAbsent(loss, nowMillis));
+    proposed.values().removeIf(millis -> nowMillis - millis >= REPEAT_MILLIS);
+    Set<String> reporters = reporters(registered, view, nowMillis);
+    List<EntryHostLost> due =
+        overdue.stream()
+            .filter(loss -> !proposed.containsKey(loss))
+            .filter(loss -> nowMillis - overdueSince.get(loss) >= delayMillis(loss, reporters))
+            .toList();
+    due.forEach(loss -> proposed.put(loss, nowMillis));
+    return due;
   }
 
-  /** Returns how long both limits have been passed; negative if one has not. */
-  private static long overdueMillis(
+  private static boolean isOverdue(
       EntryHost host, PeerView view, long foldTimeMillis, long nowMillis) {
-    long silentMillis = view.silentMillis(host.name(), nowMillis) - PeerView.LOST_AFTER_MILLIS;
-    long unrenewedMillis = foldTimeMillis - host.seenMillis() - EntryHostTable.LOST_AFTER_MILLIS;
-    return Math.min(silentMillis, unrenewedMillis);
+    return view.silentMillis(host.name(), nowMillis) >= PeerView.LOST_AFTER_MILLIS
+        && foldTimeMillis - host.seenMillis() >= EntryHostTable.LOST_AFTER_MILLIS;
+  }
+
+  private Set<String> reporters(Collection<EntryHost> registered, PeerView view, long nowMillis) {
+    Set<String> reporters = new HashSet<>();
+    reporters.add(self);
+    registered.stream()
+        .map(EntryHost::name)
+        .filter(name -> !view.isSuspect(name, nowMillis))
+        .forEach(reporters::add);
+    return reporters;
   }
 
-  private static long delayMillis(String self, EntryHost host, Set<String> reporters) {
-    String key = host.name() + '/' + host.incarnation();
+  private long delayMillis(EntryHostLost loss, Set<String> reporters) {
+    String key = loss.name() + '/' + loss.incarnation();
     int rank = RendezvousOrder.rank(reporters, key, self);
     if (rank == 0) {
       return 0;
--- a/core/src/test/java/org/persimmonloom/core/member/MembershipRulesTest.java
+++ b/core/src/test/java/org/persimmonloom/core/member/MembershipRulesTest.java
@@ -3,43 +3,64 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.LongUnaryOperator;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
 class MembershipRulesTest {
   private static final long SEEN = 100_000;
 
-  /** Returns which hosts propose entry-8 as lost when it was silent for the given time. */
-  private static List<String> proposers(long silentMillis, long unrenewedMillis) {
+  /** Proposals of the loss of entry-8 by the other seven, by the time since it was last heard. */
+  private static TreeMap<Long, List<String>> proposals(LongUnaryOperator unrenewedMillis) {
     List<EntryHost> hosts = MemberFixtures.registered(8, SEEN);
-    long now = SEEN + silentMillis;
-    PeerView view = new PeerView();
-    hosts.forEach(host -> view.hear(MemberFixtures.heartbeat(host.name(), 1, 1), now, true));
-    PeerView partial = new PeerView();
-    partial.setPeers(hosts.stream().map(EntryHost::name).toList(), SEEN);
-    view.all().stream()
-        .filter(heard -> !heard.heartbeat().name().equals("entry-8"))
-        .forEach(heard -> partial.hear(heard.heartbeat(), now, true));
-    return IntStream.rangeClosed(1, 7)
-        .mapToObj(number -> "entry-" + number)
-        .filter(
-            self ->
-                LossRule.due(self, hosts, partial, SEEN + unrenewedMillis, now).stream()
-                    .anyMatch(loss -> loss.name().equals("entry-8")))
-        .toList();
+    TreeMap<Long, List<String>> proposals = new TreeMap<>();
+    for (String self : hosts.stream().map(EntryHost::name).limit(7).toList()) {
+      LossRule rule = new LossRule(self);
+      PeerView view = new PeerView();
+      for (long silent = 0; silent <= 80_000; silent += 100) {
+        long now = SEEN + silent;
+        view.setPeers(hosts.stream().map(EntryHost::name).toList(), now);
+        hosts.stream()
+            .limit(7)
+            .forEach(host -> view.hear(MemberFixtures.heartbeat(host.name(), 1, 1), now, true));
+        long foldTime = SEEN + unrenewedMillis.applyAsLong(silent);
+        for (EntryHostLost loss : rule.due(hosts, view, foldTime, now)) {
+          assertThat(loss).isEqualTo(new EntryHostLost("entry-8", 1));
+          proposals.computeIfAbsent(silent, unused -> new ArrayList<>()).add(self);
+        }
+      }
+    }
+    return proposals;
+  }
+
+  private static void assertOneFirst(TreeMap<Long, List<String>> proposals, long firstMillis) {
+    assertThat(proposals.firstKey()).isEqualTo(firstMillis);
+    String first = proposals.firstEntry().getValue().get(0);
+    assertThat(proposals.headMap(firstMillis + LossRule.RANK_DELAY_MILLIS).values())
+        .containsExactly(List.of(first));
+    long lastMillis =
+        firstMillis + 6 * LossRule.RANK_DELAY_MILLIS + LossRule.MAX_JITTER_MILLIS + 100;
+    assertThat(proposals.headMap(lastMillis).values().stream().flatMap(List::stream).distinct())
+        .hasSize(7);
   }
 
   /** Guards against proposals that the fold refuses, and against all hosts proposing at once. */
   @Test
   void oneHostProposesALossFirst() {
-    assertThat(proposers(9_999, 60_000)).isEmpty();
-    assertThat(proposers(60_000, EntryHostTable.LOST_AFTER_MILLIS - 1)).isEmpty();
-    assertThat(proposers(60_000, EntryHostTable.LOST_AFTER_MILLIS)).hasSize(1);
-    assertThat(proposers(10_000, 60_000)).hasSize(1);
-    assertThat(proposers(10_000 + 8 * 3_000, 80_000)).hasSize(7);
+    assertOneFirst(proposals(silent -> silent), EntryHostTable.LOST_AFTER_MILLIS);
+    assertOneFirst(proposals(silent -> 60_000), PeerView.LOST_AFTER_MILLIS);
+    assertThat(proposals(silent -> EntryHostTable.LOST_AFTER_MILLIS - 1)).isEmpty();
+  }
+
+  /** Guards against simultaneous proposals when fold time jumps; seen with eight processes. */
+  @Test
+  void oneHostProposesALossFirstWhenFoldTimeMovesInSteps() {
+    assertOneFirst(proposals(silent -> silent / 10_000 * 10_000), 30_000);
   }
 
   /** Guards against late frames of an ended process that hide the running one. */
--- a/runtime/src/main/java/org/persimmonloom/runtime/peer/ClusterService.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/peer/ClusterService.java
@@ -1,7 +1,6 @@
 package org.persimmonloom.runtime.peer;
 
 import java.time.InstantSource;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -38,9 +37,6 @@
 public final class ClusterService implements MeshDelegate, ClusterView, Currency {
   private static final Logger LOGGER = LogManager.getLogger(ClusterService.class);
 
-  /** How long to wait for the fold of a proposed loss before it is proposed again. */
-  private static final long REPEAT_LOSS_MILLIS = 5_000;
-
   private final EntrySettings settings;
   private final ReplicatedState state;
   private final GroupCommitter committer;
@@ -51,7 +47,7 @@
   private final List<Listener> listeners = new CopyOnWriteArrayList<>();
   private final PeerView view = new PeerView();
   private final CatchUpGoal goal = new CatchUpGoal();
-  private final Map<EntryHostLost, Long> proposedLosses = new HashMap<>();
+  private final LossRule lossRule;
   private List<EntryHost> registered = List.of();
   private int relayIndex;
   private volatile Map<String, String> addresses = Map.of();
@@ -72,6 +68,7 @@
       LeavingSource leaving,
       InstantSource clock) {
     this.settings = settings;
+    this.lossRule = new LossRule(settings.name());
     this.state = state;
     this.committer = committer;
     this.logStatus = logStatus;
@@ -88,7 +85,7 @@
     synchronized (this) {
       registered = hosts;
       view.setPeers(hosts.stream().map(EntryHost::name).toList(), nowMillis);
-      losses = dueLosses(hosts, foldTimeMillis, nowMillis);
+      losses = lossRule.due(hosts, view, foldTimeMillis, nowMillis);
       decideCurrency(nowMillis);
     }
     addresses =
@@ -103,17 +100,6 @@
     publish(nowMillis);
   }
 
-  private List<EntryHostLost> dueLosses(
-      List<EntryHost> hosts, long foldTimeMillis, long nowMillis) {
-    proposedLosses.values().removeIf(millis -> nowMillis - millis > REPEAT_LOSS_MILLIS);
-    List<EntryHostLost> due =
-        LossRule.due(settings.name(), hosts, view, foldTimeMillis, nowMillis).stream()
-            .filter(loss -> !proposedLosses.containsKey(loss))
-            .toList();
-    due.forEach(loss -> proposedLosses.put(loss, nowMillis));
-    return due;
-  }
-
   private void decideCurrency(long nowMillis) {
     long logReadMillis = logStatus.readMillis().orElse(nowMillis - Heartbeat.NEVER);
     CurrencyRule.Own own =
