--- a/runtime/src/main/java/org/persimmonloom/runtime/entry/EntryHostService.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/entry/EntryHostService.java
@@ -17,6 +17,7 @@
 import org.persimmonloom.runtime.log.GroupCommitter;
 import org.persimmonloom.runtime.log.LogFollower;
 import org.persimmonloom.runtime.log.Proposer;
+import org.persimmonloom.runtime.log.SnapshotWriter;
 import org.persimmonloom.runtime.operator.OperatorListener;
 import org.persimmonloom.runtime.peer.ClusterView;
 import org.persimmonloom.runtime.peer.PeerMesh;
@@ -40,6 +41,7 @@
   private final LogFollower follower;
   private final GroupCommitter committer;
   private final PeerMesh mesh;
+  private final SnapshotWriter snapshots;
   private final HostListWatcher hostList;
   private final JobController jobs;
   private final OperatorListener operators;
@@ -57,6 +59,7 @@
       LogFollower follower,
       GroupCommitter committer,
       PeerMesh mesh,
+      SnapshotWriter snapshots,
       HostListWatcher hostList,
       JobController jobs,
       OperatorListener operators,
@@ -73,6 +76,7 @@
     this.follower = follower;
     this.committer = committer;
     this.mesh = mesh;
+    this.snapshots = snapshots;
     this.hostList = hostList;
     this.jobs = jobs;
     this.operators = operators;
@@ -125,6 +129,7 @@
     jobs.stop();
     hostList.stop();
     timer.stop();
+    snapshots.stop();
     committer.stop();
     follower.stop();
     mesh.stop();
--- a/runtime/src/main/java/org/persimmonloom/runtime/entry/EntryModule.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/entry/EntryModule.java
@@ -12,11 +12,13 @@
 import org.persimmonloom.runtime.log.LogStatus;
 import org.persimmonloom.runtime.log.PlatformLog;
 import org.persimmonloom.runtime.log.Proposer;
+import org.persimmonloom.runtime.log.RecordSource;
 import org.persimmonloom.runtime.peer.ClusterService;
 import org.persimmonloom.runtime.peer.ClusterView;
 import org.persimmonloom.runtime.peer.Currency;
 import org.persimmonloom.runtime.peer.PeerChannel;
 import org.persimmonloom.runtime.peer.PeerMesh;
+import org.persimmonloom.runtime.peer.RecordExchange;
 import org.persimmonloom.runtime.settings.EntrySettings;
 
 /** Provides the clients of the platform and the registry of metrics. */
@@ -47,6 +49,11 @@
     return committer;
   }
 
+  @Provides
+  static RecordSource recordSource(RecordExchange exchange) {
+    return exchange;
+  }
+
   @Provides
   static PeerChannel peerChannel(PeerMesh mesh) {
     return mesh;
--- a/tool/src/main/java/org/persimmonloom/tool/command/Main.java
+++ b/tool/src/main/java/org/persimmonloom/tool/command/Main.java
@@ -10,8 +10,8 @@
 import org.persimmonloom.core.result.Failure;
 import org.persimmonloom.core.result.ResultCode;
 import org.persimmonloom.tool.measure.MeasureRoutingCommand;
-import org.persimmonloom.tool.measure.SlopesCommand;
 import org.persimmonloom.tool.measure.PolicyMeasureCommand;
+import org.persimmonloom.tool.measure.SlopesCommand;
 
 /** The operators' command. Its exit code is the number of the result code. */
 public final class Main {
@@ -31,6 +31,7 @@
     commands.put("job cancel", new JobCancelCommand());
     commands.put("job release", new JobReleaseCommand());
     commands.put("measure", new PolicyMeasureCommand());
+    commands.put("measure fold", new MeasureFoldCommand());
     commands.put("standin", new StandInCommand());
     commands.put("measure slopes", new SlopesCommand());
     return commands;
