Damp slot quotas and keep retries off probed endpoints

Cause: with quotas in proportion to loads that are 500 ms old, hosts alternate between short and long queues. A retry could also be the probe of an ejected endpoint, and the simulation forgot requests queued at a host that had lost its endpoints. Conclusion: the quotas stay work-conserving, since idle hosts keep one slot only.

--- a/core/src/main/java/org/persimmonloom/core/routing/EndpointSet.java
+++ b/core/src/main/java/org/persimmonloom/core/routing/EndpointSet.java
@@ -80,7 +80,8 @@
       int allowance = allowance(endpoint, nowMillis);
       int inProgress = use.at(endpoint.name());
       int proximity = proximity(endpoint, tried, racks, dataCentres);
-      if (inProgress >= allowance || (avoidsTried && proximity == TRIED)) {
+      if (inProgress >= allowance
+          || (avoidsTried && isLastResort(endpoint, proximity, nowMillis))) {
         continue;
       }
       double score = proximity + (double) inProgress / (allowance + 1);
@@ -93,6 +94,11 @@
     return best;
   }
 
+  /** A retry is no probe, since it would risk a second failure of the same request. */
+  private boolean isLastResort(RoutingEndpoint endpoint, int proximity, long nowMillis) {
+    return proximity == TRIED || ejection.isProbing(endpoint.name(), nowMillis);
+  }
+
   private int allowance(RoutingEndpoint endpoint, long nowMillis) {
     int share = shares.getOrDefault(endpoint.name(), 0);
     return ejection.allowance(endpoint.name(), share, nowMillis);
--- a/core/src/main/java/org/persimmonloom/core/routing/SlotQuotas.java
+++ b/core/src/main/java/org/persimmonloom/core/routing/SlotQuotas.java
@@ -9,13 +9,22 @@
 /**
  * How many slots of a service each entry host gets, by the largest remainder.
  *
- * <p>When the demand fits, each host gets its demand and an equal part of what is left, so that
- * idle hosts have slots ready for the first requests of a burst. When it does not fit, the slots
- * are divided in proportion to the demand. Both rules agree where they meet, so quotas move little
- * when the demand moves little. Each host first gets one slot, so that none has to wait for the
- * exchange of loads before it serves its first request.
+ * <p>Each host first gets one slot, so that none has to wait for the exchange of loads before it
+ * serves its first request. When the demand fits, each host gets its demand and an equal part of
+ * what is left, so that idle hosts have slots ready for a burst. When it does not fit, each host
+ * gets its demand up to an equal part of most of the slots, and the rest is divided in proportion
+ * to the demand beyond that. Both rules agree where they meet, so quotas move little when the
+ * demand moves little.
  */
 final class SlotQuotas {
+  /**
+   * The part of the slots that is divided equally between hosts that want them. With all of them in
+   * proportion to loads that are 500 ms old, a host with a short queue loses slots, builds up a
+   * long queue and gets them back, and so on; in the routing measurement this raised the wait of
+   * short work.
+   */
+  private static final double EQUAL_SHARE = 0.75;
+
   private SlotQuotas() {}
 
   private record Target(String host, int floor, double remainder, long hash) {}
@@ -25,14 +34,22 @@
     int hosts = loads.size();
     int base = hosts > 0 && slots >= hosts ? 1 : 0;
     int divisible = slots - base * hosts;
-    double demand = loads.values().stream().mapToDouble(load -> demand(load, base)).sum();
-    double scale = demand > divisible ? divisible / demand : 1;
+    double equalPart = EQUAL_SHARE * divisible / Math.max(1, hosts);
+    double demand = 0;
+    double certain = 0;
+    for (ServiceLoad load : loads.values()) {
+      demand += demand(load, base);
+      certain += Math.min(demand(load, base), equalPart);
+    }
+    double scale = demand > divisible ? (divisible - certain) / (demand - certain) : 1;
     double spare = Math.max(0, divisible - demand) / Math.max(1, hosts);
     List<Target> targets = new ArrayList<>();
     Map<String, Integer> quotas = new TreeMap<>();
     int given = 0;
     for (Map.Entry<String, ServiceLoad> entry : loads.entrySet()) {
-      double exact = base + demand(entry.getValue(), base) * scale + spare;
+      double wanted = demand(entry.getValue(), base);
+      double sure = Math.min(wanted, equalPart);
+      double exact = base + sure + (wanted - sure) * scale + spare;
       int floor = (int) Math.floor(exact);
       long hash = SlotShares.hash(service, entry.getKey());
       targets.add(new Target(entry.getKey(), floor, exact - floor, hash));
--- a/core/src/test/java/org/persimmonloom/core/routing/SlotSharesTest.java
+++ b/core/src/test/java/org/persimmonloom/core/routing/SlotSharesTest.java
@@ -12,6 +12,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
 
 class SlotSharesTest {
   /** Guards against overcommitted endpoints, idle slots and hosts that are left without a slot. */
@@ -81,6 +82,13 @@
     assertThat(gained).isLessThanOrEqualTo(8);
   }
 
+  /** Guards against slots that idle at hosts without demand while another host has a queue. */
+  @Test
+  void hostWithAllTheDemandGetsAllButOneSlotOfEachOther() {
+    Map<String, ServiceLoad> loads = loads(List.of(500, 0, 0, 0, 0, 0, 0, 0));
+    assertThat(SlotQuotas.apportion("scan", 64, loads).get("entry-0")).isEqualTo(64 - 7);
+  }
+
   private static List<EndpointCapacity> endpoints(List<Integer> slots, int connections) {
     List<EndpointCapacity> endpoints = new ArrayList<>();
     for (int i = 0; i < slots.size(); i++) {
--- a/tool/src/main/java/org/persimmonloom/tool/measure/RoutingFigures.java
+++ b/tool/src/main/java/org/persimmonloom/tool/measure/RoutingFigures.java
@@ -9,6 +9,7 @@
   private double shortWaitSum;
   private double behindLongSum;
   private long sent;
+  private long answered;
   private long refusedShort;
   private long refusedLong;
   private long endpointArrivals;
@@ -21,6 +22,10 @@
     sent++;
   }
 
+  void answered() {
+    answered++;
+  }
+
   void refused(SimulatedRequest request) {
     if (request.isLong) {
       refusedLong++;
@@ -59,11 +64,12 @@
   RoutingResult result() {
     return new RoutingResult(
         sent,
+        answered,
+        refusedShort + refusedLong,
         shortWaitMicros.getValueAtPercentile(50) / 1_000.0,
         shortWaitMicros.getValueAtPercentile(99) / 1_000.0,
         100 * behindLongSum / Math.max(1, shortWaitSum),
         longWaitMicros.getValueAtPercentile(99) / 1_000.0,
-        100.0 * (refusedShort + refusedLong) / Math.max(1, sent),
         refusedLong,
         100.0 * overcommitted / Math.max(1, endpointArrivals),
         overcommitMax,
--- a/tool/src/main/java/org/persimmonloom/tool/measure/RoutingModel.java
+++ b/tool/src/main/java/org/persimmonloom/tool/measure/RoutingModel.java
@@ -6,8 +6,9 @@
  *
  * @param delayMicros one-way delay between data centres
  * @param reportAgeMillis age at which a load report takes effect
+ * @param runMicros time during which callers send requests
  */
-record RoutingModel(String deployment, long delayMicros, long reportAgeMillis) {
+record RoutingModel(long delayMicros, long reportAgeMillis, long runMicros) {
   static final int HOSTS = 8;
   static final int SERVICES = 5;
   static final int ENDPOINTS = 8;
@@ -40,7 +41,7 @@
 
   static RoutingModel of(String deployment, long reportAgeMillis) {
     long delayMicros = deployment.equals("bot") ? 1_500 : 500;
-    return new RoutingModel(deployment, delayMicros, reportAgeMillis);
+    return new RoutingModel(delayMicros, reportAgeMillis, RUN_MICROS);
   }
 
   /** Returns the one-way delay between two data centres. */
--- a/tool/src/main/java/org/persimmonloom/tool/measure/RoutingSimulation.java
+++ b/tool/src/main/java/org/persimmonloom/tool/measure/RoutingSimulation.java
@@ -94,6 +94,7 @@
           if (!to.isAlive) {
             end(request, () -> figures.vanished(false));
           } else if (!request.isEnded) {
+            // A host that owns no endpoint any more passes its queue on at its next report.
             to.hold(request);
           }
         });
@@ -104,7 +105,7 @@
   }
 
   void answered(SimulatedRequest request) {
-    end(request, () -> {});
+    end(request, figures::answered);
   }
 
   private void end(SimulatedRequest request, Runnable count) {
@@ -145,7 +146,7 @@
     long periodEnd = (loop.nowMicros() / RoutingModel.PEAK_MICROS + 1) * RoutingModel.PEAK_MICROS;
     if (loop.nowMicros() + gap >= periodEnd) {
       // Arrivals have no memory: at a change of the rate, the next gap is drawn anew.
-      if (periodEnd < RoutingModel.RUN_MICROS) {
+      if (periodEnd < model.runMicros()) {
         loop.after(periodEnd - loop.nowMicros(), () -> scheduleArrival(service));
       }
       return;
@@ -184,7 +185,8 @@
   }
 
   private void report(SimulatedEntryHost host) {
-    if (!host.isAlive || loop.nowMicros() > RoutingModel.RUN_MICROS) {
+    boolean isOver = loop.nowMicros() > model.runMicros() && open.isEmpty();
+    if (!host.isAlive || isOver) {
       return;
     }
     List<ServiceLoad> loads = host.loads();
--- a/tool/src/main/java/org/persimmonloom/tool/measure/SimulatedEntryHost.java
+++ b/tool/src/main/java/org/persimmonloom/tool/measure/SimulatedEntryHost.java
@@ -1,7 +1,7 @@
 package org.persimmonloom.tool.measure;
 
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -21,7 +21,7 @@
   private final RoutingSimulation simulation;
   private final List<ServiceScheduler> schedulers = new ArrayList<>();
   private final List<BusyShare> busyShares = new ArrayList<>();
-  private final Map<Long, SimulatedRequest> held = new HashMap<>();
+  private final Map<Long, SimulatedRequest> held = new LinkedHashMap<>();
 
   SimulatedEntryHost(String name, int dataCentre, RoutingSimulation simulation) {
     this.name = name;
@@ -50,17 +50,35 @@
   void applyShares() {
     view.forgetSilent(simulation.loop.nowMicros());
     for (int service = 0; service < RoutingModel.SERVICES; service++) {
-      schedulers
-          .get(service)
-          .setSlotShares(
-              simulation.strategy.shares(name, service, simulation.capacities(service), view));
+      Map<String, Integer> shares =
+          simulation.strategy.shares(name, service, simulation.capacities(service), view);
+      schedulers.get(service).setSlotShares(shares);
+      if (shares.isEmpty()) {
+        passOnQueue(service);
+      }
       assign(service);
     }
   }
 
+  /** Forwards what waits here for a service whose endpoints other hosts own by now. */
+  private void passOnQueue(int service) {
+    for (SimulatedRequest request : List.copyOf(held.values())) {
+      if (request.service == service && schedulers.get(service).cancel(request.id)) {
+        held.remove(request.id);
+        double read = busyShares.get(service).read(simulation.loop.nowMicros());
+        request.behindLongMicros += read - request.waitMark;
+        place(request);
+      }
+    }
+  }
+
   /** Accepts a request of a caller, and holds it or forwards it. */
   void accept(SimulatedRequest request) {
     request.entry = this;
+    place(request);
+  }
+
+  private void place(SimulatedRequest request) {
     String holder =
         simulation.strategy.holder(
             name, request.service, simulation.capacities(request.service), view);
@@ -80,8 +98,8 @@
             request.id,
             request.route,
             request.hint,
-            nowMillis,
-            request.deadlineMillis(nowMillis),
+            request.sentMicros / 1_000,
+            request.deadlineMillis(),
             0,
             Set.of());
     request.waitMark = busyShares.get(request.service).read(simulation.loop.nowMicros());
--- a/tool/src/main/java/org/persimmonloom/tool/measure/SimulatedRequest.java
+++ b/tool/src/main/java/org/persimmonloom/tool/measure/SimulatedRequest.java
@@ -44,8 +44,8 @@
     this.sentMicros = sentMicros;
   }
 
-  long deadlineMillis(long arrivedMillis) {
-    return arrivedMillis
+  long deadlineMillis() {
+    return sentMicros / 1_000
         + (isLong ? RoutingModel.LONG_DEADLINE_MILLIS : RoutingModel.SHORT_DEADLINE_MILLIS);
   }
 }
