--- a/core/src/main/java/org/persimmonloom/core/routing/EndpointSet.java
+++ b/core/src/main/java/org/persimmonloom/core/routing/EndpointSet.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -16,9 +17,22 @@
  */
 final class EndpointSet {
   private static final int TRIED = 3;
+  private static final int MAX_DEPARTED = 256;
 
   private final OutlierEjection ejection = new OutlierEjection();
-  private final Map<String, RoutingEndpoint> known = new HashMap<>();
+
+  /**
+   * Endpoints by name, with some that have left: a retry of work that one of them failed avoids its
+   * rack, where a maintenance wave may be under way.
+   */
+  private final Map<String, RoutingEndpoint> known =
+      new LinkedHashMap<>(16, 0.75f, true) {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, RoutingEndpoint> eldest) {
+          return size() > current.size() + MAX_DEPARTED;
+        }
+      };
+
   private final Map<String, Integer> shares = new HashMap<>();
   private List<RoutingEndpoint> current = List.of();
 
@@ -27,9 +41,8 @@
 
   void setEndpoints(List<RoutingEndpoint> endpoints) {
     current = List.copyOf(endpoints);
-    known.clear();
     endpoints.forEach(endpoint -> known.put(endpoint.name(), endpoint));
-    ejection.setEndpoints(known.keySet());
+    ejection.setEndpoints(endpoints.stream().map(RoutingEndpoint::name).toList());
   }
 
   /** Takes an endpoint out of use; its health stays known in case it is named again. */
--- a/core/src/main/java/org/persimmonloom/core/routing/SlotShares.java
+++ b/core/src/main/java/org/persimmonloom/core/routing/SlotShares.java
@@ -42,7 +42,7 @@
   /**
    * Computes the shares.
    *
-   * @param service spreads the first slots of each service differently over the endpoints' hosts
+   * @param service name of the service; the order by hash differs between services
    * @param loads the load of each live entry host, this one included
    */
   public static SlotShares apportion(
--- a/core/src/test/java/org/persimmonloom/core/routing/ServiceSchedulerTest.java
+++ b/core/src/test/java/org/persimmonloom/core/routing/ServiceSchedulerTest.java
@@ -24,6 +24,7 @@
   private static final int QUEUE_LIMIT = 5_000;
 
   private final Map<Long, PendingRequest> offered = new HashMap<>();
+  private final List<RoutingEndpoint> endpoints = new ArrayList<>();
   private ServiceScheduler scheduler;
   private long ids;
 
@@ -212,6 +213,44 @@
     assertThat(names(expected)).contains(assigned.get(0).endpoint().name());
   }
 
+  /** Guards against a retry in the rack of an endpoint that failed and has left since. */
+  @Test
+  void retryAvoidsDomainOfDepartedEndpoint() {
+    use(8, 1);
+    List<RoutingEndpoint> left = new ArrayList<>(endpoints);
+    left.remove(0);
+    scheduler.setEndpoints(left, 0);
+    for (int i = 0; i < 4; i++) {
+      scheduler.offer(request("GET /scan/a", null, 5_000, names("0")), 0);
+    }
+    assertThat(scheduler.assign(0))
+        .extracting(assignment -> assignment.endpoint().dataCentre())
+        .containsOnly("dc1");
+  }
+
+  /** Guards against a request that fails twice because its retry probes an ejected endpoint. */
+  @Test
+  void retryIsNoProbe() {
+    use(3, 1);
+    for (int round = 0; round < EndpointHealth.CONSECUTIVE_FAILURES; round++) {
+      for (int i = 0; i < 3; i++) {
+        scheduler.offer(request("GET /scan/a", null, 60_000, Set.of()), 0);
+      }
+      for (Assignment assignment : scheduler.assign(0)) {
+        boolean isBroken = assignment.endpoint().name().equals("endpoint-0");
+        AttemptResult result = isBroken ? AttemptResult.FAILED : AttemptResult.SUCCEEDED;
+        scheduler.completed(assignment, result, 10, 0);
+      }
+    }
+    long probing = EndpointHealth.FIRST_EJECTION_MILLIS;
+    for (int i = 0; i < 6; i++) {
+      scheduler.offer(request("GET /scan/a", null, 60_000, names("1")), probing);
+      Assignment retry = scheduler.assign(probing).get(0);
+      assertThat(retry.endpoint().name()).isEqualTo("endpoint-2");
+      scheduler.completed(retry, AttemptResult.CANCELLED, 0, probing);
+    }
+  }
+
   /**
    * Guards against an endpoint that gets more in progress than its share, in any order of calls.
    */
@@ -263,15 +302,16 @@
         assignment -> scheduler.completed(assignment, AttemptResult.SUCCEEDED, runMillis, now));
   }
 
-  private void use(int endpoints, int share) {
-    List<RoutingEndpoint> list = new ArrayList<>();
+  private void use(int count, int share) {
+    endpoints.clear();
     Map<String, Integer> shares = new HashMap<>();
-    for (int i = 0; i < endpoints; i++) {
+    for (int i = 0; i < count; i++) {
       String name = "endpoint-" + i;
-      list.add(new RoutingEndpoint(name, "10.0.0." + i + ":80", "r" + i / 2 % 2, "dc" + i / 4));
+      endpoints.add(
+          new RoutingEndpoint(name, "10.0.0." + i + ":80", "r" + i / 2 % 2, "dc" + i / 4));
       shares.put(name, share);
     }
-    scheduler.setEndpoints(list, 0);
+    scheduler.setEndpoints(endpoints, 0);
     scheduler.setSlotShares(shares);
   }
 
