Make the test of retries and probes fail without its rule

Cause: the test passed with the rule removed, because the expected endpoint was also the one in another rack. Change: both candidates are in the same rack. Conclusion: a retry does not probe an ejected endpoint.

--- a/core/src/test/java/org/persimmonloom/core/routing/ServiceSchedulerTest.java
+++ b/core/src/test/java/org/persimmonloom/core/routing/ServiceSchedulerTest.java
@@ -244,9 +244,9 @@
     }
     long probing = EndpointHealth.FIRST_EJECTION_MILLIS;
     for (int i = 0; i < 6; i++) {
-      scheduler.offer(request("GET /scan/a", null, 60_000, names("1")), probing);
+      scheduler.offer(request("GET /scan/a", null, 60_000, names("2")), probing);
       Assignment retry = scheduler.assign(probing).get(0);
-      assertThat(retry.endpoint().name()).isEqualTo("endpoint-2");
+      assertThat(retry.endpoint().name()).isEqualTo("endpoint-1");
       scheduler.completed(retry, AttemptResult.CANCELLED, 0, probing);
     }
   }
