Run waves and moves on the entry hosts, with routes and commands

Cause: nothing proposed the steps that the fold decides. Change: WaveController proposes due steps in rendezvous order, confirms drains through the DrainProbe set and calls the platform's reboot; HostListWatcher uses HostListTracker; operators' routes and commands for hosts, pools, maintenance and explain; the host list stand-in reboots, marks leaving hosts and lets hosts vanish. Conclusion: a wave, a move, a leaving and a lost host pass end to end over loopback with two entry hosts and one budget that held at each look.

--- a/runtime/src/main/java/org/persimmonloom/runtime/entry/EntryComponent.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/entry/EntryComponent.java
@@ -8,7 +8,7 @@
 
 /** Wires one entry host. */
 @Singleton
-@Component(modules = {EntryModule.class, OperatorModule.class})
+@Component(modules = {EntryModule.class, OperatorModule.class, FleetModule.class})
 public interface EntryComponent {
   /** Returns the entry host, not yet started. */
   EntryHostService entryHost();
--- a/runtime/src/main/java/org/persimmonloom/runtime/entry/EntryHostService.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/entry/EntryHostService.java
@@ -4,6 +4,7 @@
 import javax.inject.Singleton;
 import org.persimmonloom.runtime.caller.CallerListener;
 import org.persimmonloom.runtime.fleet.HostListWatcher;
+import org.persimmonloom.runtime.fleet.WaveController;
 import org.persimmonloom.runtime.log.GroupCommitter;
 import org.persimmonloom.runtime.log.LogFollower;
 import org.persimmonloom.runtime.operator.OperatorListener;
@@ -14,6 +15,7 @@
   private final LogFollower follower;
   private final GroupCommitter committer;
   private final HostListWatcher hostList;
+  private final WaveController waves;
   private final OperatorListener operators;
   private final CallerListener callers;
 
@@ -22,11 +24,13 @@
       LogFollower follower,
       GroupCommitter committer,
       HostListWatcher hostList,
+      WaveController waves,
       OperatorListener operators,
       CallerListener callers) {
     this.follower = follower;
     this.committer = committer;
     this.hostList = hostList;
+    this.waves = waves;
     this.operators = operators;
     this.callers = callers;
   }
@@ -36,6 +40,7 @@
     follower.start();
     committer.start();
     hostList.start();
+    waves.start();
     operators.start();
     callers.start();
   }
@@ -44,6 +49,7 @@
   public void stop() throws InterruptedException {
     callers.stop();
     operators.stop();
+    waves.stop();
     hostList.stop();
     committer.stop();
     follower.stop();
--- a/runtime/src/main/java/org/persimmonloom/runtime/fleet/HostListClient.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/fleet/HostListClient.java
@@ -2,13 +2,18 @@
 
 import java.io.IOException;
 import java.util.Map;
+import okhttp3.HttpUrl;
 import okhttp3.OkHttpClient;
 import okhttp3.Request;
+import okhttp3.RequestBody;
 import okhttp3.Response;
 import org.persimmonloom.core.result.Failure;
 import org.persimmonloom.core.wire.Codec;
 
-/** Reads the platform's host list: a JSON document over HTTP. Safe for any thread. */
+/**
+ * Reads the platform's host list, a JSON document over HTTP, and asks the platform to reboot hosts.
+ * Safe for any thread.
+ */
 public final class HostListClient {
   private final Codec codec = new Codec(Map.of());
   private final OkHttpClient client;
@@ -32,4 +37,26 @@
           .getOrElseThrow((Failure failure) -> new IOException(failure.toString()));
     }
   }
+
+  /**
+   * Asks the platform to reboot a host. Calls with the same attempt reboot it once.
+   *
+   * @throws IOException if the platform did not accept the call, or its answer was lost
+   */
+  public void reboot(String host, String attempt) throws IOException {
+    HttpUrl target =
+        HttpUrl.get(url)
+            .newBuilder()
+            .addPathSegment("reboot")
+            .addQueryParameter("host", host)
+            .addQueryParameter("attempt", attempt)
+            .build();
+    Request request =
+        new Request.Builder().url(target).post(RequestBody.create(new byte[0])).build();
+    try (Response response = client.newCall(request).execute()) {
+      if (!response.isSuccessful()) {
+        throw new IOException("reboot answered with status " + response.code());
+      }
+    }
+  }
 }
--- a/runtime/src/main/java/org/persimmonloom/runtime/fleet/HostListWatcher.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/fleet/HostListWatcher.java
@@ -1,21 +1,36 @@
 package org.persimmonloom.runtime.fleet;
 
 import java.io.IOException;
+import java.time.InstantSource;
+import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.Executors;
+import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import javax.inject.Inject;
 import javax.inject.Singleton;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.persimmonloom.core.host.Host;
+import org.persimmonloom.core.fold.Proposal;
+import org.persimmonloom.core.host.DrainCancelled;
 import org.persimmonloom.core.host.HostAdmitted;
-import org.persimmonloom.core.host.HostFacts;
+import org.persimmonloom.core.host.HostLeaving;
+import org.persimmonloom.core.host.HostListTracker;
+import org.persimmonloom.core.host.HostLost;
+import org.persimmonloom.core.host.HostReturned;
+import org.persimmonloom.core.host.HostsUnlisted;
+import org.persimmonloom.core.maintenance.MaintenanceSteps.Step;
+import org.persimmonloom.core.member.EntryHost;
+import org.persimmonloom.runtime.log.LogFollower;
 import org.persimmonloom.runtime.log.Proposer;
 import org.persimmonloom.runtime.log.ReplicatedState;
+import org.persimmonloom.runtime.settings.EntrySettings;
 
-/** Reads the host list at an interval and proposes hosts that the fold does not know. */
+/**
+ * Reads the host list at an interval and proposes what {@link HostListTracker} decides. A failed
+ * read is no reading: no host is missing because the list is. Started and stopped once; the leaving
+ * hosts may be read by any thread.
+ */
 @Singleton
 public final class HostListWatcher {
   private static final Logger LOGGER = LogManager.getLogger(HostListWatcher.class);
@@ -23,15 +38,28 @@
 
   private final HostListClient client;
   private final ReplicatedState state;
-  private final Proposer proposer;
-  private final ScheduledExecutorService executor = Executors.newSingleThreadScheduledExecutor();
+  private final LogFollower follower;
+  private final InstantSource clock;
+  private final StepProposer proposer;
+  private final HostListTracker tracker = new HostListTracker();
+  private final ScheduledExecutorService executor = WaveController.executor("host-list");
+  private volatile Set<String> leaving = Set.of();
+  private List<String> massEvents = List.of();
   private boolean reachable = true;
 
   @Inject
-  public HostListWatcher(HostListClient client, ReplicatedState state, Proposer proposer) {
+  public HostListWatcher(
+      HostListClient client,
+      ReplicatedState state,
+      LogFollower follower,
+      Proposer proposer,
+      EntrySettings settings,
+      InstantSource clock) {
     this.client = client;
     this.state = state;
-    this.proposer = proposer;
+    this.follower = follower;
+    this.clock = clock;
+    this.proposer = new StepProposer(proposer, settings.name());
   }
 
   /** Starts reading. */
@@ -44,30 +72,68 @@
     executor.shutdownNow();
   }
 
+  /**
+   * Returns the hosts that the last reading named as leaving. They get no new work from this entry
+   * host, even before their drain is folded.
+   */
+  public Set<String> leaving() {
+    return leaving;
+  }
+
   private void poll() {
     try {
       HostList list = client.read();
       reachable = true;
-      List<HostAdmitted> admissions =
-          state.read(
-              fleet ->
-                  list.live().stream()
-                      .filter(facts -> fleet.releases().pool(facts.homePool()).isPresent())
-                      .filter(facts -> !isKnown(fleet.hosts().find(facts.name()), facts))
-                      .map(HostAdmitted::new)
-                      .toList());
-      if (!admissions.isEmpty()) {
-        proposer.propose(admissions);
+      leaving = list.leaving();
+      if (follower.isCaughtUp()) {
+        take(list, clock.millis());
       }
     } catch (IOException e) {
       if (reachable) {
         LOGGER.warn("host list unreachable: {}", e.getMessage());
       }
       reachable = false;
+    } catch (RuntimeException e) {
+      // A scheduled task that throws is never run again.
+      LOGGER.error("host list not processed", e);
+    }
+  }
+
+  private void take(HostList list, long nowMillis) {
+    HostListTracker.Decision decision =
+        state.read(
+            fleet ->
+                tracker.read(
+                    list.live(),
+                    list.leaving(),
+                    fleet.hosts().all(),
+                    pool -> fleet.releases().pool(pool).isPresent(),
+                    nowMillis));
+    List<String> members =
+        state.read(fleet -> fleet.entryHosts().live().stream().map(EntryHost::name).toList());
+    List<Step> steps = new ArrayList<>();
+    decision.proposals().forEach(it -> steps.add(new Step(subject(it), it)));
+    proposer.offer(steps, members, nowMillis);
+    if (!decision.massEvents().equals(massEvents)) {
+      massEvents = decision.massEvents();
+      LOGGER.warn("mass events in the host list: {}", massEvents);
     }
   }
 
-  private static boolean isKnown(java.util.Optional<Host> host, HostFacts facts) {
-    return host.isPresent() && host.get().facts().equals(facts);
+  private static String subject(Proposal proposal) {
+    if (proposal instanceof HostAdmitted admitted) {
+      return admitted.facts().name();
+    } else if (proposal instanceof HostLost lost) {
+      return lost.host();
+    } else if (proposal instanceof HostReturned returned) {
+      return returned.host();
+    } else if (proposal instanceof HostLeaving named) {
+      return named.host();
+    } else if (proposal instanceof DrainCancelled cancelled) {
+      return cancelled.host();
+    } else if (proposal instanceof HostsUnlisted unlisted) {
+      return unlisted.domain() + unlisted.isUnlisted();
+    }
+    throw new IllegalArgumentException("no subject for " + proposal);
   }
 }
--- a/tool/src/main/java/org/persimmonloom/tool/command/Command.java
+++ b/tool/src/main/java/org/persimmonloom/tool/command/Command.java
@@ -1,10 +1,16 @@
 package org.persimmonloom.tool.command;
 
 import io.vavr.control.Either;
+import java.util.List;
 import org.persimmonloom.core.result.Failure;
 
 /** One command of the operators, with its options as annotated fields. */
 public interface Command {
   /** Returns the text to print, or why the command failed. */
   Either<Failure, String> run();
+
+  /** Returns examples for {@code --help}, each without the name of the program. */
+  default List<String> examples() {
+    return List.of();
+  }
 }
--- a/tool/src/main/java/org/persimmonloom/tool/command/Main.java
+++ b/tool/src/main/java/org/persimmonloom/tool/command/Main.java
@@ -17,6 +17,15 @@
     Map<String, Command> commands = new LinkedHashMap<>();
     commands.put("release apply", new ReleaseApplyCommand());
     commands.put("release show", new ReleaseShowCommand());
+    commands.put("pool list", new PoolListCommand());
+    commands.put("pool show", new PoolShowCommand());
+    commands.put("host list", new HostListCommand());
+    commands.put("host move", new HostMoveCommand());
+    commands.put("maintenance request", new MaintenanceRequestCommand());
+    commands.put("maintenance status", new MaintenanceStatusCommand());
+    commands.put("maintenance cancel", new MaintenanceCancelCommand());
+    commands.put("maintenance plan", new MaintenancePlanCommand());
+    commands.put("explain", new ExplainCommand());
     commands.put("standin", new StandInCommand());
     return commands;
   }
@@ -46,6 +55,7 @@
     JCommander parser = JCommander.newBuilder().addObject(command).build();
     if (options.contains("--help")) {
       parser.usage();
+      command.examples().forEach(it -> System.out.println("  Example: persimmonloom " + it));
       return ResultCode.OK;
     }
     try {
--- a/tool/src/main/java/org/persimmonloom/tool/standin/HostListStandIn.java
+++ b/tool/src/main/java/org/persimmonloom/tool/standin/HostListStandIn.java
@@ -1,16 +1,40 @@
 package org.persimmonloom.tool.standin;
 
 import io.undertow.Undertow;
+import io.undertow.server.HttpServerExchange;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.persimmonloom.core.host.HostFacts;
 import org.persimmonloom.core.wire.Codec;
 import org.persimmonloom.runtime.fleet.HostList;
 
-/** Stands in for the platform's host list. Safe for any thread. */
+/**
+ * Stands in for the platform's host list and its reboots. A rebooted host vanishes from the list
+ * until its reboot time is over; a repeated attempt reboots nothing. Safe for any thread.
+ */
 public final class HostListStandIn {
   private final Codec codec = new Codec(Map.of());
   private final InetSocketAddress address;
-  private volatile HostList list;
+  private final Set<String> vanished = new HashSet<>();
+  private final Set<String> attempts = new HashSet<>();
+  private final ScheduledExecutorService timer =
+      Executors.newSingleThreadScheduledExecutor(
+          task -> {
+            Thread thread = new Thread(task, "host-list-stand-in");
+            thread.setDaemon(true);
+            return thread;
+          });
+  private HostList list;
+  private long rebootMillis = 2_000;
+  private Consumer<String> rebootListener = host -> {};
   private Undertow server;
 
   /** Creates a list that will be served at {@code address}. */
@@ -20,16 +44,78 @@
   }
 
   /** Replaces what readers get. */
-  public void set(HostList next) {
+  public synchronized void set(HostList next) {
     list = next;
   }
 
+  /** Sets how long a rebooted host is away; a host never returns if this is negative. */
+  public synchronized void setRebootMillis(long millis) {
+    rebootMillis = millis;
+  }
+
+  /** Sets a listener that is told of each reboot that takes place, with the host's name. */
+  public synchronized void onReboot(Consumer<String> listener) {
+    rebootListener = listener;
+  }
+
+  /** Names a host as leaving, or takes the mark back. */
+  public synchronized void setLeaving(String host, boolean isLeaving) {
+    Set<String> leaving = new HashSet<>(list.leaving());
+    boolean unused = isLeaving ? leaving.add(host) : leaving.remove(host);
+    list = new HostList(list.live(), leaving);
+  }
+
+  /** Takes a host off the list. */
+  public synchronized void vanish(String host) {
+    vanished.add(host);
+  }
+
+  /** Puts a vanished host back on the list. */
+  public synchronized void restore(String host) {
+    vanished.remove(host);
+  }
+
+  /** Returns the number of reboots that took place. */
+  public synchronized int rebootCount() {
+    return attempts.size();
+  }
+
+  private synchronized HostList visible() {
+    List<HostFacts> live = new ArrayList<>(list.live());
+    live.removeIf(facts -> vanished.contains(facts.name()));
+    return new HostList(live, list.leaving());
+  }
+
+  private void reboot(String host, String attempt) {
+    Consumer<String> listener;
+    synchronized (this) {
+      if (!attempts.add(attempt)) {
+        return;
+      }
+      vanish(host);
+      if (rebootMillis >= 0) {
+        timer.schedule(() -> restore(host), rebootMillis, TimeUnit.MILLISECONDS);
+      }
+      listener = rebootListener;
+    }
+    listener.accept(host);
+  }
+
+  private void handle(HttpServerExchange exchange) {
+    if (exchange.getRequestPath().equals("/reboot")) {
+      var parameters = exchange.getQueryParameters();
+      reboot(parameters.get("host").getFirst(), parameters.get("attempt").getFirst());
+    } else {
+      exchange.getResponseSender().send(codec.toJson(visible()));
+    }
+  }
+
   /** Starts listening. */
   public void start() {
     server =
         Undertow.builder()
             .addHttpListener(address.getPort(), address.getHostString())
-            .setHandler(exchange -> exchange.getResponseSender().send(codec.toJson(list)))
+            .setHandler(this::handle)
             .build();
     server.start();
   }
@@ -37,5 +123,6 @@
   /** Stops listening. */
   public void stop() {
     server.stop();
+    timer.shutdownNow();
   }
 }
