--- a/core/src/main/java/org/persimmonloom/core/explain/DecisionJournal.java
+++ b/core/src/main/java/org/persimmonloom/core/explain/DecisionJournal.java
@@ -28,6 +28,9 @@
 
   static final int MAX_ALERTS = 64;
 
+  /** Long lists of hosts are cut, so that the bound on decisions also bounds their bytes. */
+  static final int MAX_FIGURES_CHARACTERS = 400;
+
   private final LinkedHashMap<Subject, ArrayDeque<Decision>> bySubject = new LinkedHashMap<>();
   private final ArrayDeque<Decision> alerts = new ArrayDeque<>();
   private int size;
@@ -62,7 +65,7 @@
             position.timeMillis(),
             subject,
             code,
-            figures,
+            cut(figures),
             Remedies.of(code),
             1,
             false));
@@ -80,6 +83,12 @@
     }
   }
 
+  private static String cut(String text) {
+    return text.length() <= MAX_FIGURES_CHARACTERS
+        ? text
+        : text.substring(0, MAX_FIGURES_CHARACTERS) + "...";
+  }
+
   private void add(Decision decision) {
     ArrayDeque<Decision> decisions = bySubject.remove(decision.subject());
     if (decisions == null) {
--- a/core/src/main/java/org/persimmonloom/core/explain/Subject.java
+++ b/core/src/main/java/org/persimmonloom/core/explain/Subject.java
@@ -2,7 +2,12 @@
 
 import java.util.Objects;
 
-/** What a decision is about. Immutable. */
+/**
+ * What a decision is about. Immutable.
+ *
+ * @param id name of the subject; cut at {@link #MAX_CHARACTERS}, since a refused proposal may name
+ *     anything
+ */
 public record Subject(Kind kind, String id) {
   /** The kinds of subject. */
   public enum Kind {
@@ -15,9 +20,12 @@
     LIST
   }
 
+  /** Longer than any valid name. */
+  public static final int MAX_CHARACTERS = 128;
+
   public Subject {
     Objects.requireNonNull(kind, "kind");
-    Objects.requireNonNull(id, "id");
+    id = id.substring(0, Math.min(id.length(), MAX_CHARACTERS));
   }
 
   public static Subject host(String id) {
--- a/core/src/main/java/org/persimmonloom/core/host/HostListTracker.java
+++ b/core/src/main/java/org/persimmonloom/core/host/HostListTracker.java
@@ -136,7 +136,11 @@
       SortedMap<String, HostFacts> listed, Collection<Host> known, long nowMillis) {
     List<Host> missing = new ArrayList<>();
     SortedSet<String> names = new TreeSet<>();
+    SortedSet<String> down = new TreeSet<>();
     for (Host host : known) {
+      if (host.state() == HostState.DOWN) {
+        down.add(host.name());
+      }
       boolean isExpected = host.state() == HostState.DOWN || host.state() == HostState.LOST;
       if (!listed.containsKey(host.name())) {
         if (host.state() == HostState.DOWN) {
@@ -150,6 +154,7 @@
       }
     }
     missingSince.keySet().retainAll(names);
+    absentWhileDown.keySet().retainAll(down);
     return missing;
   }
 
--- a/core/src/main/java/org/persimmonloom/core/maintenance/AvailabilityBudgets.java
+++ b/core/src/main/java/org/persimmonloom/core/maintenance/AvailabilityBudgets.java
@@ -52,6 +52,28 @@
     return use(group, Set.of());
   }
 
+  /**
+   * Returns the groups that unplanned losses alone use up, by key. Costs one look at each host,
+   * because it is asked with each batch while a wave is open.
+   */
+  SortedMap<String, BudgetUse> exhaustedByLosses() {
+    SortedMap<String, BudgetGroup> groups = new TreeMap<>();
+    for (Host host : hosts.all()) {
+      if (host.isUnplannedLoss()) {
+        groupsOf(host).forEach(group -> groups.put(group.key(), group));
+      }
+    }
+    SortedMap<String, BudgetUse> exhausted = new TreeMap<>();
+    groups.forEach(
+        (key, group) -> {
+          BudgetUse use = use(group);
+          if (use.unplanned().size() >= group.maxUnavailable()) {
+            exhausted.put(key, use);
+          }
+        });
+    return exhausted;
+  }
+
   private BudgetUse use(BudgetGroup group, Collection<String> assumedUnavailable) {
     List<String> holders = new ArrayList<>();
     List<String> unplanned = new ArrayList<>();
--- a/core/src/main/java/org/persimmonloom/core/maintenance/MaintenancePlan.java
+++ b/core/src/main/java/org/persimmonloom/core/maintenance/MaintenancePlan.java
@@ -87,7 +87,7 @@
     int rounds = 0;
     int peak = 0;
     while (!remaining.isEmpty()) {
-      int granted = playRound(remaining, new TreeMap<>(room), maxAtOnce);
+      int granted = playRound(remaining, room, maxAtOnce);
       if (granted == 0) {
         return Either.left(blocked(remaining.getFirst(), room, maxAtOnce));
       }
@@ -123,15 +123,18 @@
   private static int playRound(
       LinkedList<Candidate> remaining, Map<String, Integer> room, int maxAtOnce) {
     Map<String, String> rackByPool = new TreeMap<>();
+    Map<String, Integer> used = new TreeMap<>();
     int granted = 0;
     Iterator<Candidate> candidates = remaining.iterator();
     while (candidates.hasNext() && granted < maxAtOnce) {
       Candidate candidate = candidates.next();
       String rack = HostOrder.rackOf(candidate.host());
       boolean isRackInTurn = rack.equals(rackByPool.getOrDefault(candidate.host().pool(), rack));
-      boolean hasRoom = candidate.groups().stream().allMatch(group -> room.get(group) > 0);
+      boolean hasRoom =
+          candidate.groups().stream()
+              .allMatch(group -> room.get(group) > used.getOrDefault(group, 0));
       if (isRackInTurn && hasRoom) {
-        candidate.groups().forEach(group -> room.merge(group, -1, Integer::sum));
+        candidate.groups().forEach(group -> used.merge(group, 1, Integer::sum));
         rackByPool.put(candidate.host().pool(), rack);
         candidates.remove();
         granted++;
--- a/core/src/main/java/org/persimmonloom/core/maintenance/MaintenanceSteps.java
+++ b/core/src/main/java/org/persimmonloom/core/maintenance/MaintenanceSteps.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.PriorityQueue;
 import java.util.TreeMap;
 import org.persimmonloom.core.fold.Proposal;
 import org.persimmonloom.core.host.Drain;
@@ -157,10 +158,11 @@
     int free = wave.request().maxAtOnce() - busy.size();
     List<String> assumed = new ArrayList<>();
     TreeMap<String, String> rackByPool = new TreeMap<>();
-    for (Host host : waves.pendingHosts(wave)) {
-      if (assumed.size() >= free) {
-        return;
-      }
+    // A heap, because only the first few of up to 4,200 hosts are needed with each look.
+    PriorityQueue<Host> pending = new PriorityQueue<>(HostOrder.BY_RACK);
+    pending.addAll(waves.pendingHosts(wave));
+    while (!pending.isEmpty() && assumed.size() < free) {
+      Host host = pending.remove();
       String rack = HostOrder.rackOf(host);
       boolean isInTurn = rack.equals(rackByPool.getOrDefault(host.pool(), rack));
       if (isInTurn && isGrantable(wave, host, busy, assumed)) {
--- a/core/src/main/java/org/persimmonloom/core/maintenance/PauseMonitor.java
+++ b/core/src/main/java/org/persimmonloom/core/maintenance/PauseMonitor.java
@@ -1,9 +1,9 @@
 package org.persimmonloom.core.maintenance;
 
-import java.util.List;
 import java.util.Optional;
 import java.util.SortedMap;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import org.persimmonloom.core.host.Host;
 
 /**
@@ -49,51 +49,57 @@
     return changed || nowMillis - evaluatedMillis >= INTERVAL_MILLIS;
   }
 
-  /** Looks at the budgets that the given hosts need; forgets the others. */
-  void evaluate(List<Host> pending, long nowMillis) {
+  /** Looks at the unplanned losses of now. */
+  void evaluate(long nowMillis) {
     changed = false;
     evaluatedMillis = nowMillis;
-    SortedMap<String, BudgetGroup> groups = new TreeMap<>();
-    for (Host host : pending) {
-      budgets.groupsOf(host).forEach(group -> groups.put(group.key(), group));
+    SortedMap<String, BudgetUse> exhausted = budgets.exhaustedByLosses();
+    exhausted.forEach(
+        (key, use) -> {
+          Pause known = pauses.get(key);
+          long since = known == null ? nowMillis : known.sinceMillis;
+          pauses.put(key, new Pause(text(use), since, 0));
+        });
+    for (String key : new TreeSet<>(pauses.keySet())) {
+      if (!exhausted.containsKey(key)) {
+        recover(key, pauses.get(key), nowMillis);
+      }
     }
-    pauses.keySet().retainAll(groups.keySet());
-    groups.values().forEach(group -> evaluate(group, nowMillis));
   }
 
-  private void evaluate(BudgetGroup group, long nowMillis) {
-    Pause pause = pauses.get(group.key());
-    List<String> unplanned = budgets.use(group).unplanned();
-    if (unplanned.size() >= group.maxUnavailable()) {
-      String reason =
-          "budget "
-              + group.key()
-              + " allows "
-              + group.maxUnavailable()
-              + "; lost: "
-              + (unplanned.isEmpty() ? "none" : String.join(", ", unplanned));
-      pauses.put(group.key(), new Pause(reason, pause == null ? nowMillis : pause.sinceMillis, 0));
-    } else if (pause != null) {
-      long clearSince = pause.clearSinceMillis == 0 ? nowMillis : pause.clearSinceMillis;
-      if (nowMillis - clearSince >= RESUME_MILLIS) {
-        pauses.remove(group.key());
-      } else {
-        pauses.put(group.key(), new Pause(pause.reason, pause.sinceMillis, clearSince));
-      }
+  private static String text(BudgetUse use) {
+    return "budget "
+        + use.group().key()
+        + " allows "
+        + use.group().maxUnavailable()
+        + "; lost: "
+        + String.join(", ", use.unplanned());
+  }
+
+  private void recover(String key, Pause pause, long nowMillis) {
+    long clearSince = pause.clearSinceMillis == 0 ? nowMillis : pause.clearSinceMillis;
+    if (nowMillis - clearSince >= RESUME_MILLIS) {
+      pauses.remove(key);
+    } else {
+      pauses.put(key, new Pause(pause.reason, pause.sinceMillis, clearSince));
     }
   }
 
   /** Returns why the host must wait for unplanned losses to end, or empty. */
   Optional<String> reason(Host host) {
-    return budgets.groupsOf(host).stream()
-        .map(group -> pauses.get(group.key()))
-        .filter(pause -> pause != null)
-        .map(
-            pause ->
-                pause.clearSinceMillis == 0
-                    ? pause.reason
-                    : pause.reason + "; recovered at " + pause.clearSinceMillis)
-        .findFirst();
+    for (BudgetGroup group : budgets.groupsOf(host)) {
+      if (group.maxUnavailable() == 0) {
+        return Optional.of("budget " + group.key() + " allows no unavailable host");
+      }
+      Pause pause = pauses.isEmpty() ? null : pauses.get(group.key());
+      if (pause != null) {
+        return Optional.of(
+            pause.clearSinceMillis == 0
+                ? pause.reason
+                : pause.reason + "; recovered at " + pause.clearSinceMillis);
+      }
+    }
+    return Optional.empty();
   }
 
   Snapshot snapshot() {
--- a/core/src/main/java/org/persimmonloom/core/maintenance/WaveTable.java
+++ b/core/src/main/java/org/persimmonloom/core/maintenance/WaveTable.java
@@ -37,9 +37,9 @@
 
   private final TreeMap<String, Wave> waves = new TreeMap<>();
   private final HostTable hosts;
-  private final AvailabilityBudgets budgets;
   private final DecisionRecorder recorder;
   private final PauseMonitor pauses;
+  private final WaveAdmission admission;
 
   /** The whole table. */
   public record Snapshot(List<Wave> waves, PauseMonitor.Snapshot pauses) {
@@ -51,8 +51,8 @@
   /** Creates an empty table of waves over {@code hosts}. */
   public WaveTable(HostTable hosts, AvailabilityBudgets budgets, DecisionRecorder recorder) {
     this.hosts = hosts;
-    this.budgets = budgets;
     this.recorder = recorder;
+    admission = new WaveAdmission(hosts, budgets, this::openWaveOf);
     pauses = new PauseMonitor(budgets);
   }
 
@@ -74,10 +74,18 @@
       return Either.left(
           Failure.of(ResultCode.WAVE_STATE_CONFLICT, request.wave(), "one of too many open waves"));
     }
-    return resolve(request)
+    return admission
+        .resolve(request)
         .flatMap(
             members ->
-                plan(request, members, position.timeMillis(), false)
+                admission
+                    .checkOverlap(members)
+                    .<Either<Failure, List<Host>>>map(Either::left)
+                    .orElseGet(() -> Either.right(members)))
+        .flatMap(
+            members ->
+                admission
+                    .plan(request, members, position.timeMillis(), false)
                     .flatMap(plan -> accept(request, members, plan, position)));
   }
 
@@ -96,61 +104,6 @@
         members.size() + " hosts in " + plan.rounds() + " rounds, " + plan.neededMillis() + " ms");
   }
 
-  /** Returns the hosts that a request names, or why it can't be accepted. */
-  public Either<Failure, List<Host>> resolve(MaintenanceRequested request) {
-    TreeMap<String, Host> members = new TreeMap<>();
-    for (String pool : request.pools()) {
-      if (hosts.pool(pool).isEmpty()) {
-        return Either.left(Failure.of(ResultCode.POOL_UNKNOWN, pool));
-      }
-      hosts.inPool(pool).forEach(host -> members.put(host.name(), host));
-    }
-    for (String name : request.hosts()) {
-      Optional<Host> host = hosts.find(name);
-      if (host.isEmpty()) {
-        return Either.left(Failure.of(ResultCode.HOST_UNKNOWN, name));
-      }
-      members.put(name, host.get());
-    }
-    if (members.isEmpty() || request.maxAtOnce() < 1 || request.expectedDownMillis() < 0) {
-      return Either.left(
-          Failure.of(
-              ResultCode.USAGE,
-              "a wave needs a host, max at once of at least 1 and an expected down time"));
-    }
-    for (String name : members.keySet()) {
-      Optional<Wave> other = openWaveOf(name);
-      if (other.isPresent() && !other.get().name().equals(request.wave())) {
-        return Either.left(Failure.of(ResultCode.WAVE_CONFLICT, name, other.get().name()));
-      }
-    }
-    return Either.right(List.copyOf(members.values()));
-  }
-
-  /**
-   * Returns the plan of a request. Acceptance plans without the losses of now, since they may be
-   * over when the window starts; operators see the plan with them.
-   */
-  public Either<Failure, MaintenancePlan> plan(
-      MaintenanceRequested request, List<Host> members, long nowMillis, boolean countsLosses) {
-    MaintenancePlan.Budgets view =
-        new MaintenancePlan.Budgets() {
-          @Override
-          public List<BudgetGroup> groupsOf(Host host) {
-            return budgets.groupsOf(host);
-          }
-
-          @Override
-          public int unplanned(BudgetGroup group) {
-            return countsLosses ? budgets.use(group).unplanned().size() : 0;
-          }
-        };
-    long windowMillis =
-        request.windowEndMillis() - Math.max(nowMillis, request.windowStartMillis());
-    return MaintenancePlan.of(
-        members, view, request.maxAtOnce(), request.expectedDownMillis(), windowMillis);
-  }
-
   private Either<Failure, String> cancel(MaintenanceCancelled cancelled, Position position) {
     Wave wave = waves.get(cancelled.wave());
     if (wave == null) {
@@ -231,18 +184,11 @@
     if (!pauses.isDue(position.timeMillis())) {
       return;
     }
-    List<Wave> open = open();
-    pauses.evaluate(pendingHosts(open), position.timeMillis());
-    open.forEach(wave -> evaluate(wave, position));
-  }
-
-  private List<Host> pendingHosts(List<Wave> open) {
-    List<Host> pending = new ArrayList<>();
-    open.forEach(wave -> pending.addAll(pendingHosts(wave)));
-    return pending;
+    pauses.evaluate(position.timeMillis());
+    open().forEach(wave -> evaluate(wave, position));
   }
 
-  /** Returns the hosts of a wave that still have to be maintained, in the order of the wave. */
+  /** Returns the hosts of a wave that still have to be maintained, in no particular order. */
   public List<Host> pendingHosts(Wave wave) {
     List<Host> pending = new ArrayList<>();
     wave.progress()
@@ -252,39 +198,51 @@
                 hosts.find(name).ifPresent(pending::add);
               }
             });
-    pending.sort(HostOrder.BY_RACK);
     return pending;
   }
 
   private void evaluate(Wave wave, Position position) {
     long now = position.timeMillis();
     boolean isBusy = wave.count(Wave.Step.IN_PROGRESS) > 0;
-    List<Host> pending = pendingHosts(wave);
-    if (!isBusy && pending.isEmpty()) {
+    boolean isPending = hasPending(wave);
+    if (!isBusy && !isPending) {
       close(wave, WaveStatus.DONE, "", position);
     } else if (!isBusy && !isInTime(wave, now) && now >= wave.request().windowStartMillis()) {
       close(wave, WaveStatus.INCOMPLETE, "the window ended", position);
     } else if (now >= wave.request().windowStartMillis()) {
-      Optional<String> pause = pauseOf(pending);
+      Optional<String> pause = pauseOf(wave);
       WaveStatus status = pause.isPresent() ? WaveStatus.PAUSED : WaveStatus.RUNNING;
       change(wave, status, pause.orElse(""), position);
     }
   }
 
+  private boolean hasPending(Wave wave) {
+    return wave.progress().entrySet().stream()
+        .anyMatch(
+            entry ->
+                entry.getValue().step() == Wave.Step.PENDING
+                    && hosts.find(entry.getKey()).isPresent());
+  }
+
   private void change(Wave wave, WaveStatus status, String reason, Position position) {
     if (wave.status() != status) {
       recorder.record(Subject.wave(wave.name()), position, ResultCode.OK, status + " " + reason);
     }
-    waves.put(wave.name(), wave.withStatus(status, reason));
+    if (wave.status() != status || !wave.reason().equals(reason)) {
+      waves.put(wave.name(), wave.withStatus(status, reason));
+    }
   }
 
   /** Returns why no pending host can be granted until losses end; empty if one can. */
-  private Optional<String> pauseOf(List<Host> pending) {
+  private Optional<String> pauseOf(Wave wave) {
     Optional<String> reason = Optional.empty();
-    for (Host host : pending) {
-      reason = pauses.reason(host);
-      if (reason.isEmpty()) {
-        return reason;
+    for (String name : wave.progress().keySet()) {
+      Optional<Host> host = hosts.find(name);
+      if (host.isPresent() && wave.progress().get(name).step() == Wave.Step.PENDING) {
+        reason = pauses.reason(host.get());
+        if (reason.isEmpty()) {
+          return reason;
+        }
       }
     }
     return reason;
@@ -350,6 +308,11 @@
         Drain.Cause.WAVE, wave.name(), position.offset(), wave.request().expectedDownMillis());
   }
 
+  /** Returns the checks of requests, which operators also use before they request a wave. */
+  public WaveAdmission admission() {
+    return admission;
+  }
+
   /** Returns the wave with this name, open or closed. */
   public Optional<Wave> find(String name) {
     return Optional.ofNullable(waves.get(name));
--- a/core/src/test/java/org/persimmonloom/core/maintenance/DrainTest.java
+++ b/core/src/test/java/org/persimmonloom/core/maintenance/DrainTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.persimmonloom.core.maintenance.FleetFixture.budget;
 
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.persimmonloom.core.fold.FleetSnapshot;
 import org.persimmonloom.core.fold.FleetState;
@@ -16,6 +17,7 @@
 import org.persimmonloom.core.host.HostRemoved;
 import org.persimmonloom.core.host.HostReturned;
 import org.persimmonloom.core.host.HostState;
+import org.persimmonloom.core.host.HostsUnlisted;
 import org.persimmonloom.core.host.ProbationOver;
 import org.persimmonloom.core.member.EntryHostLeft;
 import org.persimmonloom.core.result.ResultCode;
@@ -173,12 +175,14 @@
   void snapshotRestoresDrainsWavesAndJournal() {
     startDrain();
     fleet.lose("h3");
+    fleet.code(new HostsUnlisted(List.of("h2"), "rack r1", true));
     fleet.pass(1_000);
     byte[] bytes = ProposalTypes.CODEC.encode(fleet.state.snapshot());
     FleetState copy = new FleetState();
     assertThat(copy.restore(ProposalTypes.CODEC.decode(bytes, FleetSnapshot.class).get()))
         .isEmpty();
     assertThat(ProposalTypes.CODEC.encode(copy.snapshot())).isEqualTo(bytes);
+    assertThat(copy.hosts().find("h2").orElseThrow().isUnlisted()).isTrue();
     assertThat(copy.maintenanceSteps().due(fleet.now))
         .isEqualTo(fleet.state.maintenanceSteps().due(fleet.now));
   }
--- a/runtime/src/main/java/org/persimmonloom/runtime/fleet/WaveController.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/fleet/WaveController.java
@@ -1,5 +1,7 @@
 package org.persimmonloom.runtime.fleet;
 
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.IOException;
 import java.time.InstantSource;
 import java.util.ArrayList;
@@ -8,6 +10,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -41,7 +44,9 @@
 @Singleton
 public final class WaveController {
   private static final Logger LOGGER = LogManager.getLogger(WaveController.class);
-  private static final long INTERVAL_MILLIS = 250;
+
+  /** Looking for due steps takes some milliseconds of a core at 4,200 hosts. */
+  private static final long INTERVAL_MILLIS = 500;
 
   /** A host that draws on the drain state only once per request has seen it by then. */
   private static final long CONFIRM_AFTER_MILLIS = 250;
@@ -57,9 +62,13 @@
   private final InstantSource clock;
   private final String self;
   private final StepProposer steps;
+  private final Counter proposedSteps;
+  private final Counter confirmedDrains;
+  private final Counter acceptedReboots;
+  private final Counter raisedAlerts;
   private final TreeMap<String, Long> firstSeen = new TreeMap<>();
   private final TreeSet<String> confirmed = new TreeSet<>();
-  private final Set<String> rebooted = java.util.concurrent.ConcurrentHashMap.newKeySet();
+  private final Set<String> rebooted = ConcurrentHashMap.newKeySet();
   private final ScheduledExecutorService timer = executor("wave-controller");
   private final ScheduledExecutorService calls = executor("platform-reboot");
   private long alertedOffset = -1;
@@ -72,7 +81,8 @@
       HostListClient platform,
       LogFollower follower,
       EntrySettings settings,
-      InstantSource clock) {
+      InstantSource clock,
+      PrometheusRegistry metrics) {
     this.state = state;
     this.proposer = proposer;
     this.probes = Set.copyOf(probes);
@@ -81,6 +91,14 @@
     this.clock = clock;
     this.self = settings.name();
     this.steps = new StepProposer(proposer, self);
+    proposedSteps = counter(metrics, "maintenance_steps_proposed", "Steps of waves and moves");
+    confirmedDrains = counter(metrics, "drains_confirmed", "Drains this entry host confirmed");
+    acceptedReboots = counter(metrics, "reboots_accepted", "Reboots the platform accepted");
+    raisedAlerts = counter(metrics, "alerts", "Alerts in the folded records");
+  }
+
+  private static Counter counter(PrometheusRegistry metrics, String name, String help) {
+    return Counter.builder().name("persimmonloom_" + name).help(help).register(metrics);
   }
 
   static ScheduledExecutorService executor(String name) {
@@ -131,7 +149,7 @@
   /** Does what is due at the given time. */
   void tick(long nowMillis) {
     View view = view(nowMillis);
-    steps.offer(view.due(), view.members(), nowMillis);
+    proposedSteps.inc(steps.offer(view.due(), view.members(), nowMillis).size());
     remember(view.unavailable(), nowMillis);
     confirmDrains(view.unavailable(), nowMillis);
     reboot(view, nowMillis);
@@ -167,6 +185,7 @@
       }
     }
     if (!confirmations.isEmpty()) {
+      confirmedDrains.inc(confirmations.size());
       // A confirmation that was not folded is made again with the next tick after its outcome.
       proposer
           .propose(confirmations)
@@ -200,6 +219,7 @@
     }
     try {
       platform.reboot(host.name(), key(host));
+      acceptedReboots.inc();
     } catch (IOException e) {
       LOGGER.warn("reboot of {} not accepted: {}", host.name(), e.getMessage());
       calls.schedule(() -> rebooted.remove(key(host)), 1, TimeUnit.SECONDS);
@@ -209,6 +229,7 @@
   private void logAlerts(List<Decision> alerts) {
     for (Decision alert : alerts) {
       if (alert.offset() > alertedOffset) {
+        raisedAlerts.inc();
         LOGGER.warn(
             "alert at offset {}: {} {}: {}",
             alert.offset(),
--- a/runtime/src/main/java/org/persimmonloom/runtime/operator/FleetRoutes.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/operator/FleetRoutes.java
@@ -134,7 +134,7 @@
 
   /** The plan of a request, or of every pool over the cycle if no host and window is named. */
   private Either<Failure, ?> plan(OperatorRequest request) {
-    return requested(request, request.parameter("wave").orElse("-"))
+    return requested(request, request.parameter("wave").orElse("plan"))
         .flatMap(
             requested ->
                 state.read(
@@ -142,10 +142,14 @@
                       MaintenanceRequested complete = withAllPools(fleet, requested);
                       return fleet
                           .waves()
+                          .admission()
                           .resolve(complete)
                           .flatMap(
                               hosts ->
-                                  fleet.waves().plan(complete, hosts, fleet.timeMillis(), true));
+                                  fleet
+                                      .waves()
+                                      .admission()
+                                      .plan(complete, hosts, fleet.timeMillis(), true));
                     }))
         .flatMap(
             plan ->
@@ -197,7 +201,7 @@
                                 list(request, "host"),
                                 start,
                                 end,
-                                (int) Math.min(Integer.MAX_VALUE, atOnce),
+                                (int) Math.max(0, Math.min(Integer.MAX_VALUE, atOnce)),
                                 down,
                                 operator(request))));
   }
