--- a/tool/src/main/java/org/persimmonloom/tool/demo/step/LeaveEndpoint.java
+++ b/tool/src/main/java/org/persimmonloom/tool/demo/step/LeaveEndpoint.java
@@ -19,7 +19,7 @@
   @Override
   public void run(DemoRun run) {
     String name = Platform.endpointName(run.demand().peak().name(), endpoint);
-    run.platform().hostList().setLeaving(name);
+    run.platform().hostList().setLeaving(name, true);
     long visibleMillis = System.currentTimeMillis() + Platform.HOST_LIST_LAG_MILLIS;
     run.oracle().requests().leaving(name, visibleMillis);
   }
--- a/tool/src/test/java/org/persimmonloom/tool/standin/StandInTest.java
+++ b/tool/src/test/java/org/persimmonloom/tool/standin/StandInTest.java
@@ -101,7 +101,7 @@
     HostListStandIn hosts =
         new HostListStandIn(ports.get(0), new HostList(List.of(facts), Set.of()));
     hosts.setLagMillis(60_000);
-    hosts.setLeaving("e1");
+    hosts.setLeaving("e1", true);
     long now = System.currentTimeMillis();
     assertThat(hosts.visible(now).leaving()).isEmpty();
     assertThat(hosts.visible(now + 60_000).leaving()).containsExactly("e1");
