Test the request path against faults of endpoints, log, peers and callers

Cause: the path had no test, and a batch that was folded before the response to its append arrived delayed the next batch by up to 2 s, which is the whole wait limit of a claim.

Change: fakes of log, peers and endpoint; tests of late, short, crossed, unframed and missing responses, refused connections, log outage, slow append, lost append response, duplicates, a pause between claim and send, cancellation and the stop. GroupCommitter ties the delay to the batch that it belongs to. Limits of the caller listener are a record, so that tests can lower them.

--- a/runtime/src/main/java/org/persimmonloom/runtime/caller/CallerExchange.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/caller/CallerExchange.java
@@ -43,8 +43,7 @@
   private final RequestService requests;
   private final RequestContext context;
   private final MemoryBudget memory;
-  private final int maxBodyBytes;
-  private final long sendMillis;
+  private final CallerLimits limits;
   private final long arrivedMillis;
   private final AtomicLong heldBytes = new AtomicLong();
   private boolean isAnswered;
@@ -55,14 +54,12 @@
       RequestService requests,
       RequestContext context,
       MemoryBudget memory,
-      int maxBodyBytes,
-      long sendMillis) {
+      CallerLimits limits) {
     this.exchange = exchange;
     this.requests = requests;
     this.context = context;
     this.memory = memory;
-    this.maxBodyBytes = maxBodyBytes;
-    this.sendMillis = sendMillis;
+    this.limits = limits;
     arrivedMillis = context.now();
   }
 
@@ -75,14 +72,15 @@
       return;
     }
     long length = exchange.getRequestContentLength();
-    if (length > maxBodyBytes) {
+    if (length > CallerListener.MAX_BODY_BYTES) {
       exchange.setPersistent(false);
-      refuse(Failure.of(ResultCode.BODY_TOO_LARGE, maxBodyBytes));
+      refuse(Failure.of(ResultCode.BODY_TOO_LARGE, CallerListener.MAX_BODY_BYTES));
       return;
     }
-    long reserved = exchange.isRequestComplete() ? 0 : length < 0 ? maxBodyBytes : length;
+    long reserved =
+        exchange.isRequestComplete() ? 0 : length < 0 ? CallerListener.MAX_BODY_BYTES : length;
     if (!memory.tryTake(reserved)) {
-      refuse(Failure.of(ResultCode.OVERLOADED, CallerListener.MAX_REQUESTS));
+      refuse(Failure.of(ResultCode.OVERLOADED, limits.requests()));
       return;
     }
     heldBytes.set(reserved);
@@ -97,7 +95,7 @@
   private void receive(CallerHeaders head, ServiceDefinition service) {
     Future<?> timeout =
         context.timer.after(
-            sendMillis, () -> exchange.getIoThread().execute(this::refuseSlowSender));
+            limits.sendMillis(), () -> exchange.getIoThread().execute(this::refuseSlowSender));
     exchange
         .getRequestReceiver()
         .receiveFullBytes(
@@ -118,7 +116,7 @@
   private void refuseSlowSender() {
     if (!isReceived && !isAnswered) {
       exchange.setPersistent(false);
-      refuse(Failure.of(ResultCode.REQUEST_TIMEOUT, sendMillis));
+      refuse(Failure.of(ResultCode.REQUEST_TIMEOUT, limits.sendMillis()));
     }
   }
 
@@ -126,7 +124,7 @@
     exchange.setPersistent(false);
     refuse(
         error instanceof RequestTooBigException
-            ? Failure.of(ResultCode.BODY_TOO_LARGE, maxBodyBytes)
+            ? Failure.of(ResultCode.BODY_TOO_LARGE, CallerListener.MAX_BODY_BYTES)
             : Failure.of(ResultCode.CANCELLED));
   }
 
--- a/runtime/src/main/java/org/persimmonloom/runtime/caller/CallerListener.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/caller/CallerListener.java
@@ -28,13 +28,9 @@
   /** Largest request body in bytes. */
   public static final int MAX_BODY_BYTES = 1 << 20;
 
-  static final int MAX_REQUESTS = 1_024;
-  static final int MAX_CONNECTIONS = 2_048;
   private static final int MAX_ACCEPTED_CONNECTIONS = 4_096;
-  private static final long MAX_HELD_BYTES = 48L << 20;
   private static final int MAX_HEADER_BYTES = 16 * 1_024;
   private static final int MAX_HEADERS = 100;
-  private static final int SEND_MILLIS = 5_000;
   private static final int KEEP_ALIVE_MILLIS = 60_000;
   private static final int WRITE_MILLIS = 30_000;
   private static final int IO_THREADS = 2;
@@ -44,13 +40,24 @@
   private final EntrySettings settings;
   private final RequestService requests;
   private final RequestContext context;
-  private final MemoryBudget memory = new MemoryBudget(MAX_HELD_BYTES);
+  private final CallerLimits limits;
+  private final MemoryBudget memory;
   private final AtomicInteger connections = new AtomicInteger();
   private final AtomicInteger inProgress = new AtomicInteger();
   private Undertow server;
 
   @Inject
   CallerListener(EntrySettings settings, RequestService requests, RequestContext context) {
+    this(settings, requests, context, CallerLimits.DEFAULT);
+  }
+
+  CallerListener(
+      EntrySettings settings,
+      RequestService requests,
+      RequestContext context,
+      CallerLimits limits) {
+    this.limits = limits;
+    memory = new MemoryBudget(limits.heldBytes());
     this.settings = settings;
     this.requests = requests;
     this.context = context;
@@ -66,7 +73,7 @@
             .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, (long) MAX_BODY_BYTES)
             .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
             .setServerOption(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
-            .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, SEND_MILLIS)
+            .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, limits.sendMillis())
             .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, KEEP_ALIVE_MILLIS)
             .setSocketOption(Options.WRITE_TIMEOUT, WRITE_MILLIS)
             .setSocketOption(Options.CONNECTION_HIGH_WATER, MAX_ACCEPTED_CONNECTIONS)
@@ -88,8 +95,7 @@
   }
 
   private void handle(HttpServerExchange exchange) {
-    CallerExchange request =
-        new CallerExchange(exchange, requests, context, memory, MAX_BODY_BYTES, SEND_MILLIS);
+    CallerExchange request = new CallerExchange(exchange, requests, context, memory, limits);
     int held = inProgress.incrementAndGet();
     exchange.addExchangeCompleteListener(
         (ended, next) -> {
@@ -97,11 +103,11 @@
           next.proceed();
         });
     try {
-      if (countConnection(exchange) > MAX_CONNECTIONS) {
+      if (countConnection(exchange) > limits.connections()) {
         exchange.setPersistent(false);
-        request.refuse(Failure.of(ResultCode.OVERLOADED, MAX_CONNECTIONS));
-      } else if (held > MAX_REQUESTS) {
-        request.refuse(Failure.of(ResultCode.OVERLOADED, MAX_REQUESTS));
+        request.refuse(Failure.of(ResultCode.OVERLOADED, limits.connections()));
+      } else if (held > limits.requests()) {
+        request.refuse(Failure.of(ResultCode.OVERLOADED, limits.requests()));
       } else {
         request.start();
       }
--- a/runtime/src/main/java/org/persimmonloom/runtime/log/GroupCommitter.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/log/GroupCommitter.java
@@ -118,7 +118,7 @@
     if (due != null && clock.millis() >= appendAgainMillis) {
       try {
         log.append(due.bytes());
-        appendAgainMillis = clock.millis() + FOLD_WAIT_MILLIS;
+        waitForFold(due);
       } catch (IOException e) {
         delayMillis = RETRY_MILLIS + ThreadLocalRandom.current().nextLong(RETRY_MILLIS);
       }
@@ -128,6 +128,18 @@
     }
   }
 
+  /**
+   * Delays the next append of the batch. The batch may be folded here before the response arrives;
+   * the delay must not fall on the batch after it.
+   */
+  private void waitForFold(InFlight appended) {
+    synchronized (lock) {
+      if (inFlight == appended) {
+        appendAgainMillis = clock.millis() + FOLD_WAIT_MILLIS;
+      }
+    }
+  }
+
   private long paceMillis() {
     int members = Math.max(1, state.read(fleet -> fleet.entryHosts().live().size()));
     return Math.max(1, members * 1_000L / FLEET_APPENDS_PER_SECOND);
--- /dev/null
+++ b/runtime/src/test/java/org/persimmonloom/runtime/caller/ClaimedPathTest.java
@@ -0,0 +1,291 @@
+package org.persimmonloom.runtime.caller;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.persimmonloom.runtime.caller.EntryFixture.await;
+import static org.persimmonloom.runtime.caller.EntryFixture.newKey;
+import static org.persimmonloom.runtime.caller.EntryFixture.outcome;
+
+import java.net.ServerSocket;
+import java.net.http.HttpResponse;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.persimmonloom.core.claim.Claim;
+import org.persimmonloom.core.fold.Batch;
+import org.persimmonloom.core.fold.FoldVersion;
+import org.persimmonloom.core.fold.ProposalTypes;
+import org.persimmonloom.core.member.EntryHostSeen;
+import org.persimmonloom.core.result.RunOutcome;
+import org.persimmonloom.runtime.caller.FakeEndpoint.Behavior;
+
+@Timeout(value = 15, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+class ClaimedPathTest {
+  private static final long DEADLINE_MILLIS = 8_000;
+
+  private final MemoryLog log = new MemoryLog();
+  private final MemoryPeers peers = new MemoryPeers();
+  private final CountDownLatch resume = new CountDownLatch(1);
+  private final CountDownLatch paused = new CountDownLatch(1);
+  private volatile boolean isPausing;
+  private EntryFixture first;
+  private EntryFixture second;
+
+  @BeforeEach
+  void start() throws Exception {
+    first =
+        new EntryFixture(
+            "e1",
+            log,
+            peers,
+            sender ->
+                (endpoint, request) -> {
+                  pauseIfAsked();
+                  return sender.send(endpoint, request);
+                },
+            CallerLimits.DEFAULT);
+    second = new EntryFixture("e2", log, peers);
+    first.release();
+    await(() -> second.routing.find("bill").isRight());
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    resume.countDown();
+    first.close();
+    second.close();
+  }
+
+  /** Stands in for a process that is paused between the claim and the send. */
+  private void pauseIfAsked() {
+    if (isPausing) {
+      paused.countDown();
+      try {
+        resume.await();
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    }
+  }
+
+  private FakeEndpoint endpoint(String name, Behavior... behaviors) throws Exception {
+    FakeEndpoint endpoint = new FakeEndpoint(behaviors);
+    admit(name, endpoint.address());
+    return endpoint;
+  }
+
+  private void admit(String name, String address) throws Exception {
+    first.admit("bill-pool", name, address);
+    second.awaitRouted(address);
+  }
+
+  private void awaitSettled(String key, RunOutcome outcome) throws Exception {
+    await(() -> first.claim(key).filter(it -> it.outcome() == outcome).isPresent());
+  }
+
+  /** Guards against a repeated or misreported request after an incomplete or wrong response. */
+  @ParameterizedTest
+  @CsvSource({"CLOSE", "SHORT", "CROSSED", "UNFRAMED", "SILENT"})
+  void requestWithoutCompleteResponseIsUnknownAndNotRepeated(Behavior behavior) throws Exception {
+    FakeEndpoint bad = endpoint("h1", behavior, Behavior.ANSWER);
+    String key = newKey();
+    assertThat(outcome(first.bill(key, 1_000).get())).isEqualTo("21 unknown");
+    awaitSettled(key, RunOutcome.UNKNOWN);
+    assertThat(outcome(second.bill(key, 1_000).get())).isEqualTo("21 unknown");
+    assertThat(bad.seen).hasSize(1);
+    assertThat(outcome(first.bill(newKey(), 1_000).get())).isEqualTo("0 ran");
+    assertThat(bad.connections).hasValue(2);
+  }
+
+  /** Guards against the HTTP client's own repetition after 503 with Retry-After: 0. */
+  @Test
+  void serverErrorIsPassedOnAndNotRepeated() throws Exception {
+    FakeEndpoint endpoint = endpoint("h1", Behavior.RETRY_NOW);
+    HttpResponse<String> response = first.bill(newKey(), 1_000).get();
+    assertThat(outcome(response)).isEqualTo("19 ran");
+    assertThat(response.headers().firstValue("Retry-After")).contains("0");
+    assertThat(endpoint.seen).hasSize(1);
+  }
+
+  /** Guards against a refusal although an endpoint that accepts connections is there. */
+  @Test
+  void refusedConnectionMovesTheRequestToAnotherEndpoint() throws Exception {
+    try (ServerSocket closed = new ServerSocket(0)) {
+      admit("h1", "127.0.0.1:" + closed.getLocalPort());
+      closed.close();
+    }
+    FakeEndpoint good = endpoint("h2", Behavior.ANSWER);
+    assertThat(outcome(first.bill(newKey(), DEADLINE_MILLIS).get())).isEqualTo("0 ran");
+    assertThat(good.seen).hasSize(1);
+    assertThat(first.leaving.seenHere(System.currentTimeMillis())).contains("h1");
+  }
+
+  /** Guards against a dispatch by a claim that reaches the log after "not run" was said. */
+  @Test
+  void claimThatLandsAfterTheRefusalIsReleasedAndNotDispatched() throws Exception {
+    FakeEndpoint endpoint = endpoint("h1", Behavior.ANSWER);
+    log.set(MemoryLog.Mode.SLOW);
+    String key = newKey();
+    assertThat(outcome(first.bill(key, 300).get())).isEqualTo("46 not-run");
+    log.set(MemoryLog.Mode.UP);
+    await(() -> first.claim(key).filter(it -> it.state() == Claim.State.RELEASED).isPresent());
+    assertThat(endpoint.seen).isEmpty();
+    assertThat(outcome(second.bill(key, DEADLINE_MILLIS).get())).isEqualTo("0 ran");
+    assertThat(endpoint.seen).hasSize(1);
+  }
+
+  /** Guards against waiting for an outage of the log beyond 2 s; the deadline is longer. */
+  @Test
+  void requestIsRefusedWhileTheLogIsDown() throws Exception {
+    FakeEndpoint endpoint = endpoint("h1", Behavior.ANSWER);
+    log.set(MemoryLog.Mode.DOWN);
+    HttpResponse<String> response = first.bill(newKey(), 60_000).get();
+    assertThat(outcome(response)).isEqualTo("46 not-run");
+    assertThat(response.body()).contains("2000");
+    assertThat(endpoint.seen).isEmpty();
+  }
+
+  /** Guards against a doubled request when the response to an append is lost. */
+  @Test
+  void lostAppendResponseRunsTheRequestOnce() throws Exception {
+    FakeEndpoint endpoint = endpoint("h1", Behavior.ANSWER);
+    log.set(MemoryLog.Mode.RESPONSE_LOST);
+    String key = newKey();
+    assertThat(outcome(first.bill(key, DEADLINE_MILLIS).get())).isEqualTo("0 ran");
+    awaitSettled(key, RunOutcome.RAN);
+    assertThat(log.lostResponses()).isGreaterThanOrEqualTo(2);
+    assertThat(endpoint.seen).hasSize(1);
+  }
+
+  /** Guards against a duplicate that runs, at the same host or at another, during and after. */
+  @Test
+  void duplicatesGetTheAnswerOfTheFirstCopy() throws Exception {
+    FakeEndpoint endpoint = endpoint("h1", Behavior.GATED);
+    String key = newKey();
+    var original = first.bill(key, DEADLINE_MILLIS);
+    endpoint.arrived.await();
+    var sameHost = first.bill(key, DEADLINE_MILLIS);
+    await(() -> second.claim(key).isPresent());
+    int asked = peers.asked.get();
+    var otherHost = second.bill(key, DEADLINE_MILLIS);
+    await(() -> peers.asked.get() > asked);
+    endpoint.gate.countDown();
+    for (var copy : java.util.List.of(original, sameHost, otherHost)) {
+      assertThat(outcome(copy.get()) + copy.get().body()).isEqualTo("0 randone");
+    }
+    awaitSettled(key, RunOutcome.RAN);
+    assertThat(outcome(second.bill(key, DEADLINE_MILLIS).get())).isEqualTo("0 ran");
+    assertThat(endpoint.seen).hasSize(1);
+    peers.isCut = true;
+    assertThat(outcome(second.bill(key, 300).get())).isEqualTo("47 ran");
+  }
+
+  /** Guards against "not run" for a copy whose original runs at a host that cannot be asked. */
+  @Test
+  void duplicateOfAnUnreachableHolderIsUnknown() throws Exception {
+    FakeEndpoint endpoint = endpoint("h1", Behavior.GATED);
+    String key = newKey();
+    var original = first.bill(key, DEADLINE_MILLIS);
+    endpoint.arrived.await();
+    peers.isCut = true;
+    await(() -> second.claim(key).isPresent());
+    assertThat(outcome(second.bill(key, 300).get())).isEqualTo("21 unknown");
+    endpoint.gate.countDown();
+    assertThat(outcome(original.get())).isEqualTo("0 ran");
+    assertThat(endpoint.seen).hasSize(1);
+  }
+
+  /** Guards against a second run when the holder is declared over while paused before the send. */
+  @Test
+  void pauseBetweenClaimAndSendDoesNotDoubleTheRequest() throws Exception {
+    FakeEndpoint endpoint = endpoint("h1", Behavior.ANSWER);
+    isPausing = true;
+    String key = newKey();
+    var original = first.bill(key, DEADLINE_MILLIS);
+    paused.await();
+    endIncarnationOfFirst();
+    await(() -> second.claim(key).filter(it -> it.outcome() == RunOutcome.UNKNOWN).isPresent());
+    assertThat(outcome(second.bill(key, DEADLINE_MILLIS).get())).isEqualTo("21 unknown");
+    isPausing = false;
+    resume.countDown();
+    assertThat(outcome(original.get())).isEqualTo("0 ran");
+    assertThat(endpoint.seen).hasSize(1);
+  }
+
+  private void endIncarnationOfFirst() throws Exception {
+    Batch batch =
+        new Batch(
+            "e1",
+            Long.MAX_VALUE,
+            1,
+            FoldVersion.CURRENT,
+            System.currentTimeMillis(),
+            java.util.List.of(new EntryHostSeen("127.0.0.1:1", "127.0.0.1:1", "dc1")));
+    log.append(ProposalTypes.CODEC.encode(batch));
+  }
+
+  /** Guards against a key that stands for two different requests. */
+  @Test
+  void keyOfAnotherRequestIsRefused() throws Exception {
+    FakeEndpoint endpoint = endpoint("h1", Behavior.ANSWER);
+    String key = newKey();
+    first.bill(key, DEADLINE_MILLIS).get();
+    awaitSettled(key, RunOutcome.RAN);
+    for (EntryFixture entry : java.util.List.of(first, second)) {
+      var other =
+          entry
+              .request("/bill/other")
+              .header("Persimmonloom-Request-Key", key)
+              .POST(java.net.http.HttpRequest.BodyPublishers.noBody())
+              .build();
+      await(() -> entry.claim(key).isPresent());
+      assertThat(outcome(entry.send(other))).isEqualTo("43 not-run");
+    }
+    assertThat(endpoint.seen).hasSize(1);
+  }
+
+  /** Guards against a lost settlement when the caller leaves while the request runs. */
+  @Test
+  void requestOfALeavingCallerFinishesAndIsSettled() throws Exception {
+    FakeEndpoint endpoint = endpoint("h1", Behavior.GATED);
+    String key = newKey();
+    try (var socket = new java.net.Socket("127.0.0.1", first.listener.address().getPort())) {
+      String head = "POST /bill/pickup HTTP/1.1\r\nHost: a\r\nContent-Length: 6\r\n";
+      String rest = "Persimmonloom-Request-Key: " + key + "\r\n\r\npickup";
+      socket.getOutputStream().write((head + rest).getBytes("ascii"));
+      endpoint.arrived.await();
+    }
+    endpoint.gate.countDown();
+    awaitSettled(key, RunOutcome.RAN);
+    assertThat(outcome(first.bill(key, DEADLINE_MILLIS).get())).isEqualTo("0 ran");
+    assertThat(endpoint.seen).hasSize(1);
+  }
+
+  /** Guards against requests that a planned stop interrupts or leaves without settlement. */
+  @Test
+  void stopWaitsForRequestsAndSettlesWhatIsLeftAsUnknown() throws Exception {
+    FakeEndpoint endpoint = endpoint("h1", Behavior.GATED, Behavior.SILENT);
+    String finishing = newKey();
+    var running = first.bill(finishing, DEADLINE_MILLIS);
+    endpoint.arrived.await();
+    String left = newKey();
+    var stuck = first.bill(left, DEADLINE_MILLIS);
+    await(() -> endpoint.seen.size() == 2);
+    first.requests.refuseNew();
+    assertThat(outcome(first.bill(newKey(), DEADLINE_MILLIS).get())).isEqualTo("16 not-run");
+    var idle = first.requests.whenIdle();
+    endpoint.gate.countDown();
+    assertThat(outcome(running.get())).isEqualTo("0 ran");
+    assertThat(idle).isNotDone();
+    first.requests.endAll();
+    assertThat(outcome(stuck.get())).endsWith("unknown");
+    idle.get(5, TimeUnit.SECONDS);
+    first.requests.whenSettled().get(5, TimeUnit.SECONDS);
+    assertThat(first.claim(finishing).get().outcome()).isEqualTo(RunOutcome.RAN);
+    assertThat(first.claim(left).get().outcome()).isEqualTo(RunOutcome.UNKNOWN);
+  }
+}
--- /dev/null
+++ b/runtime/src/test/java/org/persimmonloom/runtime/caller/EntryFixture.java
@@ -0,0 +1,177 @@
+package org.persimmonloom.runtime.caller;
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
+import okhttp3.OkHttpClient;
+import org.persimmonloom.core.claim.Claim;
+import org.persimmonloom.core.fold.Proposal;
+import org.persimmonloom.core.fold.Verdict;
+import org.persimmonloom.core.host.HostAdmitted;
+import org.persimmonloom.core.host.HostFacts;
+import org.persimmonloom.core.host.HostKind;
+import org.persimmonloom.core.release.ReleaseProposed;
+import org.persimmonloom.runtime.endpoint.EndpointClient;
+import org.persimmonloom.runtime.endpoint.EndpointSender;
+import org.persimmonloom.runtime.log.GroupCommitter;
+import org.persimmonloom.runtime.log.LogFollower;
+import org.persimmonloom.runtime.log.ReplicatedState;
+import org.persimmonloom.runtime.settings.EntrySettings;
+
+/** The request path of one entry host over a log and peers in memory. */
+final class EntryFixture implements AutoCloseable {
+  static final String NOTE =
+      """
+      [release]
+      name = test
+      [add pool scan-pool]
+      [add service scan]
+      pool = scan-pool
+      short_limit_millis = 60
+      slots_per_endpoint = 2
+      [add pool bill-pool]
+      [add service bill]
+      pool = bill-pool
+      repeatable = false
+      slots_per_endpoint = 4
+      """;
+
+  private static final InetSocketAddress ANY = new InetSocketAddress("127.0.0.1", 0);
+
+  final HttpClient http = HttpClient.newHttpClient();
+  final ReplicatedState state = new ReplicatedState();
+  final RequestTimer timer = new RequestTimer();
+  final LeavingHosts leaving = new LeavingHosts();
+  final PrometheusRegistry registry = new PrometheusRegistry();
+  final GroupCommitter committer;
+  final RoutingTable routing;
+  final RequestService requests;
+  final CallerListener listener;
+  private final LogFollower follower;
+
+  EntryFixture(String name, MemoryLog log, MemoryPeers peers) throws Exception {
+    this(name, log, peers, UnaryOperator.identity(), CallerLimits.DEFAULT);
+  }
+
+  EntryFixture(
+      String name,
+      MemoryLog log,
+      MemoryPeers peers,
+      UnaryOperator<EndpointSender> wrapper,
+      CallerLimits limits)
+      throws Exception {
+    InstantSource clock = InstantSource.system();
+    EntrySettings settings =
+        new EntrySettings(
+            name, "dc1", "r1", ANY, ANY, ANY, List.of(), "token-token", "", "", 0, 5_000, 600_000);
+    EndpointClient client = new EndpointClient(new OkHttpClient(), clock);
+    committer = new GroupCommitter(log, state, settings, clock);
+    follower = new LogFollower(log, state);
+    routing =
+        new RoutingTable(
+            state, FirstComeScheduler::new, new EvenSlotShares(state, name), leaving, clock);
+    RequestContext context =
+        new RequestContext(
+            routing, new RequestMetrics(registry), timer, clock, wrapper.apply(client));
+    ClaimEndings endings = new ClaimEndings(committer, timer);
+    ClaimedRequests claimed =
+        new ClaimedRequests(context, endings, committer, state, peers.channel(name), settings);
+    requests = new RequestService(context, claimed, endings, Optional::empty);
+    listener = new CallerListener(settings, requests, context, limits);
+    follower.start();
+    committer.start();
+    requests.start(client);
+    listener.start();
+    await(() -> state.read(fleet -> !fleet.entryHosts().live().isEmpty()));
+  }
+
+  /** Proposes and waits for the verdicts. */
+  void propose(Proposal... proposals) throws Exception {
+    for (Verdict verdict : committer.propose(List.of(proposals)).get(7, TimeUnit.SECONDS)) {
+      if (!verdict.isAccepted()) {
+        throw new AssertionError(verdict.detail());
+      }
+    }
+  }
+
+  /** Puts the services into force and waits until routing knows them. */
+  void release() throws Exception {
+    propose(new ReleaseProposed("tester", NOTE, 0));
+    await(() -> routing.find("scan").isRight() && routing.find("bill").isRight());
+  }
+
+  /** Brings an endpoint into a pool and waits until routing knows it. */
+  void admit(String pool, String name, String address) throws Exception {
+    propose(
+        new HostAdmitted(
+            new HostFacts(name, HostKind.EXECUTOR, address, "r1", "dc1", "local", 1, 1, 0, pool)));
+    awaitRouted(address);
+  }
+
+  void awaitRouted(String address) throws Exception {
+    await(() -> routing.addresses().contains(address));
+  }
+
+  /** Waits for a condition that other threads bring about; fails after a generous bound. */
+  static void await(java.util.function.BooleanSupplier condition) throws Exception {
+    long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(7);
+    while (!condition.getAsBoolean()) {
+      if (System.nanoTime() > end) {
+        throw new AssertionError("the condition did not come about within 7 s");
+      }
+      Thread.onSpinWait();
+      Thread.sleep(1);
+    }
+  }
+
+  Optional<Claim> claim(String key) {
+    return state.read(fleet -> fleet.claims().find("bill", key));
+  }
+
+  static String newKey() {
+    return System.currentTimeMillis() + "-abcdefgh" + System.nanoTime();
+  }
+
+  HttpRequest.Builder request(String target) {
+    return HttpRequest.newBuilder(
+        URI.create("http://127.0.0.1:" + listener.address().getPort() + target));
+  }
+
+  CompletableFuture<HttpResponse<String>> bill(String key, long deadlineMillis) {
+    return http.sendAsync(
+        request("/bill/pickup")
+            .header("Persimmonloom-Request-Key", key)
+            .header("Persimmonloom-Deadline-Millis", Long.toString(deadlineMillis))
+            .POST(HttpRequest.BodyPublishers.ofString("pickup"))
+            .build(),
+        HttpResponse.BodyHandlers.ofString());
+  }
+
+  HttpResponse<String> send(HttpRequest request) throws IOException, InterruptedException {
+    return http.send(request, HttpResponse.BodyHandlers.ofString());
+  }
+
+  static String outcome(HttpResponse<?> response) {
+    return response.headers().firstValue("Persimmonloom-Result").orElse("-")
+        + " "
+        + response.headers().firstValue("Persimmonloom-Run").orElse("-");
+  }
+
+  @Override
+  public void close() throws Exception {
+    listener.stop();
+    timer.stop();
+    committer.stop();
+    follower.stop();
+  }
+}
--- /dev/null
+++ b/runtime/src/test/java/org/persimmonloom/runtime/caller/MemoryPeers.java
@@ -0,0 +1,37 @@
+package org.persimmonloom.runtime.caller;
+
+import java.io.IOException;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BiFunction;
+import org.persimmonloom.runtime.peer.PeerChannel;
+
+/** Peer connections in memory, which can be cut. */
+final class MemoryPeers {
+  private final Map<String, BiFunction<String, byte[], CompletableFuture<byte[]>>> handlers =
+      new ConcurrentHashMap<>();
+  final AtomicInteger asked = new AtomicInteger();
+  volatile boolean isCut;
+
+  PeerChannel channel(String self) {
+    return new PeerChannel() {
+      @Override
+      public CompletableFuture<byte[]> ask(
+          String peer, String kind, byte[] question, long timeoutMillis) {
+        asked.incrementAndGet();
+        var handler = handlers.get(peer + "/" + kind);
+        return isCut || handler == null
+            ? CompletableFuture.failedFuture(new IOException("peer is cut off"))
+            : handler.apply(self, question);
+      }
+
+      @Override
+      public void handle(
+          String kind, BiFunction<String, byte[], CompletableFuture<byte[]>> handler) {
+        handlers.put(self + "/" + kind, handler);
+      }
+    };
+  }
+}
