--- /dev/null
+++ b/runtime/src/test/java/org/persimmonloom/runtime/caller/EndpointClientTest.java
@@ -0,0 +1,93 @@
+package org.persimmonloom.runtime.caller;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
+import okhttp3.OkHttpClient;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.persimmonloom.core.routing.AttemptResult;
+import org.persimmonloom.core.routing.RoutingEndpoint;
+import org.persimmonloom.runtime.caller.FakeEndpoint.Behavior;
+import org.persimmonloom.runtime.endpoint.EndpointCall;
+import org.persimmonloom.runtime.endpoint.EndpointClient;
+import org.persimmonloom.runtime.endpoint.EndpointRequest;
+import org.persimmonloom.runtime.endpoint.EndpointResult;
+
+@Timeout(value = 15, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+class EndpointClientTest {
+  private final AtomicLong nowMillis = new AtomicLong(1_000_000);
+  private final InstantSource clock = () -> Instant.ofEpochMilli(nowMillis.get());
+  private final EndpointClient client = new EndpointClient(new OkHttpClient(), clock);
+
+  private EndpointCall start(FakeEndpoint endpoint, boolean isRepeatable, long progressMillis) {
+    return client.send(
+        new RoutingEndpoint("h1", endpoint.address(), "r1", "dc1"),
+        new EndpointRequest(
+            "POST",
+            "/x",
+            List.of(),
+            new byte[1],
+            "a" + nowMillis.incrementAndGet(),
+            10_000,
+            progressMillis,
+            1,
+            isRepeatable));
+  }
+
+  private EndpointResult send(FakeEndpoint endpoint, boolean isRepeatable) throws Exception {
+    return start(endpoint, isRepeatable, 10_000).result().get();
+  }
+
+  /** Guards against a non-repeatable request on a connection that may have gone silent. */
+  @Test
+  void connectionIdleBeyondTheLimitIsNotUsedForNonRepeatableRequests() throws Exception {
+    try (FakeEndpoint endpoint = new FakeEndpoint(Behavior.ANSWER)) {
+      send(endpoint, false);
+      nowMillis.addAndGet(1_900);
+      send(endpoint, false);
+      assertThat(endpoint.connections).hasValue(1);
+      nowMillis.addAndGet(2_100);
+      send(endpoint, true);
+      assertThat(endpoint.connections).hasValue(1);
+      nowMillis.addAndGet(2_100);
+      assertThat(send(endpoint, false).result()).isEqualTo(AttemptResult.SUCCEEDED);
+      assertThat(endpoint.connections).hasValue(2);
+      assertThat(endpoint.seen).hasSize(4);
+    }
+  }
+
+  /** Guards against a silent connection that is used again after its attempt was ended. */
+  @Test
+  void silentConnectionEndsAtTheProgressLimitAndIsNotReused() throws Exception {
+    try (FakeEndpoint endpoint =
+        new FakeEndpoint(Behavior.ANSWER, Behavior.SILENT, Behavior.ANSWER)) {
+      send(endpoint, true);
+      EndpointResult silent = start(endpoint, true, 200).result().get();
+      assertThat(silent.result()).isEqualTo(AttemptResult.BROKEN);
+      assertThat(silent.mayHaveRun()).isTrue();
+      endpoint.callerGone.await();
+      assertThat(send(endpoint, true).result()).isEqualTo(AttemptResult.SUCCEEDED);
+      assertThat(endpoint.connections).hasValue(2);
+    }
+  }
+
+  /** Guards against more connections to an endpoint than this host's share. */
+  @Test
+  void attemptBeyondTheConnectionShareIsNotSent() throws Exception {
+    try (FakeEndpoint endpoint = new FakeEndpoint(Behavior.GATED)) {
+      EndpointCall running = start(endpoint, true, 10_000);
+      endpoint.arrived.await();
+      EndpointResult refused = send(endpoint, true);
+      assertThat(refused.result()).isEqualTo(AttemptResult.NOT_CONNECTED);
+      assertThat(refused.mayHaveRun()).isFalse();
+      assertThat(refused.isRefused()).isFalse();
+      endpoint.gate.countDown();
+      assertThat(running.result().get().result()).isEqualTo(AttemptResult.SUCCEEDED);
+      assertThat(endpoint.connections).hasValue(1);
+    }
+  }
+}
--- /dev/null
+++ b/runtime/src/test/java/org/persimmonloom/runtime/caller/RoutingTableTest.java
@@ -0,0 +1,81 @@
+package org.persimmonloom.runtime.caller;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.persimmonloom.runtime.caller.EntryFixture.await;
+import static org.persimmonloom.runtime.caller.EntryFixture.outcome;
+
+import io.prometheus.metrics.model.snapshots.CounterSnapshot;
+import io.prometheus.metrics.model.snapshots.HistogramSnapshot;
+import java.net.http.HttpResponse;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.persimmonloom.core.release.ReleaseProposed;
+import org.persimmonloom.runtime.caller.FakeEndpoint.Behavior;
+
+@Timeout(value = 15, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+class RoutingTableTest {
+  /**
+   * Guards against a withdrawal that interrupts requests, and against a drain that is confirmed
+   * while one is in progress or before the table reflects the drain.
+   */
+  @Test
+  void withdrawnServiceRefusesNewRequestsAndFinishesOthers() throws Exception {
+    try (EntryFixture entry = new EntryFixture("e1", new MemoryLog(), new MemoryPeers());
+        FakeEndpoint endpoint = new FakeEndpoint(Behavior.GATED)) {
+      entry.release();
+      entry.admit("scan-pool", "h1", endpoint.address());
+      var running =
+          entry.http.sendAsync(
+              entry.request("/scan/x").build(), HttpResponse.BodyHandlers.ofString());
+      endpoint.arrived.await();
+      String note =
+          "[release]\nname = w\n[withdraw service scan]\n[change service bill]\nweight = 2\n";
+      entry.propose(new ReleaseProposed("tester", note, 1));
+      await(() -> entry.routing.find("scan").isLeft());
+      assertThat(outcome(entry.send(entry.request("/scan/x").build()))).isEqualTo("22 not-run");
+      assertThat(entry.routing.requestsInProgress("h1")).isEqualTo(1);
+      assertThat(entry.routing.isDrained("h1", 0)).isFalse();
+      endpoint.gate.countDown();
+      assertThat(outcome(running.get())).isEqualTo("0 ran");
+      await(() -> entry.routing.isDrained("h1", 0));
+      assertThat(entry.routing.isDrained("h1", 1_000)).isFalse();
+    }
+  }
+
+  /** Guards against series that the burn report does not find. */
+  @Test
+  void answersAreCountedByServiceResultAndObjective() throws Exception {
+    try (EntryFixture entry = new EntryFixture("e1", new MemoryLog(), new MemoryPeers());
+        FakeEndpoint endpoint = new FakeEndpoint(Behavior.ANSWER)) {
+      entry.release();
+      entry.admit("scan-pool", "h1", endpoint.address());
+      entry.send(entry.request("/scan/x").build());
+      entry.send(entry.request("/none").build());
+      assertThat(count(entry, "persimmonloom_requests", "scan", "0", "ran")).isEqualTo(1);
+      assertThat(count(entry, "persimmonloom_requests", "-", "10", "not-run")).isEqualTo(1);
+      assertThat(count(entry, "persimmonloom_objective", "scan", "hit")).isEqualTo(1);
+      var seconds =
+          (HistogramSnapshot)
+              entry.registry.scrape(it -> it.equals("persimmonloom_request_seconds")).get(0);
+      assertThat(seconds.getDataPoints().get(0).getLabels().get("work_class")).isEqualTo("short");
+    }
+  }
+
+  private static double count(EntryFixture entry, String name, String... values) {
+    var snapshot =
+        (CounterSnapshot)
+            entry.registry.scrape(it -> it.startsWith(name)).stream()
+                .filter(it -> it.getMetadata().getName().equals(name))
+                .findFirst()
+                .orElseThrow();
+    return snapshot.getDataPoints().stream()
+        .filter(
+            point ->
+                point.getLabels().stream()
+                    .map(it -> it.getValue())
+                    .toList()
+                    .containsAll(java.util.List.of(values)))
+        .mapToDouble(CounterSnapshot.CounterDataPointSnapshot::getValue)
+        .sum();
+  }
+}
