--- a/core/src/main/java/org/persimmonloom/core/capacity/CapacityLimits.java
+++ b/core/src/main/java/org/persimmonloom/core/capacity/CapacityLimits.java
@@ -63,7 +63,7 @@
         0.75 + 1.25 * clamp(moves / Math.max(buffer, LEAST_SHARE), 0, 4),
         Math.round(moveMillis * clamp(moves, 0.1, 1)),
         isRolloutFirst ? 0 : 1,
-        (int) Math.round(clamp(1 + 4 * (rollout - shortWait), 0, 3)));
+        (int) Math.round(clamp(0.5 + 2 * (rollout - shortWait), 0, 3)));
   }
 
   /**
--- a/core/src/main/java/org/persimmonloom/core/capacity/TrendPolicy.java
+++ b/core/src/main/java/org/persimmonloom/core/capacity/TrendPolicy.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import org.persimmonloom.core.host.HostKind;
+import org.persimmonloom.core.host.HostState;
 
 /**
  * Moves hosts after the trend of demand.
@@ -44,7 +45,6 @@
             .map(pool -> PoolBalance.of(pool, view, limits, settings, nowMillis))
             .toList();
     Map<String, PaceDecision> paces = new TreeMap<>();
-    balances.forEach(each -> paces.put(each.pool().name(), RolloutPace.decide(each, limits)));
     Map<HostKind, Integer> buffers = new EnumMap<>(HostKind.class);
     List<ProposedMove> moves = new ArrayList<>();
     Map<String, String> outcomes = new TreeMap<>();
@@ -52,9 +52,10 @@
       List<PoolBalance> ofKind =
           balances.stream().filter(each -> each.pool().kind() == kind).toList();
       int hosts = ofKind.stream().mapToInt(each -> each.pool().hosts().size()).sum();
-      buffers.put(kind, limits.bufferHosts(kind, hosts));
-      KindPlanner planner =
-          new KindPlanner(view, ofKind, limits, settings, buffers.get(kind), nowMillis);
+      int buffer = limits.bufferHosts(kind, hosts);
+      buffers.put(kind, buffer + backing(ofKind, buffer));
+      RolloutPace.decide(ofKind, limits, buffer).forEach(each -> paces.put(each.pool(), each));
+      KindPlanner planner = new KindPlanner(view, ofKind, limits, settings, buffer, nowMillis);
       planner.plan().ifPresent(moves::add);
       outcomes.putAll(planner.outcomes());
     }
@@ -63,6 +64,21 @@
     return new CapacityPlan(view.offset(), moves, buffers, paces, verdicts);
   }
 
+  /**
+   * Returns how many hosts join the buffer while a wave holds hosts of the other pools down: one
+   * for each executor that is down, as far as the spare pool has them. Workers get none, because
+   * their long work may wait.
+   */
+  private static int backing(List<PoolBalance> balances, int buffer) {
+    int down =
+        balances.stream()
+            .map(PoolBalance::pool)
+            .filter(pool -> pool.isInWave() && !pool.isSpare() && pool.kind() == HostKind.EXECUTOR)
+            .mapToInt(pool -> pool.hosts().size() - pool.count(HostState.AVAILABLE))
+            .sum();
+    return Math.min(down, RolloutPace.lendable(balances, buffer));
+  }
+
   private static PoolVerdict verdict(
       PoolBalance balance, Map<String, String> outcomes, CapacityLimits limits) {
     String figures =
