Return a surplus only where that pays for the move

Change: the threshold of a return rises by 2 hosts per ratio of the weights instead of 1.25; a wave uses whole budgets only if roll-out outweighs short wait and buffer twice.

--- a/core/src/main/java/org/persimmonloom/core/capacity/CapacityLimits.java
+++ b/core/src/main/java/org/persimmonloom/core/capacity/CapacityLimits.java
@@ -12,7 +12,8 @@
  *   <li>wait of short work: more of a burst is covered by a pool's own slots, the buffer is larger,
  *       and a wave leaves one host of each budget for unplanned losses;
  *   <li>buffer cost: the reverse, and surplus hosts return to the spare pool sooner;
- *   <li>roll-out time: a wave may use whole budgets and go below the head room;
+ *   <li>roll-out time: a wave may go below the need, and use whole budgets if the weight is more
+ *       than twice that of short wait and buffer;
  *   <li>host moves: a gap must be larger before a host moves, and moves are further apart.
  * </ul>
  *
@@ -54,15 +55,14 @@
     double rollout = weights.rollout() * scale;
     double moves = weights.moves() * scale;
     double coverage = clamp(0.275 + 0.3 * (shortWait - buffer), 0.15, 0.5);
-    boolean isRolloutFirst = rollout > shortWait;
     return new CapacityLimits(
         coverage,
         coverage + COVERAGE_BAND,
         clamp(0.125 + 0.15 * (shortWait - buffer), 0.05, 0.2),
         0.5 + 1.5 * clamp(moves / Math.max(shortWait + buffer, LEAST_SHARE), 0, 4),
-        0.75 + 1.25 * clamp(moves / Math.max(buffer, LEAST_SHARE), 0, 4),
+        0.75 + 2 * clamp(moves / Math.max(buffer, LEAST_SHARE), 0, 4),
         Math.round(moveMillis * clamp(moves, 0.1, 1)),
-        isRolloutFirst ? 0 : 1,
+        rollout > 2 * (shortWait + buffer) ? 0 : 1,
         (int) Math.round(clamp(0.5 + 2 * (rollout - shortWait), 0, 3)));
   }
 
--- a/core/src/main/java/org/persimmonloom/core/capacity/CapacityPlan.java
+++ b/core/src/main/java/org/persimmonloom/core/capacity/CapacityPlan.java
@@ -7,8 +7,8 @@
 /**
  * The decisions of one planning round.
  *
- * @param bufferHosts hosts of the spare pool beyond its own need that are kept ready to lend slots, by
- *     kind of host; they run no long work. The spare hosts beyond them are released
+ * @param bufferHosts hosts of the spare pool beyond its own need that are kept ready to lend slots,
+ *     by kind of host; they run no long work. The spare hosts beyond them are released
  * @param paces pace of a maintenance wave, by pool
  * @param verdicts one for each pool, in the order of the view
  */
