Visit workers from a second entry host as a backup

Cause: a worker's owner that stopped without being declared lost left the ends of its tasks unnoticed; the end-to-end test then waited for ever for one of six jobs.

Conclusion: the loss of one entry host no longer depends on how soon it is declared lost.

--- a/runtime/src/main/java/org/persimmonloom/runtime/worker/OwnedWorkers.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/worker/OwnedWorkers.java
@@ -20,6 +20,12 @@
  * visited when such an attempt has waited for too long. Confined to the controller's thread.
  */
 final class OwnedWorkers {
+  /**
+   * How often the next host in rank visits a worker with tasks, whether or not its owner does. Half
+   * of the worker's lease, so that no task ends because the loss of its owner is noticed late.
+   */
+  static final long BACKUP_EVERY_MILLIS = LeaseRules.WORKER_LEASE_MILLIS / 2;
+
   private final String self;
   private final Map<String, Integer> ranks = new HashMap<>();
   private final Map<String, Long> waitingSince = new HashMap<>();
@@ -70,8 +76,13 @@
       return WorkerDivision.isTurn(rank, nowMillis - since);
     }
     waitingSince.remove(worker);
+    boolean isBackup = rank == 1 && !fleet.jobs().liveAt(worker).isEmpty();
+    if (rank != 0 && !isBackup) {
+      return false;
+    }
     Long last = visited.get(worker);
-    return rank == 0 && (last == null || nowMillis - last >= LeaseRules.RENEW_EVERY_MILLIS);
+    long everyMillis = isBackup ? BACKUP_EVERY_MILLIS : LeaseRules.RENEW_EVERY_MILLIS;
+    return last == null || nowMillis - last >= everyMillis;
   }
 
   private static boolean isWaiting(FleetState fleet, String worker) {
--- a/tool/src/main/java/org/persimmonloom/tool/command/Main.java
+++ b/tool/src/main/java/org/persimmonloom/tool/command/Main.java
@@ -22,6 +22,7 @@
     commands.put("job show", new JobShowCommand());
     commands.put("job cancel", new JobCancelCommand());
     commands.put("job release", new JobReleaseCommand());
+    commands.put("measure jobs", new MeasureJobsCommand());
     commands.put("standin", new StandInCommand());
     return commands;
   }
--- a/tool/src/test/java/org/persimmonloom/tool/standin/JobsEndToEndTest.java
+++ b/tool/src/test/java/org/persimmonloom/tool/standin/JobsEndToEndTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.persimmonloom.core.fold.ProposalTypes;
 import org.persimmonloom.core.host.HostFacts;
 import org.persimmonloom.core.host.HostKind;
 import org.persimmonloom.core.job.JobSize;
@@ -144,7 +145,7 @@
 
   private boolean isSubmitted(JobSpec spec) {
     return operator
-        .post("/jobs", org.persimmonloom.core.fold.ProposalTypes.CODEC.toJson(spec))
+        .post("/jobs", ProposalTypes.CODEC.toJson(spec))
         .fold(failure -> failure.code() == ResultCode.ALREADY_APPLIED, text -> true);
   }
 
