Bound renewals of leases by an estimate of fold time that never falls back

Cause: the check of a lease rested on the last complete read of the log. While appends fail and reads succeed, fold time stands still, so a host would renew a lease past its end; when appends return, the fold would expire it while the worker still runs the task.

Change: FoldClock keeps the highest of the wall clock and of all observed fold times, advanced by a monotonic clock. Only the owner of a worker reports it silent, since a backup that is cut off from it would contradict the owner.

Conclusion: an attempt is given up only after its worker's lease has ended, also across outages of appends.

--- a/core/src/main/java/org/persimmonloom/core/job/LeaseRules.java
+++ b/core/src/main/java/org/persimmonloom/core/job/LeaseRules.java
@@ -11,12 +11,12 @@
  * and the worker counts its lease from that reading. So neither a pause of the sender nor a delay
  * in the network extends a lease.
  *
- * <p>An entry host that last read the log at fold time t, and has measured e milliseconds since,
- * renews only while t + e is below {@code leaseUntilMillis}. It needs no contact with the log, so
- * tasks survive an outage of the log as long as the fold's lease. The last lease at a worker then
- * ends at most {@link #WORKER_LEASE_MILLIS} later on the worker's clock. Against that, fold time
- * may run ahead of real time by {@link EntryHostTable#MAX_CLOCK_LEAD_MILLIS}, and both clocks may
- * run slow. {@link #EXPIRY_MARGIN_MILLIS} is the sum of these.
+ * <p>An entry host starts or renews only while its estimate of the present fold time is below
+ * {@code leaseUntilMillis}. The estimate needs no contact with the log, so tasks survive an outage
+ * of the log as long as the fold's lease. The last lease at a worker then ends at most {@link
+ * #WORKER_LEASE_MILLIS} later on the worker's clock. Against that, fold time may run ahead of real
+ * time by {@link EntryHostTable#MAX_CLOCK_LEAD_MILLIS}, and the clocks may run slow. {@link
+ * #EXPIRY_MARGIN_MILLIS} is the sum of these.
  */
 public final class LeaseRules {
   /**
@@ -31,7 +31,7 @@
 
   /**
    * The fold's lease. An outage of the log ends no task for at least the lease without one renewal
-   * period, 10 minutes. The price is that a job on a worker that died waits at most 17 minutes; a
+   * period, 10 minutes. The price is that a job on a worker that died waits at most 18 minutes; a
    * worker that rebooted reports it, and its jobs don't wait.
    */
   public static final long FOLD_LEASE_MILLIS = 15 * 60_000L;
@@ -58,13 +58,8 @@
     return foldTimeMillis >= attempt.leaseUntilMillis() + EXPIRY_MARGIN_MILLIS;
   }
 
-  /**
-   * Returns whether an entry host may start or renew the attempt.
-   *
-   * @param foldTimeMillis fold time at the last complete read of the log
-   * @param sinceReadMillis measured since that read
-   */
-  public static boolean mayRenew(Attempt attempt, long foldTimeMillis, long sinceReadMillis) {
-    return foldTimeMillis + sinceReadMillis < attempt.leaseUntilMillis();
+  /** Returns whether an entry host may start or renew the attempt at this estimated fold time. */
+  public static boolean mayRenew(Attempt attempt, long nowMillis) {
+    return nowMillis < attempt.leaseUntilMillis();
   }
 }
--- a/core/src/main/java/org/persimmonloom/core/job/WorkerVisit.java
+++ b/core/src/main/java/org/persimmonloom/core/job/WorkerVisit.java
@@ -32,8 +32,8 @@
    * @param live the jobs with a live attempt at the worker
    * @param offset first offset that is not folded
    * @param observedOffset the same before the worker was asked
-   * @param timeMillis fold time at the last complete read of the log
-   * @param sinceReadMillis measured since that read
+   * @param timeMillis fold time at {@code offset}
+   * @param nowMillis what fold time is estimated to have reached by now
    */
   public record FoldView(
       String worker,
@@ -42,7 +42,7 @@
       long offset,
       long observedOffset,
       long timeMillis,
-      long sinceReadMillis) {
+      long nowMillis) {
     public FoldView {
       live = List.copyOf(live);
     }
@@ -92,7 +92,7 @@
   }
 
   private boolean mayRenew(Job job) {
-    return LeaseRules.mayRenew(job.live(), fold.timeMillis(), fold.sinceReadMillis());
+    return LeaseRules.mayRenew(job.live(), fold.nowMillis());
   }
 
   private void follow(Job job, WorkerRenewed.Ref ref, TaskReport task) {
--- a/core/src/test/java/org/persimmonloom/core/job/WorkerVisitTest.java
+++ b/core/src/test/java/org/persimmonloom/core/job/WorkerVisitTest.java
@@ -15,7 +15,7 @@
 
   private final JobFixture fixture = new JobFixture(1);
 
-  private VisitPlan visit(long boot, long sinceReadMillis, TaskReport... tasks) {
+  private VisitPlan visit(long boot, long elapsedMillis, TaskReport... tasks) {
     JobTable table = fixture.state.jobs();
     long offset = fixture.state.nextOffset();
     WorkerVisit.FoldView view =
@@ -26,7 +26,7 @@
             offset,
             offset,
             fixture.state.timeMillis(),
-            sinceReadMillis);
+            fixture.state.timeMillis() + elapsedMillis);
     return WorkerVisit.decide(view, new WorkerReport(boot, 0, List.of(tasks)));
   }
 
--- a/runtime/src/main/java/org/persimmonloom/runtime/entry/EntryModule.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/entry/EntryModule.java
@@ -8,8 +8,6 @@
 import org.persimmonloom.runtime.fleet.HostListClient;
 import org.persimmonloom.runtime.log.GroupCommitter;
 import org.persimmonloom.runtime.log.HttpPlatformLog;
-import org.persimmonloom.runtime.log.LogFollower;
-import org.persimmonloom.runtime.log.LogReadAge;
 import org.persimmonloom.runtime.log.PlatformLog;
 import org.persimmonloom.runtime.log.Proposer;
 import org.persimmonloom.runtime.settings.EntrySettings;
@@ -47,9 +45,4 @@
   static Proposer proposer(GroupCommitter committer) {
     return committer;
   }
-
-  @Provides
-  static LogReadAge logReadAge(LogFollower follower) {
-    return follower;
-  }
 }
--- a/runtime/src/main/java/org/persimmonloom/runtime/log/LogFollower.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/log/LogFollower.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import javax.inject.Inject;
 import javax.inject.Singleton;
 import org.apache.logging.log4j.LogManager;
@@ -13,7 +12,7 @@
  * Reads the platform log and folds it, on one thread of its own. Safe for use by several threads.
  */
 @Singleton
-public final class LogFollower implements LogReadAge {
+public final class LogFollower {
   private static final Logger LOGGER = LogManager.getLogger(LogFollower.class);
   private static final int PAGE_RECORDS = 500;
   private static final long WAIT_MILLIS = 500;
@@ -24,7 +23,6 @@
   private final Thread thread = new Thread(this::run, "log-follower");
   private volatile boolean stopped;
   private volatile boolean caughtUp;
-  private volatile long completeReadNanos;
 
   @Inject
   public LogFollower(PlatformLog log, ReplicatedState state) {
@@ -50,13 +48,6 @@
     return caughtUp;
   }
 
-  @Override
-  public long sinceCompleteReadMillis() {
-    return caughtUp
-        ? TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - completeReadNanos)
-        : Long.MAX_VALUE / 2;
-  }
-
   private void run() {
     boolean reachable = true;
     while (!stopped) {
@@ -78,7 +69,6 @@
 
   private void followOnce() throws IOException {
     long from = state.nextOffset();
-    long requestNanos = System.nanoTime();
     LogPage page = log.read(from, PAGE_RECORDS, WAIT_MILLIS);
     long offset = page.fromOffset();
     for (byte[] record : page.records()) {
@@ -91,7 +81,6 @@
       offset++;
     }
     if (offset >= page.nextOffset()) {
-      completeReadNanos = requestNanos;
       caughtUp = true;
     }
   }
--- a/runtime/src/main/java/org/persimmonloom/runtime/worker/JobController.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/worker/JobController.java
@@ -141,7 +141,7 @@
       visits.labelValues("answered").inc();
     } catch (IOException e) {
       visits.labelValues("failed").inc();
-      silent(target.worker()).ifPresent(it -> outbox.add(target.worker(), List.of(it)));
+      silent(target).ifPresent(it -> outbox.add(target.worker(), List.of(it)));
     } catch (RuntimeException e) {
       LOGGER.error("visit of {} failed", target.worker(), e);
     } finally {
@@ -149,10 +149,11 @@
     }
   }
 
-  private Optional<Proposal> silent(String worker) {
+  private Optional<Proposal> silent(OwnedWorkers.Target target) {
+    String worker = target.worker();
     long nowMillis = clock.millis();
     long since = failingSince.computeIfAbsent(worker, unused -> nowMillis);
-    if (nowMillis - since < SILENT_AFTER_MILLIS) {
+    if (!target.isOwn() || nowMillis - since < SILENT_AFTER_MILLIS) {
       return Optional.empty();
     }
     return state.read(
--- a/runtime/src/main/java/org/persimmonloom/runtime/worker/OwnedWorkers.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/worker/OwnedWorkers.java
@@ -32,8 +32,13 @@
   private final Map<String, Long> visited = new HashMap<>();
   private List<String> entryHosts = List.of();
 
-  /** A worker to visit. */
-  record Target(String worker, String address) {}
+  /**
+   * A worker to visit.
+   *
+   * @param isOwn whether this host owns it; only the owner reports it silent, because a backup that
+   *     is cut off from it would contradict the owner again and again
+   */
+  record Target(String worker, String address, boolean isOwn) {}
 
   OwnedWorkers(String self) {
     this.self = self;
@@ -50,7 +55,7 @@
     for (Host host : fleet.hosts().all()) {
       if (host.facts().kind() == HostKind.WORKER && isDue(fleet, host.name(), nowMillis)) {
         visited.put(host.name(), nowMillis);
-        due.add(new Target(host.name(), host.facts().address()));
+        due.add(new Target(host.name(), host.facts().address(), isOwn(host.name())));
       }
     }
     return due;
--- a/runtime/src/main/java/org/persimmonloom/runtime/worker/WorkerVisitor.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/worker/WorkerVisitor.java
@@ -19,7 +19,6 @@
 import org.persimmonloom.core.job.WorkerRenewed;
 import org.persimmonloom.core.job.WorkerReport;
 import org.persimmonloom.core.job.WorkerVisit;
-import org.persimmonloom.runtime.log.LogReadAge;
 import org.persimmonloom.runtime.log.ReplicatedState;
 
 /**
@@ -32,13 +31,13 @@
 
   private final WorkerClient client;
   private final ReplicatedState state;
-  private final LogReadAge readAge;
+  private final FoldClock foldClock;
 
   @Inject
-  WorkerVisitor(WorkerClient client, ReplicatedState state, LogReadAge readAge) {
+  WorkerVisitor(WorkerClient client, ReplicatedState state, FoldClock foldClock) {
     this.client = client;
     this.state = state;
-    this.readAge = readAge;
+    this.foldClock = foldClock;
   }
 
   /**
@@ -50,9 +49,8 @@
   List<Proposal> visit(String worker, String address) throws IOException {
     long observedOffset = state.nextOffset();
     WorkerReport report = client.tasks(address);
-    long sinceReadMillis = readAge.sinceCompleteReadMillis();
-    WorkerVisit.FoldView view =
-        state.read(fleet -> view(fleet, worker, observedOffset, sinceReadMillis));
+    long nowMillis = foldClock.nowMillis();
+    WorkerVisit.FoldView view = state.read(fleet -> view(fleet, worker, observedOffset, nowMillis));
     VisitPlan plan = WorkerVisit.decide(view, report);
     List<Proposal> proposals = new ArrayList<>(plan.proposals());
     try {
@@ -75,7 +73,7 @@
   }
 
   private static WorkerVisit.FoldView view(
-      FleetState fleet, String worker, long observedOffset, long sinceReadMillis) {
+      FleetState fleet, String worker, long observedOffset, long nowMillis) {
     return new WorkerVisit.FoldView(
         worker,
         fleet.jobs().worker(worker).orElse(null),
@@ -83,7 +81,7 @@
         fleet.nextOffset(),
         observedOffset,
         fleet.timeMillis(),
-        sinceReadMillis);
+        nowMillis);
   }
 
   private void act(VisitPlan plan, String address, WorkerReport report, List<Proposal> proposals)
