--- a/runtime/src/main/java/org/persimmonloom/runtime/entry/EntryModule.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/entry/EntryModule.java
@@ -8,8 +8,6 @@
 import org.persimmonloom.runtime.fleet.HostListClient;
 import org.persimmonloom.runtime.log.GroupCommitter;
 import org.persimmonloom.runtime.log.HttpPlatformLog;
-import org.persimmonloom.runtime.log.LogReadAge;
-import org.persimmonloom.runtime.log.LogStatus;
 import org.persimmonloom.runtime.log.PlatformLog;
 import org.persimmonloom.runtime.log.Proposer;
 import org.persimmonloom.runtime.log.RecordSource;
@@ -68,9 +66,4 @@
   static Currency currency(ClusterService cluster) {
     return cluster;
   }
-
-  @Provides
-  static LogReadAge logReadAge(LogStatus status) {
-    return status;
-  }
 }
--- a/runtime/src/main/java/org/persimmonloom/runtime/log/LogFollower.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/log/LogFollower.java
@@ -171,7 +171,6 @@
 
   private void follow() throws IOException {
     long startMillis = clock.millis();
-    long startNanos = System.nanoTime();
     long from = state.nextOffset();
     LogPage page = log.read(from, PAGE_RECORDS, WAIT_MILLIS);
     status.endSeen(page.nextOffset());
@@ -190,7 +189,7 @@
     }
     status.waiting(null);
     if (fold(page) && state.nextOffset() >= page.nextOffset()) {
-      status.readToEnd(startMillis, startNanos);
+      status.readToEnd(startMillis);
     }
   }
 
--- a/tool/src/main/java/org/persimmonloom/tool/command/Main.java
+++ b/tool/src/main/java/org/persimmonloom/tool/command/Main.java
@@ -41,6 +41,7 @@
     commands.put("maintenance cancel", new MaintenanceCancelCommand());
     commands.put("maintenance plan", new MaintenancePlanCommand());
     commands.put("explain", new ExplainCommand());
+    commands.put("measure jobs", new MeasureJobsCommand());
     commands.put("standin", new StandInCommand());
     commands.put("measure slopes", new SlopesCommand());
     return commands;
