Choose relayed heartbeats by what they tell the peer

Cause: in a simulated sparse mesh of 24 hosts, hosts dropped out of each other's view: one heartbeat in rotation went along with each own one, so some were older than the limit of 6 s.

--- a/runtime/src/main/java/org/persimmonloom/runtime/log/GroupCommitter.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/log/GroupCommitter.java
@@ -2,7 +2,6 @@
 
 import io.vavr.control.Either;
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
@@ -12,6 +11,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import javax.inject.Inject;
 import javax.inject.Singleton;
@@ -25,7 +25,6 @@
 import org.persimmonloom.core.member.EntryHost;
 import org.persimmonloom.core.member.EntryHostLeft;
 import org.persimmonloom.core.member.EntryHostLost;
-import org.persimmonloom.core.member.EntryHostSeen;
 import org.persimmonloom.core.member.EntryHostTable;
 import org.persimmonloom.core.result.Failure;
 import org.persimmonloom.core.result.ResultCode;
@@ -59,6 +58,7 @@
   private final InstantSource clock;
   private final LogStatus status;
   private final LogMetrics metrics;
+  private final LongSupplier steadyMillis;
   private final Thread thread = new Thread(this::run, "group-committer");
   private final Object lock = new Object();
   private final ProposalQueue queue = new ProposalQueue();
@@ -80,6 +80,19 @@
       InstantSource clock,
       LogStatus status,
       LogMetrics metrics) {
+    this(log, state, settings, clock, status, metrics, () -> System.nanoTime() / 1_000_000);
+  }
+
+  /** Creates a committer whose pace and renewals follow the given steady clock. */
+  GroupCommitter(
+      PlatformLog log,
+      ReplicatedState state,
+      EntrySettings settings,
+      InstantSource clock,
+      LogStatus status,
+      LogMetrics metrics,
+      LongSupplier steadyMillis) {
+    this.steadyMillis = steadyMillis;
     this.log = log;
     this.state = state;
     this.settings = settings;
@@ -160,10 +173,6 @@
         : entry.get().future();
   }
 
-  private static long steadyMillis() {
-    return System.nanoTime() / 1_000_000;
-  }
-
   private void run() {
     while (!stopped) {
       try {
@@ -189,7 +198,7 @@
     }
     isHealthy = false;
     synchronized (lock) {
-      pacer.failed(steadyMillis());
+      pacer.failed(steadyMillis.getAsLong());
       appendAtMillis = pacer.nextMillis();
     }
   }
@@ -198,7 +207,7 @@
   private InFlightBatch awaitDue() throws InterruptedException {
     long paceMillis = paceMillis();
     synchronized (lock) {
-      long nowMillis = steadyMillis();
+      long nowMillis = steadyMillis.getAsLong();
       if (inFlight == null && nowMillis >= pacer.nextMillis()) {
         inFlight = nextBatch(nowMillis);
         appendAtMillis = nowMillis;
@@ -233,7 +242,7 @@
       metrics.failedAppends.inc();
     }
     synchronized (lock) {
-      long nowMillis = steadyMillis();
+      long nowMillis = steadyMillis.getAsLong();
       if (isAcknowledged) {
         pacer.succeeded(nowMillis);
         appendAtMillis = nowMillis + FOLD_WAIT_MILLIS;
@@ -251,7 +260,7 @@
     }
     List<Proposal> proposals = new ArrayList<>();
     if (sequence == 0 || (nowMillis >= renewAtMillis && !isLeaving)) {
-      proposals.add(registration());
+      proposals.add(Registrations.of(settings));
       renewAtMillis = nowMillis + EntryHostTable.RENEW_EVERY_MILLIS;
     }
     List<ProposalQueue.Entry> entries = queue.takeBatch(proposals.size());
@@ -289,15 +298,6 @@
         .orElse(0L);
   }
 
-  private EntryHostSeen registration() {
-    return new EntryHostSeen(
-        text(settings.peerAddress()), text(settings.operatorAddress()), settings.dataCentre());
-  }
-
-  private static String text(InetSocketAddress address) {
-    return address.getHostString() + ":" + address.getPort();
-  }
-
   private long incarnationFromClock() {
     return clock.millis() * 1_024 + ThreadLocalRandom.current().nextInt(1_024);
   }
--- a/runtime/src/main/java/org/persimmonloom/runtime/peer/ClusterService.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/peer/ClusterService.java
@@ -21,6 +21,7 @@
 import org.persimmonloom.core.member.LossRule;
 import org.persimmonloom.core.member.MeshPlan;
 import org.persimmonloom.core.member.PeerView;
+import org.persimmonloom.core.member.RelayPlan;
 import org.persimmonloom.core.result.Failure;
 import org.persimmonloom.core.result.ResultCode;
 import org.persimmonloom.runtime.log.GroupCommitter;
@@ -48,8 +49,8 @@
   private final PeerView view = new PeerView();
   private final CatchUpGoal goal = new CatchUpGoal();
   private final LossRule lossRule;
+  private final RelayPlan relayPlan = new RelayPlan();
   private List<EntryHost> registered = List.of();
-  private int relayIndex;
   private volatile Map<String, String> addresses = Map.of();
   private volatile List<String> wantedPeers = List.of();
   private volatile List<Member> live = List.of();
@@ -85,6 +86,7 @@
     synchronized (this) {
       registered = hosts;
       view.setPeers(hosts.stream().map(EntryHost::name).toList(), nowMillis);
+      relayPlan.setNames(hosts.stream().map(EntryHost::name).toList());
       losses = lossRule.due(hosts, view, foldTimeMillis, nowMillis);
       decideCurrency(nowMillis);
     }
@@ -193,21 +195,9 @@
 
   @Override
   public synchronized List<PeerMessage.Relayed> relayedTo(String peer, long nowMillis) {
-    if (MeshPlan.isFullMesh(registered.size())) {
-      return List.of();
-    }
-    List<PeerView.Heard> fresh =
-        view.all().stream()
-            .filter(heard -> !heard.heartbeat().name().equals(peer))
-            .filter(heard -> heard.heardMillis() <= nowMillis)
-            .filter(heard -> nowMillis - heard.heardMillis() < PeerView.LOST_AFTER_MILLIS)
-            .toList();
-    if (fresh.isEmpty()) {
-      return List.of();
-    }
-    relayIndex = (relayIndex + 1) % fresh.size();
-    PeerView.Heard chosen = fresh.get(relayIndex);
-    return List.of(new PeerMessage.Relayed(chosen.heartbeat(), nowMillis - chosen.heardMillis()));
+    return relayPlan.choose(peer, view, nowMillis).stream()
+        .map(heard -> new PeerMessage.Relayed(heard.heartbeat(), nowMillis - heard.heardMillis()))
+        .toList();
   }
 
   @Override
--- a/runtime/src/test/java/org/persimmonloom/runtime/log/LogReplicationTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/log/LogReplicationTest.java
@@ -25,6 +25,7 @@
 import org.persimmonloom.core.member.EntryHostLeft;
 import org.persimmonloom.core.member.EntryHostLost;
 import org.persimmonloom.core.member.EntryHostSeen;
+import org.persimmonloom.core.member.EntryHostTable;
 import org.persimmonloom.core.release.ReleaseProposed;
 import org.persimmonloom.core.result.ResultCode;
 
@@ -133,6 +134,17 @@
     assertThat(verdict(replica.committer.propose(List.of(replica.claim()))).isAccepted()).isTrue();
   }
 
+  /** Guards against registrations that lapse, and against renewals that waste appends. */
+  @Test
+  void registrationIsRenewed() throws Exception {
+    TestReplica replica = start("entry-1");
+    for (int renewals = 1; renewals <= 3; renewals++) {
+      replica.advance(EntryHostTable.RENEW_EVERY_MILLIS);
+      long expected = 1 + renewals;
+      await(() -> replica.state.nextOffset() >= expected);
+    }
+  }
+
   /** Guards against batches above the log's record limit. */
   @Test
   void batchesKeepTheLimitsOfTheLog() throws Exception {
--- a/runtime/src/test/java/org/persimmonloom/runtime/log/TestReplica.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/log/TestReplica.java
@@ -7,6 +7,7 @@
 import java.time.InstantSource;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
 import org.persimmonloom.core.claim.ClaimRequested;
 import org.persimmonloom.core.fold.FleetState;
@@ -25,6 +26,7 @@
   final LogFollower follower;
   final SnapshotWriter snapshots;
   private final String name;
+  private final AtomicLong aheadMillis = new AtomicLong();
   private int claims;
 
   TestReplica(String name, PlatformLog log, long retentionMillis, RecordSource peers) {
@@ -46,7 +48,8 @@
             0,
             retentionMillis);
     InstantSource clock = InstantSource.system();
-    committer = new GroupCommitter(log, state, settings, clock, status, metrics);
+    committer =
+        new GroupCommitter(log, state, settings, clock, status, metrics, this::steadyMillis);
     snapshots = new SnapshotWriter(state, committer, status, metrics, settings, clock);
     follower = new LogFollower(log, state, status, window, peers, metrics, clock);
   }
@@ -69,6 +72,15 @@
     follower.stop();
   }
 
+  private long steadyMillis() {
+    return System.nanoTime() / 1_000_000 + aheadMillis.get();
+  }
+
+  /** Moves the committer's steady clock ahead. */
+  void advance(long millis) {
+    aheadMillis.addAndGet(millis);
+  }
+
   /** Returns the next claim of this host. */
   ClaimRequested claim() {
     claims++;
