Keep callers' short deadlines from taking endpoints out of routing

Refusals at the listener were counted under no service, so the burn report would have missed them.

Refusals are counted for the service they name, and as a missed objective unless the caller caused them.

--- a/runtime/src/main/java/org/persimmonloom/runtime/caller/RequestMetrics.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/caller/RequestMetrics.java
@@ -77,26 +77,41 @@
     attempts.labelValues(service, lower(result)).inc();
   }
 
-  /** Counts a refusal that never entered the request path. */
-  void refused(String service, CallerAnswer answer) {
-    requests
-        .labelValues(service, Integer.toString(answer.code().number()), run(answer.run()))
-        .inc();
+  /** Counts the refusal of a request that names no service in force. */
+  void refused(CallerAnswer answer) {
+    count(NO_SERVICE, answer);
   }
 
-  /**
-   * Counts the answer of an accepted request. What the caller itself caused, such as a cancelled
-   * request or a wrong key, counts neither as hit nor as miss.
-   */
+  /** Counts a refusal of a request that never entered the request path. */
+  void refused(ServiceDefinition service, CallerAnswer answer) {
+    count(service.name(), answer);
+    countObjective(service, answer, false);
+  }
+
+  /** Counts the answer of an accepted request. */
   void answered(
       ServiceDefinition service, WorkClass workClass, CallerAnswer answer, long elapsedMillis) {
-    refused(service.name(), answer);
+    count(service.name(), answer);
     seconds
         .labelValues(service.name(), workClass == null ? "none" : lower(workClass))
         .observe(elapsedMillis / 1_000.0);
+    boolean isInTime = elapsedMillis <= service.objectiveLatencyMillis();
+    countObjective(service, answer, answer.failure() == null && isInTime);
+  }
+
+  private void count(String service, CallerAnswer answer) {
+    requests
+        .labelValues(service, Integer.toString(answer.code().number()), run(answer.run()))
+        .inc();
+  }
+
+  /**
+   * What the caller itself caused, such as a cancelled request or a wrong key, is neither a hit nor
+   * a miss.
+   */
+  private void countObjective(ServiceDefinition service, CallerAnswer answer, boolean isHit) {
     boolean isCallersFault = answer.response() == null && answer.status() < 500;
     if (!isCallersFault) {
-      boolean isHit = answer.failure() == null && elapsedMillis <= service.objectiveLatencyMillis();
       objective.labelValues(service.name(), isHit ? "hit" : "miss").inc();
     }
   }
--- a/runtime/src/main/java/org/persimmonloom/runtime/caller/RequestService.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/caller/RequestService.java
@@ -78,7 +78,7 @@
         check(request.service()).flatMap(unused -> context.routing.find(request.service()));
     if (found.isLeft()) {
       CallerAnswer answer = CallerAnswer.notRun(found.getLeft());
-      context.metrics.refused(RequestMetrics.NO_SERVICE, answer);
+      refused(request.service(), answer);
       return new AnsweredTicket(answer);
     }
     ServiceDispatcher dispatcher = found.get();
@@ -98,6 +98,15 @@
     return ticket;
   }
 
+  /** Counts a refusal for the service if there is one of that name. */
+  void refused(String service, CallerAnswer answer) {
+    context
+        .routing
+        .find(service)
+        .peek(known -> context.metrics.refused(known.service(), answer))
+        .peekLeft(unknown -> context.metrics.refused(answer));
+  }
+
   private void track(Ticket ticket) {
     active.add(ticket);
     ticket.answer().thenAccept(unused -> active.remove(ticket));
--- a/runtime/src/main/java/org/persimmonloom/runtime/endpoint/EndpointClient.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/endpoint/EndpointClient.java
@@ -48,7 +48,7 @@
 
   private static final int MAX_ATTEMPTS = 256;
   private static final long THREAD_KEEP_SECONDS = 30;
-  private static final long MAX_CONNECT_MILLIS = 1_000;
+  static final long MAX_CONNECT_MILLIS = 1_000;
 
   private final Map<String, EndpointConnections> byAddress = new ConcurrentHashMap<>();
   private final OkHttpClient base;
@@ -93,8 +93,14 @@
     return attempt;
   }
 
+  /** Returns how long the connection may take to open. */
+  static long connectMillis(EndpointRequest request) {
+    return Math.max(1, Math.min(MAX_CONNECT_MILLIS, request.timeoutMillis()));
+  }
+
+  /** A limit of this host kept the attempt back, which says nothing about the endpoint. */
   private static EndpointResult notSent(String reason) {
-    return new EndpointResult(AttemptResult.NOT_CONNECTED, null, false, false, reason, 0);
+    return new EndpointResult(AttemptResult.CANCELLED, null, false, false, reason, 0);
   }
 
   private final class Attempt implements EndpointCall {
@@ -168,7 +174,7 @@
               .client()
               .newBuilder()
               .callTimeout(timeoutMillis, TimeUnit.MILLISECONDS)
-              .connectTimeout(Math.min(MAX_CONNECT_MILLIS, timeoutMillis), TimeUnit.MILLISECONDS)
+              .connectTimeout(connectMillis(request), TimeUnit.MILLISECONDS)
               .readTimeout(progressMillis, TimeUnit.MILLISECONDS)
               .writeTimeout(progressMillis, TimeUnit.MILLISECONDS)
               .build()
@@ -259,7 +265,8 @@
       if (isCancelled) {
         outcome = AttemptResult.CANCELLED;
       } else if (!events.mayBeSent()) {
-        outcome = AttemptResult.NOT_CONNECTED;
+        // A deadline that leaves no time to connect says nothing about the endpoint.
+        outcome = events.isRefused() ? AttemptResult.NOT_CONNECTED : AttemptResult.CANCELLED;
       }
       String reason = endpoint.name() + ": " + e.getMessage();
       return new EndpointResult(
--- a/runtime/src/test/java/org/persimmonloom/runtime/caller/RoutingTableTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/caller/RoutingTableTest.java
@@ -54,6 +54,10 @@
       assertThat(count(entry, "persimmonloom_requests", "scan", "0", "ran")).isEqualTo(1);
       assertThat(count(entry, "persimmonloom_requests", "-", "10", "not-run")).isEqualTo(1);
       assertThat(count(entry, "persimmonloom_objective", "scan", "hit")).isEqualTo(1);
+      entry.requests.refuseNew();
+      entry.send(entry.request("/scan/x").build());
+      assertThat(count(entry, "persimmonloom_requests", "scan", "16", "not-run")).isEqualTo(1);
+      assertThat(count(entry, "persimmonloom_objective", "scan", "miss")).isEqualTo(1);
       var seconds =
           (HistogramSnapshot)
               entry.registry.scrape(it -> it.equals("persimmonloom_request_seconds")).get(0);
