--- a/core/src/main/java/org/persimmonloom/core/fold/FleetSnapshot.java
+++ b/core/src/main/java/org/persimmonloom/core/fold/FleetSnapshot.java
@@ -3,6 +3,7 @@
 import org.persimmonloom.core.claim.ClaimTable;
 import org.persimmonloom.core.explain.DecisionJournal;
 import org.persimmonloom.core.host.HostTable;
+import org.persimmonloom.core.job.JobTable;
 import org.persimmonloom.core.maintenance.WaveTable;
 import org.persimmonloom.core.member.EntryHostTable;
 import org.persimmonloom.core.release.ReleaseCatalog;
@@ -21,5 +22,6 @@
     ReleaseCatalog.Snapshot releases,
     ClaimTable.Snapshot claims,
     HostTable.Snapshot hosts,
+    JobTable.Snapshot jobs,
     WaveTable.Snapshot waves,
     DecisionJournal.Snapshot journal) {}
--- a/core/src/main/java/org/persimmonloom/core/fold/FleetState.java
+++ b/core/src/main/java/org/persimmonloom/core/fold/FleetState.java
@@ -6,8 +6,13 @@
 import java.util.Optional;
 import org.persimmonloom.core.claim.ClaimTable;
 import org.persimmonloom.core.explain.DecisionJournal;
+import org.persimmonloom.core.host.Host;
 import org.persimmonloom.core.host.HostLifecycle;
 import org.persimmonloom.core.host.HostTable;
+import org.persimmonloom.core.job.JobEnvironment;
+import org.persimmonloom.core.job.JobTable;
+import org.persimmonloom.core.job.QuarantineBudget;
+import org.persimmonloom.core.job.WorkerRecord;
 import org.persimmonloom.core.maintenance.AvailabilityBudgets;
 import org.persimmonloom.core.maintenance.DrainHandlers;
 import org.persimmonloom.core.maintenance.MaintenanceSteps;
@@ -17,6 +22,8 @@
 import org.persimmonloom.core.member.EntryHostTable;
 import org.persimmonloom.core.release.PoolDefinition;
 import org.persimmonloom.core.release.ReleaseCatalog;
+import org.persimmonloom.core.release.ServiceDefinition;
+import org.persimmonloom.core.release.TeamDefinition;
 import org.persimmonloom.core.result.Failure;
 import org.persimmonloom.core.result.ResultCode;
 
@@ -35,6 +42,7 @@
   private final DecisionJournal journal = new DecisionJournal();
   private final HostTable hosts;
   private final ReleaseCatalog releases;
+  private final JobTable jobs = new JobTable(new JobsView());
   private final AvailabilityBudgets budgets;
   private final WaveTable waves;
   private final List<FoldPart<?>> parts;
@@ -45,11 +53,11 @@
   public FleetState() {
     hosts = new HostTable(this::pool);
     releases = new ReleaseCatalog(hosts);
-    budgets = new AvailabilityBudgets(releases::budgets, hosts);
+    budgets = new AvailabilityBudgets(releases::budgets, hosts, this::isQuarantined);
     waves = new WaveTable(hosts, budgets, journal);
     hosts.addListener(waves);
     entryHosts.addListener(claims);
-    parts = List.of(entryHosts, releases, claims, hosts, waves, journal);
+    parts = List.of(entryHosts, releases, claims, hosts, jobs, waves, journal);
     parts.forEach(part -> part.registerHandlers(registry));
     registerMaintenance();
     registry.register(
@@ -64,6 +72,10 @@
     entryHosts.addListener(drains);
   }
 
+  private boolean isQuarantined(String worker) {
+    return jobs.worker(worker).filter(WorkerRecord::isQuarantined).isPresent();
+  }
+
   private Optional<PoolDefinition> pool(String name) {
     return releases.pool(name);
   }
@@ -155,6 +167,46 @@
     return hosts;
   }
 
+  public JobTable jobs() {
+    return jobs;
+  }
+
+  /** What the job table reads of the other tables. */
+  private final class JobsView implements JobEnvironment {
+    @Override
+    public Optional<Host> host(String name) {
+      return hosts.find(name);
+    }
+
+    @Override
+    public int hostCount(String pool) {
+      return hosts.hostCount(pool);
+    }
+
+    @Override
+    public Optional<TeamDefinition> team(String name) {
+      return Optional.ofNullable(releases.teams().get(name));
+    }
+
+    @Override
+    public Optional<ServiceDefinition> service(String name) {
+      return releases.service(name);
+    }
+
+    @Override
+    public Optional<Failure> quarantineRefusal(String worker) {
+      return hosts
+          .find(worker)
+          .flatMap(
+              host ->
+                  QuarantineBudget.refusal(
+                      host,
+                      hosts.all(),
+                      releases.budgets().values(),
+                      FleetState.this::isQuarantined));
+    }
+  }
+
   public WaveTable waves() {
     return waves;
   }
@@ -192,6 +244,7 @@
         releases.snapshot(),
         claims.snapshot(),
         hosts.snapshot(),
+        jobs.snapshot(),
         waves.snapshot(),
         journal.snapshot());
   }
@@ -209,6 +262,7 @@
     releases.restore(snapshot.releases());
     claims.restore(snapshot.claims());
     hosts.restore(snapshot.hosts());
+    jobs.restore(snapshot.jobs());
     waves.restore(snapshot.waves());
     journal.restore(snapshot.journal());
     return Optional.empty();
--- a/runtime/src/main/java/org/persimmonloom/runtime/entry/EntryMain.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/entry/EntryMain.java
@@ -41,20 +41,10 @@
     System.exit(failure.code().number());
   }
 
-  private static void run(EntrySettings settings) {
+  private static void run(EntrySettings settings) throws IOException {
     EntryHostService entryHost =
         DaggerEntryComponent.factory().create(settings, InstantSource.system()).entryHost();
-    Runtime.getRuntime()
-        .addShutdownHook(
-            new Thread(
-                () -> {
-                  try {
-                    entryHost.stop();
-                  } catch (InterruptedException e) {
-                    Thread.currentThread().interrupt();
-                  }
-                },
-                "planned-stop"));
+    StopSignals.install(entryHost);
     entryHost.start();
   }
 }
--- a/runtime/src/main/java/org/persimmonloom/runtime/entry/EntryModule.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/entry/EntryModule.java
@@ -8,21 +8,22 @@
 import org.persimmonloom.runtime.fleet.HostListClient;
 import org.persimmonloom.runtime.log.GroupCommitter;
 import org.persimmonloom.runtime.log.HttpPlatformLog;
+import org.persimmonloom.runtime.log.LogReadAge;
+import org.persimmonloom.runtime.log.LogStatus;
 import org.persimmonloom.runtime.log.PlatformLog;
 import org.persimmonloom.runtime.log.Proposer;
+import org.persimmonloom.runtime.peer.ClusterService;
+import org.persimmonloom.runtime.peer.ClusterView;
+import org.persimmonloom.runtime.peer.Currency;
+import org.persimmonloom.runtime.peer.PeerChannel;
+import org.persimmonloom.runtime.peer.PeerMesh;
 import org.persimmonloom.runtime.settings.EntrySettings;
 
-/** Provides the clients of the platform and the libraries' objects. */
+/** Provides the clients of the platform and the registry of metrics. */
 @Module
 public final class EntryModule {
   private EntryModule() {}
 
-  @Provides
-  @Singleton
-  static OkHttpClient httpClient() {
-    return new OkHttpClient();
-  }
-
   @Provides
   @Singleton
   static PrometheusRegistry metrics() {
@@ -45,4 +46,24 @@
   static Proposer proposer(GroupCommitter committer) {
     return committer;
   }
+
+  @Provides
+  static PeerChannel peerChannel(PeerMesh mesh) {
+    return mesh;
+  }
+
+  @Provides
+  static ClusterView clusterView(ClusterService cluster) {
+    return cluster;
+  }
+
+  @Provides
+  static Currency currency(ClusterService cluster) {
+    return cluster;
+  }
+
+  @Provides
+  static LogReadAge logReadAge(LogStatus status) {
+    return status;
+  }
 }
--- a/runtime/src/main/java/org/persimmonloom/runtime/entry/OperatorModule.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/entry/OperatorModule.java
@@ -2,14 +2,12 @@
 
 import dagger.Binds;
 import dagger.Module;
-import dagger.Provides;
 import dagger.multibindings.IntoSet;
-import java.util.Optional;
-import org.persimmonloom.runtime.log.LogFollower;
 import org.persimmonloom.runtime.operator.OperatorRoute;
 import org.persimmonloom.runtime.operator.Readiness;
 import org.persimmonloom.runtime.operator.ReleaseApplyRoute;
 import org.persimmonloom.runtime.operator.ReleaseShowRoute;
+import org.persimmonloom.runtime.operator.ReleaseValidateRoute;
 
 /** Collects the paths of the operators' interface. */
 @Module
@@ -22,9 +20,10 @@
   @IntoSet
   OperatorRoute releaseShow(ReleaseShowRoute route);
 
-  @Provides
-  static Readiness readiness(LogFollower follower) {
-    return () ->
-        follower.isCaughtUp() ? Optional.empty() : Optional.of("the platform log is not folded");
-  }
+  @Binds
+  @IntoSet
+  OperatorRoute releaseValidate(ReleaseValidateRoute route);
+
+  @Binds
+  Readiness readiness(HostReadiness readiness);
 }
--- a/runtime/src/main/java/org/persimmonloom/runtime/fleet/HostListWatcher.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/fleet/HostListWatcher.java
@@ -4,7 +4,6 @@
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import javax.inject.Inject;
@@ -21,15 +20,16 @@
 import org.persimmonloom.core.host.HostsUnlisted;
 import org.persimmonloom.core.maintenance.MaintenanceSteps.Step;
 import org.persimmonloom.core.member.EntryHost;
-import org.persimmonloom.runtime.log.LogFollower;
+import org.persimmonloom.runtime.caller.LeavingHosts;
+import org.persimmonloom.runtime.log.LogStatus;
 import org.persimmonloom.runtime.log.Proposer;
 import org.persimmonloom.runtime.log.ReplicatedState;
 import org.persimmonloom.runtime.settings.EntrySettings;
 
 /**
  * Reads the host list at an interval and proposes what {@link HostListTracker} decides. A failed
- * read is no reading: no host is missing because the list is. Started and stopped once; the leaving
- * hosts may be read by any thread.
+ * read is no reading: no host is missing because the list is. Hosts that are named as leaving get
+ * no new work from this entry host at once, before their drain is folded. Started and stopped once.
  */
 @Singleton
 public final class HostListWatcher {
@@ -38,12 +38,12 @@
 
   private final HostListClient client;
   private final ReplicatedState state;
-  private final LogFollower follower;
+  private final LogStatus logStatus;
   private final InstantSource clock;
   private final StepProposer proposer;
   private final HostListTracker tracker = new HostListTracker();
   private final ScheduledExecutorService executor = WaveController.executor("host-list");
-  private volatile Set<String> leaving = Set.of();
+  private final LeavingHosts leaving;
   private List<String> massEvents = List.of();
   private boolean reachable = true;
 
@@ -51,13 +51,15 @@
   public HostListWatcher(
       HostListClient client,
       ReplicatedState state,
-      LogFollower follower,
+      LogStatus logStatus,
       Proposer proposer,
       EntrySettings settings,
-      InstantSource clock) {
+      InstantSource clock,
+      LeavingHosts leaving) {
+    this.leaving = leaving;
     this.client = client;
     this.state = state;
-    this.follower = follower;
+    this.logStatus = logStatus;
     this.clock = clock;
     this.proposer = new StepProposer(proposer, settings.name());
   }
@@ -72,20 +74,12 @@
     executor.shutdownNow();
   }
 
-  /**
-   * Returns the hosts that the last reading named as leaving. They get no new work from this entry
-   * host, even before their drain is folded.
-   */
-  public Set<String> leaving() {
-    return leaving;
-  }
-
   private void poll() {
     try {
       HostList list = client.read();
+      leaving.setHostList(list.leaving());
       reachable = true;
-      leaving = list.leaving();
-      if (follower.isCaughtUp()) {
+      if (logStatus.readMillis().isPresent()) {
         take(list, clock.millis());
       }
     } catch (IOException e) {
--- a/runtime/src/main/java/org/persimmonloom/runtime/fleet/WaveController.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/fleet/WaveController.java
@@ -27,7 +27,7 @@
 import org.persimmonloom.core.maintenance.MaintenanceSteps.Step;
 import org.persimmonloom.core.maintenance.ProposerOrder;
 import org.persimmonloom.core.member.EntryHost;
-import org.persimmonloom.runtime.log.LogFollower;
+import org.persimmonloom.runtime.log.LogStatus;
 import org.persimmonloom.runtime.log.Proposer;
 import org.persimmonloom.runtime.log.ReplicatedState;
 import org.persimmonloom.runtime.settings.EntrySettings;
@@ -58,7 +58,7 @@
   private final Proposer proposer;
   private final Set<DrainProbe> probes;
   private final HostListClient platform;
-  private final LogFollower follower;
+  private final LogStatus logStatus;
   private final InstantSource clock;
   private final String self;
   private final StepProposer steps;
@@ -79,7 +79,7 @@
       Proposer proposer,
       Set<DrainProbe> probes,
       HostListClient platform,
-      LogFollower follower,
+      LogStatus logStatus,
       EntrySettings settings,
       InstantSource clock,
       PrometheusRegistry metrics) {
@@ -87,7 +87,7 @@
     this.proposer = proposer;
     this.probes = Set.copyOf(probes);
     this.platform = platform;
-    this.follower = follower;
+    this.logStatus = logStatus;
     this.clock = clock;
     this.self = settings.name();
     this.steps = new StepProposer(proposer, self);
@@ -124,7 +124,7 @@
 
   private void tickSafely() {
     try {
-      if (follower.isCaughtUp()) {
+      if (logStatus.readMillis().isPresent()) {
         tick(clock.millis());
       }
     } catch (RuntimeException e) {
--- a/tool/src/main/java/org/persimmonloom/tool/command/Command.java
+++ b/tool/src/main/java/org/persimmonloom/tool/command/Command.java
@@ -9,7 +9,7 @@
   /** Returns the text to print, or why the command failed. */
   Either<Failure, String> run();
 
-  /** Returns examples for {@code --help}, each without the name of the program. */
+  /** Returns complete command lines for {@code --help}. */
   default List<String> examples() {
     return List.of();
   }
--- a/tool/src/main/java/org/persimmonloom/tool/command/HostListCommand.java
+++ b/tool/src/main/java/org/persimmonloom/tool/command/HostListCommand.java
@@ -21,7 +21,8 @@
 
   @Override
   public List<String> examples() {
-    return List.of("host list", "host list --pool scan-executors --json");
+    return List.of(
+        "persimmonloom host list", "persimmonloom host list --pool scan-executors --json");
   }
 
   @Override
--- a/tool/src/main/java/org/persimmonloom/tool/command/HostMoveCommand.java
+++ b/tool/src/main/java/org/persimmonloom/tool/command/HostMoveCommand.java
@@ -25,7 +25,8 @@
 
   @Override
   public List<String> examples() {
-    return List.of("host move --host host-17 --pool scan-workers --reason 'month end'");
+    return List.of(
+        "persimmonloom host move --host host-17 --pool scan-workers --reason 'month end'");
   }
 
   @Override
--- a/tool/src/main/java/org/persimmonloom/tool/command/Main.java
+++ b/tool/src/main/java/org/persimmonloom/tool/command/Main.java
@@ -2,19 +2,24 @@
 
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.ParameterException;
+import com.beust.jcommander.Parameters;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import org.persimmonloom.core.result.Failure;
 import org.persimmonloom.core.result.ResultCode;
+import org.persimmonloom.tool.measure.MeasureRoutingCommand;
+import org.persimmonloom.tool.measure.PolicyMeasureCommand;
+import org.persimmonloom.tool.measure.SlopesCommand;
 
 /** The operators' command. Its exit code is the number of the result code. */
 public final class Main {
   private Main() {}
 
-  private static Map<String, Command> commands() {
+  static Map<String, Command> commands() {
     Map<String, Command> commands = new LinkedHashMap<>();
+    commands.put("measure routing", new MeasureRoutingCommand());
     commands.put("release apply", new ReleaseApplyCommand());
     commands.put("release show", new ReleaseShowCommand());
     commands.put("pool list", new PoolListCommand());
@@ -26,7 +31,17 @@
     commands.put("maintenance cancel", new MaintenanceCancelCommand());
     commands.put("maintenance plan", new MaintenancePlanCommand());
     commands.put("explain", new ExplainCommand());
+    commands.put("release status", new ReleaseStatusCommand());
+    commands.put("release validate", new ReleaseValidateCommand());
+    commands.put("demo", new DemoCommand());
+    commands.put("job submit", new JobSubmitCommand());
+    commands.put("job list", new JobListCommand());
+    commands.put("job show", new JobShowCommand());
+    commands.put("job cancel", new JobCancelCommand());
+    commands.put("job release", new JobReleaseCommand());
+    commands.put("measure", new PolicyMeasureCommand());
     commands.put("standin", new StandInCommand());
+    commands.put("measure slopes", new SlopesCommand());
     return commands;
   }
 
@@ -41,7 +56,8 @@
     for (int length = Math.min(2, words.size()); length > 0; length--) {
       Command command = commands.get(String.join(" ", words.subList(0, length)));
       if (command != null) {
-        return run(command, new ArrayList<>(words.subList(length, words.size())));
+        String name = String.join(" ", words.subList(0, length));
+        return run(name, command, new ArrayList<>(words.subList(length, words.size())));
       }
     }
     System.err.println(
@@ -51,11 +67,11 @@
     return ResultCode.USAGE;
   }
 
-  private static ResultCode run(Command command, List<String> options) {
-    JCommander parser = JCommander.newBuilder().addObject(command).build();
+  private static ResultCode run(String name, Command command, List<String> options) {
+    JCommander parser =
+        JCommander.newBuilder().programName("persimmonloom " + name).addObject(command).build();
     if (options.contains("--help")) {
-      parser.usage();
-      command.examples().forEach(it -> System.out.println("  Example: persimmonloom " + it));
+      printHelp(parser, command);
       return ResultCode.OK;
     }
     try {
@@ -76,4 +92,16 @@
               return ResultCode.OK;
             });
   }
+
+  private static void printHelp(JCommander parser, Command command) {
+    Parameters description = command.getClass().getAnnotation(Parameters.class);
+    if (description != null) {
+      System.out.println(description.commandDescription());
+    }
+    parser.usage();
+    if (!command.examples().isEmpty()) {
+      System.out.println("  Examples:");
+      command.examples().forEach(example -> System.out.println("    " + example));
+    }
+  }
 }
--- a/tool/src/main/java/org/persimmonloom/tool/command/MaintenancePlanCommand.java
+++ b/tool/src/main/java/org/persimmonloom/tool/command/MaintenancePlanCommand.java
@@ -26,8 +26,8 @@
   @Override
   public List<String> examples() {
     return List.of(
-        "maintenance plan --pool scan-workers --window 4h --expected-down 10m",
-        "maintenance plan --expected-down 15m --max-at-once 8");
+        "persimmonloom maintenance plan --pool scan-workers --window 4h --expected-down 10m",
+        "persimmonloom maintenance plan --expected-down 15m --max-at-once 8");
   }
 
   @Override
--- a/tool/src/main/java/org/persimmonloom/tool/command/MaintenanceRequestCommand.java
+++ b/tool/src/main/java/org/persimmonloom/tool/command/MaintenanceRequestCommand.java
@@ -26,8 +26,8 @@
   @Override
   public List<String> examples() {
     return List.of(
-        "maintenance request --wave kernel-6 --pool scan-workers --window 4h --expected-down 10m",
-        "maintenance request --wave dimm --host host-17,host-18 --start 2026-12-04T22:00:00Z"
+        "persimmonloom maintenance request --wave kernel-6 --pool scan-workers --window 4h --expected-down 10m",
+        "persimmonloom maintenance request --wave dimm --host host-17,host-18 --start 2026-12-04T22:00:00Z"
             + " --window 2h --max-at-once 2 --expected-down 20m");
   }
 
--- a/tool/src/main/java/org/persimmonloom/tool/command/PoolShowCommand.java
+++ b/tool/src/main/java/org/persimmonloom/tool/command/PoolShowCommand.java
@@ -21,7 +21,7 @@
 
   @Override
   public List<String> examples() {
-    return List.of("pool show --pool scan-executors");
+    return List.of("persimmonloom pool show --pool scan-executors");
   }
 
   @Override
--- a/tool/src/main/java/org/persimmonloom/tool/standin/HostListStandIn.java
+++ b/tool/src/main/java/org/persimmonloom/tool/standin/HostListStandIn.java
@@ -1,13 +1,14 @@
 package org.persimmonloom.tool.standin;
 
-import io.undertow.Undertow;
 import io.undertow.server.HttpServerExchange;
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -17,13 +18,15 @@
 import org.persimmonloom.runtime.fleet.HostList;
 
 /**
- * Stands in for the platform's host list and its reboots. A rebooted host vanishes from the list
- * until its reboot time is over; a repeated attempt reboots nothing. Safe for any thread.
+ * Stands in for the platform's host list and its reboots. Readers see a change once it is older
+ * than the lag. A rebooted host is off the list until its reboot time is over; a repeated attempt
+ * reboots nothing. Safe for any thread.
  */
 public final class HostListStandIn {
   private final Codec codec = new Codec(Map.of());
-  private final InetSocketAddress address;
-  private final Set<String> vanished = new HashSet<>();
+  private final StandInServer server;
+  private final ArrayDeque<Version> versions = new ArrayDeque<>();
+  private final TreeMap<String, HostFacts> vanished = new TreeMap<>();
   private final Set<String> attempts = new HashSet<>();
   private final ScheduledExecutorService timer =
       Executors.newSingleThreadScheduledExecutor(
@@ -32,20 +35,52 @@
             thread.setDaemon(true);
             return thread;
           });
-  private HostList list;
+  private long lagMillis;
   private long rebootMillis = 2_000;
   private Consumer<String> rebootListener = host -> {};
-  private Undertow server;
+
+  private record Version(long timeMillis, HostList list) {}
 
   /** Creates a list that will be served at {@code address}. */
   public HostListStandIn(InetSocketAddress address, HostList list) {
-    this.address = address;
-    this.list = list;
+    server = new StandInServer(address, this::handle);
+    versions.add(new Version(0, list));
+  }
+
+  /** Sets after how many milliseconds readers see a change. */
+  public synchronized void setLagMillis(long millis) {
+    lagMillis = millis;
   }
 
-  /** Replaces what readers get. */
+  /** Replaces the list; readers get it after the lag. */
   public synchronized void set(HostList next) {
-    list = next;
+    versions.add(new Version(System.currentTimeMillis(), next));
+  }
+
+  /** Marks a live host as leaving. */
+  public synchronized void setLeaving(String host) {
+    setLeaving(host, true);
+  }
+
+  /** Marks a live host as leaving, or takes the mark back. */
+  public synchronized void setLeaving(String host, boolean isLeaving) {
+    HostList latest = versions.getLast().list();
+    Set<String> leaving = new HashSet<>(latest.leaving());
+    leaving.remove(host);
+    if (isLeaving) {
+      leaving.add(host);
+    }
+    set(new HostList(latest.live(), leaving));
+  }
+
+  synchronized HostList visible(long nowMillis) {
+    HostList visible = versions.getFirst().list();
+    for (Version version : versions) {
+      if (version.timeMillis() + lagMillis <= nowMillis) {
+        visible = version.list();
+      }
+    }
+    return visible;
   }
 
   /** Sets how long a rebooted host is away; a host never returns if this is negative. */
@@ -58,21 +93,28 @@
     rebootListener = listener;
   }
 
-  /** Names a host as leaving, or takes the mark back. */
-  public synchronized void setLeaving(String host, boolean isLeaving) {
-    Set<String> leaving = new HashSet<>(list.leaving());
-    boolean unused = isLeaving ? leaving.add(host) : leaving.remove(host);
-    list = new HostList(list.live(), leaving);
-  }
-
   /** Takes a host off the list. */
   public synchronized void vanish(String host) {
-    vanished.add(host);
+    HostList latest = versions.getLast().list();
+    List<HostFacts> live = new ArrayList<>(latest.live());
+    for (HostFacts facts : latest.live()) {
+      if (facts.name().equals(host)) {
+        live.remove(facts);
+        vanished.put(host, facts);
+      }
+    }
+    set(new HostList(live, latest.leaving()));
   }
 
   /** Puts a vanished host back on the list. */
   public synchronized void restore(String host) {
-    vanished.remove(host);
+    HostFacts facts = vanished.remove(host);
+    if (facts != null) {
+      HostList latest = versions.getLast().list();
+      List<HostFacts> live = new ArrayList<>(latest.live());
+      live.add(facts);
+      set(new HostList(live, latest.leaving()));
+    }
   }
 
   /** Returns the number of reboots that took place. */
@@ -80,10 +122,13 @@
     return attempts.size();
   }
 
-  private synchronized HostList visible() {
-    List<HostFacts> live = new ArrayList<>(list.live());
-    live.removeIf(facts -> vanished.contains(facts.name()));
-    return new HostList(live, list.leaving());
+  private void handle(HttpServerExchange exchange) {
+    if (exchange.getRequestPath().equals("/reboot")) {
+      var parameters = exchange.getQueryParameters();
+      reboot(parameters.get("host").getFirst(), parameters.get("attempt").getFirst());
+    } else {
+      exchange.getResponseSender().send(codec.toJson(visible(System.currentTimeMillis())));
+    }
   }
 
   private void reboot(String host, String attempt) {
@@ -101,22 +146,8 @@
     listener.accept(host);
   }
 
-  private void handle(HttpServerExchange exchange) {
-    if (exchange.getRequestPath().equals("/reboot")) {
-      var parameters = exchange.getQueryParameters();
-      reboot(parameters.get("host").getFirst(), parameters.get("attempt").getFirst());
-    } else {
-      exchange.getResponseSender().send(codec.toJson(visible()));
-    }
-  }
-
   /** Starts listening. */
   public void start() {
-    server =
-        Undertow.builder()
-            .addHttpListener(address.getPort(), address.getHostString())
-            .setHandler(this::handle)
-            .build();
     server.start();
   }
 
--- a/tool/src/test/java/org/persimmonloom/tool/command/FleetCommandsTest.java
+++ b/tool/src/test/java/org/persimmonloom/tool/command/FleetCommandsTest.java
@@ -82,7 +82,7 @@
         name, HostKind.EXECUTOR, "127.0.0.1:1", rack, "dc1", "r", 8, 1_024, 0, "a");
   }
 
-  private void entry(String name, int port) {
+  private void entry(String name, int port) throws IOException {
     String settings =
         """
         [entry]
@@ -99,6 +99,9 @@
         [platform]
         log_url = http://127.0.0.1:%d
         host_list_url = http://127.0.0.1:%d
+        [stop]
+        balancer_delay_millis = 0
+        deadline_millis = 1000
         """
             .formatted(name, ports[port], ports[port + 1], ports[port + 2], ports[0], ports[1]);
     EntryHostService entryHost =
