--- a/core/src/main/java/org/persimmonloom/core/fold/FleetState.java
+++ b/core/src/main/java/org/persimmonloom/core/fold/FleetState.java
@@ -53,7 +53,7 @@
   public FleetState() {
     hosts = new HostTable(this::pool);
     releases = new ReleaseCatalog(hosts);
-    budgets = new AvailabilityBudgets(releases::budgets, hosts);
+    budgets = new AvailabilityBudgets(releases::budgets, hosts, this::isQuarantined);
     waves = new WaveTable(hosts, budgets, journal);
     hosts.addListener(waves);
     entryHosts.addListener(claims);
@@ -72,6 +72,10 @@
     entryHosts.addListener(drains);
   }
 
+  private boolean isQuarantined(String worker) {
+    return jobs.worker(worker).filter(WorkerRecord::isQuarantined).isPresent();
+  }
+
   private Optional<PoolDefinition> pool(String name) {
     return releases.pool(name);
   }
@@ -199,7 +203,7 @@
                       host,
                       hosts.all(),
                       releases.budgets().values(),
-                      name -> jobs.worker(name).filter(WorkerRecord::isQuarantined).isPresent()));
+                      FleetState.this::isQuarantined));
     }
   }
 
--- a/core/src/test/java/org/persimmonloom/core/maintenance/DrainTest.java
+++ b/core/src/test/java/org/persimmonloom/core/maintenance/DrainTest.java
@@ -141,6 +141,17 @@
     assertThat(racks.state.budgets().check(racks.host("h3"))).isEmpty();
   }
 
+  /** Guards against maintenance on top of workers that are quarantined. */
+  @Test
+  void quarantinedWorkerUsesBudget() {
+    fleet.admit("w", "r1", "h1", "h2");
+    AvailabilityBudgets budgets =
+        new AvailabilityBudgets(fleet.state.releases()::budgets, fleet.state.hosts(), "h1"::equals);
+    assertThat(budgets.check(fleet.host("h2"))).isPresent();
+    assertThat(budgets.check(fleet.host("h1"))).isEmpty();
+    assertThat(budgets.exhaustedByLosses()).containsKey("all@w");
+  }
+
   /** Guards against a reboot that silently takes longer than announced. */
   @Test
   void hostThatIsNotBackInTimeIsLostWithAlert() {
--- a/runtime/src/main/java/org/persimmonloom/runtime/entry/FleetModule.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/entry/FleetModule.java
@@ -5,7 +5,9 @@
 import dagger.multibindings.ElementsIntoSet;
 import dagger.multibindings.IntoSet;
 import dagger.multibindings.Multibinds;
+import java.util.Optional;
 import java.util.Set;
+import org.persimmonloom.core.host.Drain;
 import org.persimmonloom.runtime.caller.RoutingTable;
 import org.persimmonloom.runtime.fleet.DrainProbe;
 import org.persimmonloom.runtime.log.ReplicatedState;
@@ -19,20 +21,22 @@
   @Multibinds
   Set<DrainProbe> drainProbes();
 
+  /** Idle once routing reflects the drain and no request is in progress at the host. */
   @Provides
   @IntoSet
-  static DrainProbe requests(RoutingTable routing, ReplicatedState state) {
-    return name ->
-        state
-            .read(fleet -> fleet.hosts().find(name))
-            .map(host -> routing.isDrained(name, host.stateOffset()))
-            .orElse(true);
+  static DrainProbe requestProbe(RoutingTable routing, ReplicatedState state) {
+    return host -> {
+      Optional<Drain> drain =
+          state.read(fleet -> fleet.hosts().find(host).map(found -> found.drain()));
+      return drain.isPresent() && routing.isDrained(host, drain.get().offset());
+    };
   }
 
+  /** Idle once no attempt of a job is live at the worker; the fold places none on a drained one. */
   @Provides
   @IntoSet
-  static DrainProbe jobs(ReplicatedState state) {
-    return name -> state.read(fleet -> fleet.jobs().liveAt(name).isEmpty());
+  static DrainProbe jobProbe(ReplicatedState state) {
+    return host -> state.read(fleet -> fleet.jobs().liveAt(host).isEmpty());
   }
 
   @Provides
--- a/tool/src/main/java/org/persimmonloom/tool/command/ExplainCommand.java
+++ b/tool/src/main/java/org/persimmonloom/tool/command/ExplainCommand.java
@@ -24,7 +24,8 @@
 
   @Override
   public List<String> examples() {
-    return List.of("explain host host-17", "explain wave kernel-6 --json");
+    return List.of(
+        "persimmonloom explain host host-17", "persimmonloom explain wave kernel-6 --json");
   }
 
   @Override
--- a/tool/src/main/java/org/persimmonloom/tool/command/MaintenanceCancelCommand.java
+++ b/tool/src/main/java/org/persimmonloom/tool/command/MaintenanceCancelCommand.java
@@ -25,7 +25,7 @@
 
   @Override
   public List<String> examples() {
-    return List.of("maintenance cancel --wave kernel-6 --reason 'wrong image'");
+    return List.of("persimmonloom maintenance cancel --wave kernel-6 --reason 'wrong image'");
   }
 
   @Override
--- a/tool/src/main/java/org/persimmonloom/tool/command/MaintenanceStatusCommand.java
+++ b/tool/src/main/java/org/persimmonloom/tool/command/MaintenanceStatusCommand.java
@@ -22,7 +22,9 @@
 
   @Override
   public List<String> examples() {
-    return List.of("maintenance status", "maintenance status --wave kernel-6 --json");
+    return List.of(
+        "persimmonloom maintenance status",
+        "persimmonloom maintenance status --wave kernel-6 --json");
   }
 
   @Override
--- a/tool/src/main/java/org/persimmonloom/tool/command/PoolListCommand.java
+++ b/tool/src/main/java/org/persimmonloom/tool/command/PoolListCommand.java
@@ -17,7 +17,7 @@
 
   @Override
   public List<String> examples() {
-    return List.of("pool list", "pool list --json");
+    return List.of("persimmonloom pool list", "persimmonloom pool list --json");
   }
 
   @Override
