--- a/tool/src/main/java/org/persimmonloom/tool/command/Main.java
+++ b/tool/src/main/java/org/persimmonloom/tool/command/Main.java
@@ -23,6 +23,7 @@
     commands.put("release show", new ReleaseShowCommand());
     commands.put("release status", new ReleaseStatusCommand());
     commands.put("release validate", new ReleaseValidateCommand());
+    commands.put("report burn", new ReportBurnCommand());
     commands.put("demo", new DemoCommand());
     commands.put("standin", new StandInCommand());
     commands.put("measure slopes", new SlopesCommand());
--- a/tool/src/main/java/org/persimmonloom/tool/command/OperatorClient.java
+++ b/tool/src/main/java/org/persimmonloom/tool/command/OperatorClient.java
@@ -44,7 +44,8 @@
     return entry != null;
   }
 
-  private String address() {
+  /** Returns the address of the entry host. */
+  public String address() {
     return entry == null ? DEFAULT_ENTRY : entry;
   }
 
