--- a/runtime/src/main/java/org/persimmonloom/runtime/entry/HostReadiness.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/entry/HostReadiness.java
@@ -7,7 +7,6 @@
 import org.persimmonloom.core.result.ResultCode;
 import org.persimmonloom.runtime.log.LogStatus;
 import org.persimmonloom.runtime.operator.Readiness;
-import org.persimmonloom.runtime.operator.StoppingFlag;
 import org.persimmonloom.runtime.peer.ClusterService;
 
 /**
@@ -16,29 +15,34 @@
  */
 @Singleton
 public final class HostReadiness implements Readiness {
-  private final StoppingFlag stopping;
+  private final PlannedStop plannedStop;
   private final LogStatus logStatus;
   private final ClusterService cluster;
 
   @Inject
-  public HostReadiness(StoppingFlag stopping, LogStatus logStatus, ClusterService cluster) {
-    this.stopping = stopping;
+  public HostReadiness(PlannedStop plannedStop, LogStatus logStatus, ClusterService cluster) {
+    this.plannedStop = plannedStop;
     this.logStatus = logStatus;
     this.cluster = cluster;
   }
 
   @Override
   public Optional<String> reasonNotReady() {
-    if (stopping.isSet()) {
+    if (plannedStop.isBegun()) {
       return Optional.of(Failure.of(ResultCode.STOPPING).toString());
     }
+    return reasonRefused().map(Failure::toString);
+  }
+
+  /** Returns why new requests of callers are refused as not run, or empty. */
+  public Optional<Failure> reasonRefused() {
     Optional<Failure> obstacle = logStatus.obstacle();
     if (obstacle.isPresent()) {
-      return obstacle.map(Failure::toString);
+      return obstacle;
     }
     if (!cluster.isCaughtUp()) {
-      return Optional.of("the platform log is not folded to the offset seen at the start");
+      return Optional.of(Failure.of(ResultCode.NOT_CURRENT));
     }
-    return cluster.reasonNotCurrent().map(Failure::toString);
+    return cluster.reasonNotCurrent();
   }
 }
--- a/tool/src/main/java/org/persimmonloom/tool/command/ReportBurnCommand.java
+++ b/tool/src/main/java/org/persimmonloom/tool/command/ReportBurnCommand.java
@@ -88,8 +88,7 @@
   }
 
   private Either<Failure, String> sampleAndReport(SortedMap<String, Double> objectives) {
-    BurnSampler sampler =
-        new BurnSampler(metrics.isEmpty() ? List.of(client.address()) : metrics);
+    BurnSampler sampler = new BurnSampler(metrics.isEmpty() ? List.of(client.address()) : metrics);
     List<BurnSample> samples = new ArrayList<>();
     try {
       Either<Failure, Integer> taken = takeSamples(sampler, samples);
--- a/tool/src/main/java/org/persimmonloom/tool/demo/DemoEntryComponent.java
+++ b/tool/src/main/java/org/persimmonloom/tool/demo/DemoEntryComponent.java
@@ -7,6 +7,7 @@
 import org.persimmonloom.runtime.entry.EntryComponent;
 import org.persimmonloom.runtime.entry.EntryModule;
 import org.persimmonloom.runtime.entry.OperatorModule;
+import org.persimmonloom.runtime.entry.RequestModule;
 import org.persimmonloom.runtime.settings.EntrySettings;
 
 /**
@@ -14,7 +15,13 @@
  * compares the modules of both components.
  */
 @Singleton
-@Component(modules = {GatedHttpClientModule.class, EntryModule.class, OperatorModule.class})
+@Component(
+    modules = {
+      GatedHttpClientModule.class,
+      EntryModule.class,
+      OperatorModule.class,
+      RequestModule.class
+    })
 interface DemoEntryComponent extends EntryComponent {
   /** Makes components. */
   @Component.Factory
--- a/tool/src/main/java/org/persimmonloom/tool/report/BurnCalculator.java
+++ b/tool/src/main/java/org/persimmonloom/tool/report/BurnCalculator.java
@@ -10,8 +10,8 @@
 /**
  * Computes error budgets and burn rates from samples in the order of their times. Immutable.
  *
- * <p>The error budget of an objective of p percent is (100 - p) percent of the requests counted. The
- * burn rate of a window is the share of its requests that missed the objective, divided by that
+ * <p>The error budget of an objective of p percent is (100 - p) percent of the requests counted.
+ * The burn rate of a window is the share of its requests that missed the objective, divided by that
  * allowance. Counters that a restart reset count from zero again.
  */
 public final class BurnCalculator {
@@ -70,8 +70,8 @@
   }
 
   /**
-   * Returns the burn rate of a service from after {@code fromMillis} to {@code toMillis}; null if no
-   * request falls between.
+   * Returns the burn rate of a service from after {@code fromMillis} to {@code toMillis}; null if
+   * no request falls between.
    */
   private Double rate(String service, List<BurnSample> increments, long fromMillis, long toMillis) {
     ServiceCounts window = sum(service, increments, fromMillis, toMillis);
--- a/tool/src/main/java/org/persimmonloom/tool/report/BurnSampler.java
+++ b/tool/src/main/java/org/persimmonloom/tool/report/BurnSampler.java
@@ -34,8 +34,7 @@
         if (!response.isSuccessful()) {
           throw new IOException("status " + response.code());
         }
-        samples.add(
-            BurnSample.of(nowMillis, entryHost, parser.parse(response.body().string())));
+        samples.add(BurnSample.of(nowMillis, entryHost, parser.parse(response.body().string())));
       } catch (IOException e) {
         last = Failure.of(ResultCode.PEER_UNAVAILABLE, entryHost, e.getMessage());
       }
--- a/tool/src/main/java/org/persimmonloom/tool/report/BurnTable.java
+++ b/tool/src/main/java/org/persimmonloom/tool/report/BurnTable.java
@@ -17,7 +17,12 @@
     lines.add(
         String.format(
             "%-16s %10s %10s %12s %10s %10s  %s",
-            "service", "objective", "requests", "budget left", "burn short", "burn long",
+            "service",
+            "objective",
+            "requests",
+            "budget left",
+            "burn short",
+            "burn long",
             "spent by"));
     for (ServiceBurn burn : burns) {
       lines.add(
--- a/tool/src/main/java/org/persimmonloom/tool/report/BurnWindows.java
+++ b/tool/src/main/java/org/persimmonloom/tool/report/BurnWindows.java
@@ -1,8 +1,8 @@
 package org.persimmonloom.tool.report;
 
 /**
- * The pair of windows over which burn rates are computed. The long window shows that much was spent,
- * the short one that it is still being spent.
+ * The pair of windows over which burn rates are computed. The long window shows that much was
+ * spent, the short one that it is still being spent.
  */
 public record BurnWindows(long shortMillis, long longMillis) {
   /** Five minutes and one hour. */
--- a/tool/src/main/java/org/persimmonloom/tool/report/MetricsParser.java
+++ b/tool/src/main/java/org/persimmonloom/tool/report/MetricsParser.java
@@ -8,8 +8,8 @@
 import java.util.regex.Pattern;
 
 /**
- * Reads the Prometheus text format, version 0.0.4. Lines that are not samples are skipped, because a
- * report should survive metrics that it doesn't know. Stateless.
+ * Reads the Prometheus text format, version 0.0.4. Lines that are not samples are skipped, because
+ * a report should survive metrics that it doesn't know. Stateless.
  */
 public final class MetricsParser {
   private static final Pattern LINE =
--- a/tool/src/main/java/org/persimmonloom/tool/report/SampleFile.java
+++ b/tool/src/main/java/org/persimmonloom/tool/report/SampleFile.java
@@ -11,9 +11,7 @@
 import org.persimmonloom.core.result.Failure;
 import org.persimmonloom.core.wire.Codec;
 
-/**
- * Keeps samples between reports, one JSON document a line. For one process at a time.
- */
+/** Keeps samples between reports, one JSON document a line. For one process at a time. */
 public final class SampleFile {
   private final Codec codec = new Codec(Map.of());
   private final Path path;
@@ -43,10 +41,6 @@
     StringBuilder lines = new StringBuilder();
     samples.forEach(it -> lines.append(codec.toJson(it)).append('\n'));
     Files.writeString(
-        path,
-        lines,
-        StandardCharsets.UTF_8,
-        StandardOpenOption.CREATE,
-        StandardOpenOption.APPEND);
+        path, lines, StandardCharsets.UTF_8, StandardOpenOption.CREATE, StandardOpenOption.APPEND);
   }
 }
--- a/tool/src/test/java/org/persimmonloom/tool/command/CommandTest.java
+++ b/tool/src/test/java/org/persimmonloom/tool/command/CommandTest.java
@@ -30,7 +30,10 @@
   static Stream<String> commandLines() throws Exception {
     List<String> lines = new ArrayList<>();
     for (String file : List.of("README.md", "docs/testing.md")) {
-      read(file).lines().map(SHELL_LINE::matcher).filter(Matcher::matches)
+      read(file)
+          .lines()
+          .map(SHELL_LINE::matcher)
+          .filter(Matcher::matches)
           .forEach(it -> lines.add(it.group(1)));
     }
     Main.commands()
@@ -48,7 +51,8 @@
   void documentedCommandsParse(String line) {
     List<String> words = List.of(line.strip().split("\\s+"));
     Map<String, Command> commands = Main.commands();
-    int length = words.size() > 1 && commands.containsKey(words.get(0) + " " + words.get(1)) ? 2 : 1;
+    int length =
+        words.size() > 1 && commands.containsKey(words.get(0) + " " + words.get(1)) ? 2 : 1;
     Command command = commands.get(String.join(" ", words.subList(0, length)));
     assertThat(command).as(line).isNotNull();
     if (!words.contains("--help")) {
@@ -63,7 +67,10 @@
   @Test
   void resultCodesAreDocumented() throws Exception {
     List<String> documented =
-        read("docs/result-codes.md").lines().map(CODE_ROW::matcher).filter(Matcher::matches)
+        read("docs/result-codes.md")
+            .lines()
+            .map(CODE_ROW::matcher)
+            .filter(Matcher::matches)
             .map(it -> it.group(1) + " " + it.group(2) + " " + it.group(3))
             .toList();
     List<String> expected =
@@ -108,7 +115,9 @@
         .hasSize(3)
         .anyMatch(it -> it.startsWith("  [add pool p] kind: "))
         .anyMatch(it -> it.startsWith("  [add pool p] colour: "));
-    assertThat(Main.run(List.of("release", "validate", "--file", "../config/examples/first-release.ini")))
+    assertThat(
+            Main.run(
+                List.of("release", "validate", "--file", "../config/examples/first-release.ini")))
         .isEqualTo(ResultCode.OK);
   }
 }
