--- a/tool/src/main/java/org/persimmonloom/tool/demo/Caller.java
+++ b/tool/src/main/java/org/persimmonloom/tool/demo/Caller.java
@@ -37,6 +37,13 @@
   private final ExecutorService executor;
   private final Map<String, Integer> results = new TreeMap<>();
 
+  /** What a caller is told. */
+  private record Told(int result, TryOutcome outcome) {
+    private static Told without(TryOutcome outcome) {
+      return new Told(CallerTry.NO_RESULT, outcome);
+    }
+  }
+
   /** Creates callers that send through a balancer; duplicates are sent by the executor. */
   public Caller(Balancer balancer, ExecutorService executor) {
     this.balancer = balancer;
@@ -95,11 +102,12 @@
   /** Sends one try to one entry host. */
   CallerTry send(EntryHostProcess host, CallerRequest request, int number) {
     long start = System.currentTimeMillis();
-    TryOutcome outcome = sendOnce(host, request, number);
-    return new CallerTry(number, host.name(), start, System.currentTimeMillis(), outcome);
+    Told told = sendOnce(host, request, number);
+    return new CallerTry(
+        number, host.name(), start, System.currentTimeMillis(), told.result(), told.outcome());
   }
 
-  private TryOutcome sendOnce(EntryHostProcess host, CallerRequest request, int number) {
+  private Told sendOnce(EntryHostProcess host, CallerRequest request, int number) {
     Request http =
         new Request.Builder()
             .url(host.callerUrl() + request.target(number))
@@ -118,17 +126,18 @@
     try (Response response = client.newCall(http).execute()) {
       hasHeaders = true;
       TryOutcome outcome = classify(response, response.body().string(), request);
-      count(response.code() + "/" + response.header("Persimmonloom-Result"));
-      return outcome;
+      String result = response.header("Persimmonloom-Result", "" + CallerTry.NO_RESULT);
+      count(response.code() + "/" + result);
+      return new Told(Integer.parseInt(result), outcome);
     } catch (ConnectException e) {
       count("not-sent");
-      return TryOutcome.NOT_SENT;
+      return Told.without(TryOutcome.NOT_SENT);
     } catch (ProtocolException | EOFException e) {
       count("incomplete");
-      return hasHeaders && host.isUp() ? TryOutcome.CROSSED : TryOutcome.NO_ANSWER;
+      return Told.without(hasHeaders && host.isUp() ? TryOutcome.CROSSED : TryOutcome.NO_ANSWER);
     } catch (IOException e) {
       count(e.getClass().getSimpleName());
-      return TryOutcome.NO_ANSWER;
+      return Told.without(TryOutcome.NO_ANSWER);
     }
   }
 
