--- a/core/src/main/java/org/persimmonloom/core/capacity/TrendPolicy.java
+++ b/core/src/main/java/org/persimmonloom/core/capacity/TrendPolicy.java
@@ -52,7 +52,7 @@
       List<PoolBalance> ofKind =
           balances.stream().filter(each -> each.pool().kind() == kind).toList();
       int hosts = ofKind.stream().mapToInt(each -> each.pool().hosts().size()).sum();
-      buffers.put(kind, limits.bufferHosts(hosts));
+      buffers.put(kind, limits.bufferHosts(kind, hosts));
       KindPlanner planner =
           new KindPlanner(view, ofKind, limits, settings, buffers.get(kind), nowMillis);
       planner.plan().ifPresent(moves::add);
@@ -80,8 +80,10 @@
   private static String change(PoolBalance balance, CapacityLimits limits) {
     return String.format(
         Locale.ROOT,
-        "stays; it would get a host at a need of %.1f and give one up at %.1f",
+        "stays; it would get a host at a need of %.1f and give one up with ample hosts at %.1f"
+            + " (now %.1f)",
         balance.toCome() + balance.error() + limits.shortfallThreshold(),
-        balance.toCome() - balance.error() - limits.surplusThreshold());
+        balance.toCome() - balance.error() - limits.surplusThreshold(),
+        balance.ample());
   }
 }
--- a/runtime/src/main/java/org/persimmonloom/runtime/caller/RequestMetrics.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/caller/RequestMetrics.java
@@ -86,7 +86,7 @@
 
   /**
    * Counts the answer of an accepted request. What the caller itself caused, such as a cancelled
-   * request or a wrong key, counts neither as hit nor as miss.
+   * request or a wrong key, counts neither as met nor as missed.
    */
   void answered(
       ServiceDefinition service, WorkClass workClass, CallerAnswer answer, long elapsedMillis) {
@@ -96,11 +96,23 @@
         .observe(elapsedMillis / 1_000.0);
     boolean isCallersFault = answer.response() == null && answer.status() < 500;
     if (!isCallersFault) {
-      boolean isHit = answer.failure() == null && elapsedMillis <= service.objectiveLatencyMillis();
-      objective.labelValues(service.name(), isHit ? "hit" : "miss").inc();
+      boolean isInTime = elapsedMillis <= service.objectiveLatencyMillis();
+      objective.labelValues(service.name(), outcome(answer, isInTime)).inc();
     }
   }
 
+  /** Returns {@code met}, or how the objective was missed. */
+  private static String outcome(CallerAnswer answer, boolean isInTime) {
+    if (answer.failure() == null) {
+      return isInTime ? "met" : "late";
+    }
+    return switch (answer.run()) {
+      case NOT_RUN -> "refused";
+      case UNKNOWN -> "unknown";
+      case RAN -> "failed";
+    };
+  }
+
   private static String run(RunOutcome outcome) {
     return outcome.headerValue();
   }
--- a/runtime/src/main/java/org/persimmonloom/runtime/entry/EntryHostService.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/entry/EntryHostService.java
@@ -17,10 +17,12 @@
 import org.persimmonloom.runtime.log.GroupCommitter;
 import org.persimmonloom.runtime.log.LogFollower;
 import org.persimmonloom.runtime.log.Proposer;
+import org.persimmonloom.runtime.log.SnapshotWriter;
 import org.persimmonloom.runtime.operator.OperatorListener;
 import org.persimmonloom.runtime.peer.ClusterView;
 import org.persimmonloom.runtime.peer.PeerMesh;
 import org.persimmonloom.runtime.settings.EntrySettings;
+import org.persimmonloom.runtime.worker.JobController;
 
 /**
  * One entry host: starts its services in order of need and stops them in reverse.
@@ -39,7 +41,9 @@
   private final LogFollower follower;
   private final GroupCommitter committer;
   private final PeerMesh mesh;
+  private final SnapshotWriter snapshots;
   private final HostListWatcher hostList;
+  private final JobController jobs;
   private final OperatorListener operators;
   private final CallerListener callers;
   private final RequestService requests;
@@ -55,7 +59,9 @@
       LogFollower follower,
       GroupCommitter committer,
       PeerMesh mesh,
+      SnapshotWriter snapshots,
       HostListWatcher hostList,
+      JobController jobs,
       OperatorListener operators,
       CallerListener callers,
       RequestService requests,
@@ -70,7 +76,9 @@
     this.follower = follower;
     this.committer = committer;
     this.mesh = mesh;
+    this.snapshots = snapshots;
     this.hostList = hostList;
+    this.jobs = jobs;
     this.operators = operators;
     this.callers = callers;
     this.requests = requests;
@@ -90,6 +98,7 @@
     committer.start();
     hostList.start();
     requests.start(endpoints);
+    jobs.start();
     operators.start();
     callers.start();
   }
@@ -117,8 +126,10 @@
     settle(deadlineMillis);
     callers.stop();
     operators.stop();
+    jobs.stop();
     hostList.stop();
     timer.stop();
+    snapshots.stop();
     committer.stop();
     follower.stop();
     mesh.stop();
--- a/tool/src/main/java/org/persimmonloom/tool/command/Main.java
+++ b/tool/src/main/java/org/persimmonloom/tool/command/Main.java
@@ -10,6 +10,7 @@
 import org.persimmonloom.core.result.Failure;
 import org.persimmonloom.core.result.ResultCode;
 import org.persimmonloom.tool.measure.MeasureRoutingCommand;
+import org.persimmonloom.tool.measure.PolicyMeasureCommand;
 import org.persimmonloom.tool.measure.SlopesCommand;
 
 /** The operators' command. Its exit code is the number of the result code. */
@@ -25,6 +26,13 @@
     commands.put("release validate", new ReleaseValidateCommand());
     commands.put("report burn", new ReportBurnCommand());
     commands.put("demo", new DemoCommand());
+    commands.put("job submit", new JobSubmitCommand());
+    commands.put("job list", new JobListCommand());
+    commands.put("job show", new JobShowCommand());
+    commands.put("job cancel", new JobCancelCommand());
+    commands.put("job release", new JobReleaseCommand());
+    commands.put("measure", new PolicyMeasureCommand());
+    commands.put("measure fold", new MeasureFoldCommand());
     commands.put("standin", new StandInCommand());
     commands.put("measure slopes", new SlopesCommand());
     return commands;
--- a/tool/src/main/java/org/persimmonloom/tool/demo/Caller.java
+++ b/tool/src/main/java/org/persimmonloom/tool/demo/Caller.java
@@ -16,6 +16,7 @@
 import okhttp3.OkHttpClient;
 import okhttp3.Request;
 import okhttp3.Response;
+import org.persimmonloom.core.result.ResultCode;
 import org.persimmonloom.core.result.RunOutcome;
 import org.persimmonloom.tool.oracle.CallerRecord;
 import org.persimmonloom.tool.oracle.CallerTry;
@@ -125,10 +126,12 @@
     boolean hasHeaders = false;
     try (Response response = client.newCall(http).execute()) {
       hasHeaders = true;
-      TryOutcome outcome = classify(response, response.body().string(), request);
-      String result = response.header("Persimmonloom-Result", "" + CallerTry.NO_RESULT);
+      int result =
+          Integer.parseInt(response.header("Persimmonloom-Result", "" + CallerTry.NO_RESULT));
+      String expected = EndpointStandIn.answerText(request.key(), request.path());
+      Told told = new Told(result, classify(response, result, response.body().string(), expected));
       count(response.code() + "/" + result);
-      return new Told(Integer.parseInt(result), outcome);
+      return told;
     } catch (ConnectException e) {
       count("not-sent");
       return Told.without(TryOutcome.NOT_SENT);
@@ -142,21 +145,24 @@
   }
 
   /** An answer that doesn't say whether the request ran is no answer. */
-  private static TryOutcome classify(Response response, String text, CallerRequest request) {
+  private static TryOutcome classify(Response response, int result, String text, String expected) {
     String run = response.header("Persimmonloom-Run", "");
     if (run.equals(RunOutcome.NOT_RUN.headerValue())) {
       return TryOutcome.NOT_RUN;
     }
-    if (run.equals(RunOutcome.UNKNOWN.headerValue())) {
+    boolean isGone = result == ResultCode.DUPLICATE_ANSWER_GONE.number();
+    if (run.equals(RunOutcome.UNKNOWN.headerValue()) || isGone) {
       return TryOutcome.UNKNOWN;
     }
     if (!run.equals(RunOutcome.RAN.headerValue())) {
       return TryOutcome.NO_ANSWER;
     }
-    String expected = EndpointStandIn.answerText(request.key(), request.path());
-    return !response.isSuccessful() || text.equals(expected)
+    if (result == ResultCode.OK.number()) {
+      return text.equals(expected) ? TryOutcome.ANSWERED : TryOutcome.CROSSED;
+    }
+    return result == ResultCode.ENDPOINT_FAILED.number()
         ? TryOutcome.ANSWERED
-        : TryOutcome.CROSSED;
+        : TryOutcome.NO_ANSWER;
   }
 
   private synchronized void count(String result) {
--- a/tool/src/main/java/org/persimmonloom/tool/oracle/TryOutcome.java
+++ b/tool/src/main/java/org/persimmonloom/tool/oracle/TryOutcome.java
@@ -6,7 +6,7 @@
   ANSWERED,
   /** The entry host said that the request did not run. */
   NOT_RUN,
-  /** The entry host said that the request may have run. */
+  /** The entry host said that the request may have run, or that its answer is no longer kept. */
   UNKNOWN,
   /** A successful answer that belongs to another request or is incomplete. */
   CROSSED,
