--- a/runtime/src/main/java/org/persimmonloom/runtime/caller/RequestMetrics.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/caller/RequestMetrics.java
@@ -96,7 +96,7 @@
         .labelValues(service.name(), workClass == null ? "none" : lower(workClass))
         .observe(elapsedMillis / 1_000.0);
     boolean isInTime = elapsedMillis <= service.objectiveLatencyMillis();
-    countObjective(service, answer, answer.failure() == null && isInTime);
+    countObjective(service, answer, isInTime);
   }
 
   private void count(String service, CallerAnswer answer) {
@@ -106,16 +106,28 @@
   }
 
   /**
-   * What the caller itself caused, such as a cancelled request or a wrong key, is neither a hit nor
-   * a miss.
+   * What the caller itself caused, such as a cancelled request or a wrong key, is neither met nor
+   * missed.
    */
-  private void countObjective(ServiceDefinition service, CallerAnswer answer, boolean isHit) {
+  private void countObjective(ServiceDefinition service, CallerAnswer answer, boolean isInTime) {
     boolean isCallersFault = answer.response() == null && answer.status() < 500;
     if (!isCallersFault) {
-      objective.labelValues(service.name(), isHit ? "hit" : "miss").inc();
+      objective.labelValues(service.name(), outcome(answer, isInTime)).inc();
     }
   }
 
+  /** Returns {@code met}, or how the objective was missed. */
+  private static String outcome(CallerAnswer answer, boolean isInTime) {
+    if (answer.failure() == null) {
+      return isInTime ? "met" : "late";
+    }
+    return switch (answer.run()) {
+      case NOT_RUN -> "refused";
+      case UNKNOWN -> "unknown";
+      case RAN -> "failed";
+    };
+  }
+
   private static String run(RunOutcome outcome) {
     return outcome.headerValue();
   }
--- a/tool/src/main/java/org/persimmonloom/tool/command/Main.java
+++ b/tool/src/main/java/org/persimmonloom/tool/command/Main.java
@@ -24,6 +24,7 @@
     commands.put("release show", new ReleaseShowCommand());
     commands.put("release status", new ReleaseStatusCommand());
     commands.put("release validate", new ReleaseValidateCommand());
+    commands.put("report burn", new ReportBurnCommand());
     commands.put("demo", new DemoCommand());
     commands.put("job submit", new JobSubmitCommand());
     commands.put("job list", new JobListCommand());
--- a/tool/src/main/java/org/persimmonloom/tool/command/ReleaseApplyCommand.java
+++ b/tool/src/main/java/org/persimmonloom/tool/command/ReleaseApplyCommand.java
@@ -7,6 +7,8 @@
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import org.persimmonloom.core.fold.ProposalTypes;
+import org.persimmonloom.core.fold.Verdict;
 import org.persimmonloom.core.result.Failure;
 
 @Parameters(commandDescription = "Apply a release note")
@@ -19,6 +21,9 @@
   @Parameter(names = "--operator", description = "name shown to operators who race")
   private String operator = System.getProperty("user.name");
 
+  @Parameter(names = "--json", description = "print JSON")
+  private boolean printsJson;
+
   @Override
   public List<String> examples() {
     return List.of(
@@ -30,6 +35,13 @@
     String path = "/release?operator=" + URLEncoder.encode(operator, StandardCharsets.UTF_8);
     return NoteFile.read(file)
         .flatMap(text -> client.post(path, text))
+        .flatMap(this::format)
         .mapLeft(NoteFile::withLines);
   }
+
+  private Either<Failure, String> format(String json) {
+    return printsJson
+        ? Either.right(json)
+        : ProposalTypes.CODEC.fromJson(json, Verdict.class).map(Verdict::detail);
+  }
 }
