Test late responses and the succession of an abandoned claim

Cause: a response after the deadline and a duplicate of an abandoned claim whose release is not in the log yet had no test.

Change: two tests in ClaimedPathTest.

--- a/runtime/src/test/java/org/persimmonloom/runtime/caller/ClaimedPathTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/caller/ClaimedPathTest.java
@@ -101,6 +101,39 @@
     assertThat(bad.connections).hasValue(2);
   }
 
+  /** Guards against a late response that reaches the caller of the next request. */
+  @Test
+  void lateResponseIsNotGivenToTheNextRequest() throws Exception {
+    FakeEndpoint endpoint = endpoint("h1", Behavior.GATED, Behavior.ANSWER);
+    assertThat(outcome(first.bill(newKey(), 300).get())).isEqualTo("21 unknown");
+    endpoint.gate.countDown();
+    HttpResponse<String> next = first.bill(newKey(), DEADLINE_MILLIS).get();
+    assertThat(outcome(next)).isEqualTo("0 ran");
+    assertThat(next.headers().firstValue("X-Kept")).contains("yes");
+    assertThat(endpoint.connections).hasValue(2);
+  }
+
+  /** Guards against a duplicate that waits for an abandoned claim whose release is not folded. */
+  @Test
+  void duplicateSupersedesAClaimThatItsHolderAbandoned() throws Exception {
+    FakeEndpoint endpoint = endpoint("h1", Behavior.GATED, Behavior.GATED, Behavior.ANSWER);
+    first.bill(newKey(), DEADLINE_MILLIS);
+    first.bill(newKey(), DEADLINE_MILLIS);
+    await(() -> endpoint.seen.size() == 2);
+    String key = newKey();
+    var queued = first.bill(key, 1_500);
+    await(() -> second.claim(key).isPresent());
+    log.set(MemoryLog.Mode.DOWN);
+    assertThat(outcome(queued.get())).isEqualTo("13 not-run");
+    int asked = peers.asked.get();
+    var duplicate = second.bill(key, DEADLINE_MILLIS);
+    await(() -> peers.asked.get() > asked);
+    log.set(MemoryLog.Mode.UP);
+    assertThat(outcome(duplicate.get())).isEqualTo("0 ran");
+    endpoint.gate.countDown();
+    assertThat(endpoint.seen).hasSize(3);
+  }
+
   /** Guards against the HTTP client's own repetition after 503 with Retry-After: 0. */
   @Test
   void serverErrorIsPassedOnAndNotRepeated() throws Exception {
