Require the confirmation of an entry host that restarts during a drain

Cause: the record that replaced the last unconfirmed incarnation counted as its end and completed the drain, although the new process may already send. Change: a replaced incarnation completes no drain; a test shows the case. Conclusion: only a confirmation, or an entry host that left or was lost, completes a drain.

--- a/core/src/main/java/org/persimmonloom/core/maintenance/DrainHandlers.java
+++ b/core/src/main/java/org/persimmonloom/core/maintenance/DrainHandlers.java
@@ -157,8 +157,13 @@
     }
   }
 
+  /** An incarnation that is replaced leaves its name live, and the new one has to confirm. */
   @Override
   public void incarnationEnded(String name, long incarnation, Position position) {
+    boolean isReplaced = position.author().equals(name) && position.incarnation() != incarnation;
+    if (isReplaced) {
+      return;
+    }
     for (Host host : List.copyOf(hosts.all())) {
       if (host.state() == HostState.DRAINING) {
         settle(host, position);
--- a/core/src/test/java/org/persimmonloom/core/maintenance/DrainTest.java
+++ b/core/src/test/java/org/persimmonloom/core/maintenance/DrainTest.java
@@ -64,6 +64,17 @@
     assertThat(fleet.stateOf("h1")).isEqualTo(HostState.DRAINED);
   }
 
+  /** Guards against a restart of the last unconfirmed entry host that completes the drain. */
+  @Test
+  void restartDoesNotStandForConfirmation() {
+    long drain = startDrain();
+    fleet.code(new DrainConfirmed("h1", drain));
+    fleet.enter("e2", 2);
+    assertThat(fleet.stateOf("h1")).isEqualTo(HostState.DRAINING);
+    fleet.by("e2", 2, new DrainConfirmed("h1", drain));
+    assertThat(fleet.stateOf("h1")).isEqualTo(HostState.DRAINED);
+  }
+
   /** Guards against the confirmation of a cancelled drain completing the next one. */
   @Test
   void confirmationCountsForItsDrainOnly() {
