Say not run for a given-up claim only after asking the other entry hosts

Change: a host that gives up an undecided claim looks into its fold and asks every registered entry host about the key. A host whose own claim on the key is undecided abandons it too; one that dispatched the request answers with its response. If a host can't be asked the answer is unknown. An abandoned claim is no longer followed where the fold shows the claim of another host. ClaimedPathTest waits until both hosts share the slots, which one of its tests counted on.

Conclusion: 'not run' now speaks for all copies that reached an entry host before the answer.

--- a/core/src/main/java/org/persimmonloom/core/claim/ClaimHolder.java
+++ b/core/src/main/java/org/persimmonloom/core/claim/ClaimHolder.java
@@ -201,10 +201,14 @@
     return entry == null ? ClaimStatus.of(ClaimStatus.Kind.NOT_KNOWN) : status(entry);
   }
 
-  /** Returns whether this host holds a record of the key that a duplicate must follow. */
-  public synchronized boolean isKnown(String service, String key) {
-    Entry entry = byKey.get(name(service, key));
-    return entry != null;
+  /**
+   * Returns the claim of this host that a duplicate of the key must follow. An abandoned claim is
+   * not followed, because a copy at another host may have claimed the key since.
+   */
+  public synchronized Optional<String> openClaim(String service, String key) {
+    return Optional.ofNullable(byKey.get(name(service, key)))
+        .filter(entry -> entry.state != State.ABANDONED)
+        .map(entry -> entry.claim.claimId());
   }
 
   /** Returns the bytes that retained answers take. */
--- a/runtime/src/main/java/org/persimmonloom/runtime/caller/ClaimedRequests.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/caller/ClaimedRequests.java
@@ -53,6 +53,7 @@
   private final PeerChannel peers;
   private final String self;
   private final String claimPrefix;
+  private final NotRunCheck notRunCheck;
 
   @Inject
   ClaimedRequests(
@@ -69,7 +70,9 @@
     this.peers = peers;
     this.self = settings.name();
     claimPrefix = self + "-" + Long.toHexString(ThreadLocalRandom.current().nextLong()) + "-";
+    notRunCheck = new NotRunCheck(state, peers, self, context);
     peers.handle(ClaimQuestion.KIND, (peer, question) -> answerPeer(question));
+    peers.handle(KeyQuestion.KIND, (peer, question) -> answerKeyQuestion(question));
   }
 
   /** Starts the request, or answers it at once if its key is missing or malformed. */
@@ -105,7 +108,7 @@
       return;
     }
     CallerRequest request = ticket.request();
-    if (!holder.isKnown(request.service(), request.key())) {
+    if (holder.openClaim(request.service(), request.key()).isEmpty()) {
       Optional<Claim> claim =
           state.read(fleet -> fleet.claims().find(request.service(), request.key()));
       if (claim.isPresent() && !isOpen(claim.get(), supersedes)) {
@@ -157,7 +160,8 @@
 
   private ClaimedWork newWork(ClaimedTicket ticket, ClaimRequested claim) {
     ClaimedWork work =
-        new ClaimedWork(context, holder, endings, ticket.dispatcher(), ticket.request(), claim);
+        new ClaimedWork(
+            context, holder, endings, ticket.dispatcher(), ticket.request(), claim, notRunCheck);
     inProgress.put(claim.claimId(), work);
     work.outcome().whenComplete((unused, failure) -> inProgress.remove(claim.claimId()));
     return work;
@@ -236,10 +240,31 @@
   private CompletableFuture<byte[]> answerPeer(byte[] question) {
     Either<Failure, ClaimQuestion> decoded =
         ProposalTypes.CODEC.decode(question, ClaimQuestion.class);
-    if (decoded.isLeft()) {
-      return CompletableFuture.completedFuture(encode(ClaimStatus.of(ClaimStatus.Kind.NOT_KNOWN)));
+    return decoded.isLeft() ? notKnown() : statusSoon(decoded.get().claimId());
+  }
+
+  /** A copy here whose claim is undecided gives up too, so that neither copy runs. */
+  private CompletableFuture<byte[]> answerKeyQuestion(byte[] question) {
+    Either<Failure, KeyQuestion> decoded = ProposalTypes.CODEC.decode(question, KeyQuestion.class);
+    Optional<String> claimId =
+        decoded.isLeft()
+            ? Optional.empty()
+            : holder.openClaim(decoded.get().service(), decoded.get().key());
+    if (claimId.isEmpty()) {
+      return notKnown();
     }
-    String claimId = decoded.get().claimId();
+    Optional.ofNullable(inProgress.get(claimId.get())).ifPresent(ClaimedWork::giveUpUndecided);
+    return holder.status(claimId.get(), context.now()).kind() == ClaimStatus.Kind.ABANDONED
+        ? CompletableFuture.completedFuture(encode(ClaimStatus.of(ClaimStatus.Kind.ABANDONED)))
+        : statusSoon(claimId.get());
+  }
+
+  private static CompletableFuture<byte[]> notKnown() {
+    return CompletableFuture.completedFuture(encode(ClaimStatus.of(ClaimStatus.Kind.NOT_KNOWN)));
+  }
+
+  /** Returns the status once the work ends, or after a short wait. */
+  private CompletableFuture<byte[]> statusSoon(String claimId) {
     ClaimedWork work = inProgress.get(claimId);
     CompletableFuture<byte[]> answer = new CompletableFuture<>();
     Runnable reply = () -> answer.complete(encode(holder.status(claimId, context.now())));
--- a/runtime/src/main/java/org/persimmonloom/runtime/caller/ClaimedWork.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/caller/ClaimedWork.java
@@ -38,6 +38,7 @@
   private final ServiceDispatcher dispatcher;
   private final CallerRequest request;
   private final ClaimRequested claim;
+  private final NotRunCheck notRunCheck;
   private final Set<String> tried = new HashSet<>();
   private int waiting;
   private int attempt;
@@ -52,7 +53,9 @@
       ClaimEndings endings,
       ServiceDispatcher dispatcher,
       CallerRequest request,
-      ClaimRequested claim) {
+      ClaimRequested claim,
+      NotRunCheck notRunCheck) {
+    this.notRunCheck = notRunCheck;
     this.context = context;
     this.holder = holder;
     this.endings = endings;
@@ -102,14 +105,29 @@
             });
   }
 
+  /** Abandons the claim if its verdict was not seen, because a copy elsewhere was given up. */
+  void giveUpUndecided() {
+    claimTimedOut(context.now() - request.arrivedMillis());
+  }
+
   private void claimTimedOut(long waitedMillis) {
     if (holder.abandonUndecided(claim.claimId())) {
       release();
-      outcome.complete(
-          Optional.of(CallerAnswer.notRun(Failure.of(ResultCode.CLAIM_UNAVAILABLE, waitedMillis))));
+      checkNotRun(Failure.of(ResultCode.CLAIM_UNAVAILABLE, waitedMillis));
     }
   }
 
+  /** Answers as not run only if no other entry host runs a copy of the request. */
+  private void checkNotRun(Failure reason) {
+    notRunCheck
+        .check(
+            new KeyQuestion(claim.service(), claim.key()),
+            claim.claimId(),
+            reason,
+            request.deadlineMillis())
+        .thenAccept(outcome::complete);
+  }
+
   private void decided(List<Verdict> verdicts, Throwable failure) {
     if (failure == null && verdicts.get(0).isAccepted()) {
       if (holder.accepted(claim.claimId())) {
@@ -125,7 +143,7 @@
           failure instanceof ProposalException refused
               ? refused.failure()
               : Failure.of(ResultCode.INTERNAL, failure);
-      outcome.complete(Optional.of(CallerAnswer.notRun(reason)));
+      checkNotRun(reason);
     } else if (verdicts.get(0).code() == ResultCode.CLAIM_LOST) {
       outcome.complete(Optional.empty());
     } else {
--- /dev/null
+++ b/runtime/src/main/java/org/persimmonloom/runtime/caller/NotRunCheck.java
@@ -0,0 +1,147 @@
+package org.persimmonloom.runtime.caller;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.persimmonloom.core.claim.Claim;
+import org.persimmonloom.core.claim.ClaimStatus;
+import org.persimmonloom.core.fold.ProposalTypes;
+import org.persimmonloom.core.member.EntryHost;
+import org.persimmonloom.core.result.Failure;
+import org.persimmonloom.core.result.ResultCode;
+import org.persimmonloom.core.result.RunOutcome;
+import org.persimmonloom.runtime.log.ReplicatedState;
+import org.persimmonloom.runtime.peer.PeerChannel;
+
+/**
+ * Finds out whether a request may be reported as not run after its claim was abandoned undecided.
+ *
+ * <p>The log did not say whether a copy of the request at another entry host won the claim. So
+ * every registered entry host is asked. A host whose own claim on the key is undecided abandons it
+ * as well; a host that dispatched the request answers with its response. "Not run" is reported only
+ * if all hosts answered and none runs the request; if one can't be asked, the outcome is unknown.
+ * Safe for any thread.
+ */
+final class NotRunCheck {
+  private static final long ASK_TIMEOUT_MILLIS = 1_000;
+  private static final long ASK_AGAIN_MILLIS = 50;
+
+  private final ReplicatedState state;
+  private final PeerChannel peers;
+  private final String self;
+  private final RequestContext context;
+
+  NotRunCheck(ReplicatedState state, PeerChannel peers, String self, RequestContext context) {
+    this.state = state;
+    this.peers = peers;
+    this.self = self;
+    this.context = context;
+  }
+
+  /** What one entry host says; {@code status} is null if it did not answer. */
+  private record Reply(String host, ClaimStatus status) {}
+
+  /**
+   * Returns the answer for the request, or empty if the fold shows the claim of another host, which
+   * must then be followed.
+   *
+   * @param claimId the abandoned claim
+   * @param reason why the request was not run, if that holds
+   * @param deadlineMillis when to stop waiting for a copy that runs elsewhere
+   */
+  CompletableFuture<Optional<CallerAnswer>> check(
+      KeyQuestion key, String claimId, Failure reason, long deadlineMillis) {
+    Optional<Claim> folded = state.read(fleet -> fleet.claims().find(key.service(), key.key()));
+    boolean isClaimedElsewhere =
+        folded.isPresent()
+            && folded.get().state() != Claim.State.RELEASED
+            && !folded.get().claimId().equals(claimId);
+    if (isClaimedElsewhere) {
+      return CompletableFuture.completedFuture(Optional.empty());
+    }
+    List<String> others =
+        state.read(
+            fleet ->
+                fleet.entryHosts().live().stream()
+                    .map(EntryHost::name)
+                    .filter(name -> !name.equals(self))
+                    .toList());
+    CompletableFuture<Optional<CallerAnswer>> answer = new CompletableFuture<>();
+    askAll(others, key, reason, deadlineMillis, answer);
+    return answer;
+  }
+
+  private void askAll(
+      List<String> hosts,
+      KeyQuestion key,
+      Failure reason,
+      long deadlineMillis,
+      CompletableFuture<Optional<CallerAnswer>> answer) {
+    List<CompletableFuture<Reply>> replies = new ArrayList<>();
+    hosts.forEach(host -> replies.add(ask(host, key)));
+    CompletableFuture.allOf(replies.toArray(new CompletableFuture<?>[0]))
+        .whenComplete(
+            (unused, failure) -> {
+              List<Reply> all = replies.stream().map(CompletableFuture::join).toList();
+              Optional<CallerAnswer> judged = judge(all, reason);
+              if (judged.isPresent()) {
+                answer.complete(judged);
+              } else if (context.now() >= deadlineMillis) {
+                answer.complete(
+                    Optional.of(
+                        CallerAnswer.unknown("another copy had not ended by the deadline")));
+              } else {
+                context.timer.after(
+                    ASK_AGAIN_MILLIS, () -> askAll(hosts, key, reason, deadlineMillis, answer));
+              }
+            });
+  }
+
+  private CompletableFuture<Reply> ask(String host, KeyQuestion key) {
+    return peers
+        .ask(host, KeyQuestion.KIND, ProposalTypes.CODEC.encode(key), ASK_TIMEOUT_MILLIS)
+        .handle(
+            (bytes, failure) ->
+                new Reply(
+                    host,
+                    failure != null
+                        ? null
+                        : ProposalTypes.CODEC
+                            .decode(bytes, ClaimStatus.class)
+                            .getOrElse((ClaimStatus) null)));
+  }
+
+  /** Returns the answer that the replies permit, or empty while a copy still runs. */
+  private static Optional<CallerAnswer> judge(List<Reply> replies, Failure reason) {
+    List<String> silent = new ArrayList<>();
+    boolean isRunning = false;
+    for (Reply reply : replies) {
+      if (reply.status() == null) {
+        silent.add(reply.host());
+        continue;
+      }
+      switch (reply.status().kind()) {
+        case ANSWERED -> {
+          return Optional.of(CallerAnswer.of(reply.status().answer()));
+        }
+        case OUTCOME_UNKNOWN -> {
+          return Optional.of(CallerAnswer.unknown("another copy has no response"));
+        }
+        case ANSWER_GONE -> {
+          return Optional.of(
+              new CallerAnswer(null, Failure.of(ResultCode.DUPLICATE_ANSWER_GONE), RunOutcome.RAN));
+        }
+        case RUNNING -> isRunning = true;
+        default -> {}
+      }
+    }
+    if (isRunning) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        silent.isEmpty()
+            ? CallerAnswer.notRun(reason)
+            : CallerAnswer.unknown("another copy may run at " + String.join(", ", silent)));
+  }
+}
--- a/runtime/src/test/java/org/persimmonloom/runtime/caller/ClaimedPathTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/caller/ClaimedPathTest.java
@@ -51,6 +51,8 @@
     second = new EntryFixture("e2", log, peers);
     first.release();
     await(() -> second.routing.find("bill").isRight());
+    // The shares of slots that the tests count on need both hosts in both tables.
+    await(() -> first.routing.members() == 2 && second.routing.members() == 2);
   }
 
   @AfterEach
