--- a/runtime/src/main/java/org/persimmonloom/runtime/caller/CallerExchange.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/caller/CallerExchange.java
@@ -43,10 +43,10 @@
   private final RequestService requests;
   private final RequestContext context;
   private final MemoryBudget memory;
-  private final int maxBodyBytes;
-  private final long sendMillis;
+  private final CallerLimits limits;
   private final long arrivedMillis;
   private final AtomicLong heldBytes = new AtomicLong();
+  private String service = RequestMetrics.NO_SERVICE;
   private boolean isAnswered;
   private boolean isReceived;
 
@@ -55,34 +55,34 @@
       RequestService requests,
       RequestContext context,
       MemoryBudget memory,
-      int maxBodyBytes,
-      long sendMillis) {
+      CallerLimits limits) {
     this.exchange = exchange;
     this.requests = requests;
     this.context = context;
     this.memory = memory;
-    this.maxBodyBytes = maxBodyBytes;
-    this.sendMillis = sendMillis;
+    this.limits = limits;
     arrivedMillis = context.now();
   }
 
   /** Checks the head and reads the body. */
   void start() {
     Either<Failure, CallerHeaders> head = CallerHeaders.parse(exchange);
-    Either<Failure, ServiceDefinition> service = head.flatMap(it -> requests.check(it.service()));
-    if (service.isLeft()) {
-      refuse(service.getLeft());
+    head.peek(it -> service = it.service());
+    Either<Failure, ServiceDefinition> found = head.flatMap(it -> requests.check(it.service()));
+    if (found.isLeft()) {
+      refuse(found.getLeft());
       return;
     }
     long length = exchange.getRequestContentLength();
-    if (length > maxBodyBytes) {
+    if (length > CallerListener.MAX_BODY_BYTES) {
       exchange.setPersistent(false);
-      refuse(Failure.of(ResultCode.BODY_TOO_LARGE, maxBodyBytes));
+      refuse(Failure.of(ResultCode.BODY_TOO_LARGE, CallerListener.MAX_BODY_BYTES));
       return;
     }
-    long reserved = exchange.isRequestComplete() ? 0 : length < 0 ? maxBodyBytes : length;
+    long reserved =
+        exchange.isRequestComplete() ? 0 : length < 0 ? CallerListener.MAX_BODY_BYTES : length;
     if (!memory.tryTake(reserved)) {
-      refuse(Failure.of(ResultCode.OVERLOADED, CallerListener.MAX_REQUESTS));
+      refuse(Failure.of(ResultCode.OVERLOADED, limits.requests()));
       return;
     }
     heldBytes.set(reserved);
@@ -91,13 +91,13 @@
           memory.give(heldBytes.getAndSet(0));
           next.proceed();
         });
-    receive(head.get(), service.get());
+    receive(head.get(), found.get());
   }
 
-  private void receive(CallerHeaders head, ServiceDefinition service) {
+  private void receive(CallerHeaders head, ServiceDefinition definition) {
     Future<?> timeout =
         context.timer.after(
-            sendMillis, () -> exchange.getIoThread().execute(this::refuseSlowSender));
+            limits.sendMillis(), () -> exchange.getIoThread().execute(this::refuseSlowSender));
     exchange
         .getRequestReceiver()
         .receiveFullBytes(
@@ -105,7 +105,8 @@
               timeout.cancel(false);
               isReceived = true;
               if (!isAnswered) {
-                exchange.dispatch(SameThreadExecutor.INSTANCE, () -> submit(head, service, body));
+                exchange.dispatch(
+                    SameThreadExecutor.INSTANCE, () -> submit(head, definition, body));
               }
             },
             (failed, error) -> {
@@ -118,7 +119,7 @@
   private void refuseSlowSender() {
     if (!isReceived && !isAnswered) {
       exchange.setPersistent(false);
-      refuse(Failure.of(ResultCode.REQUEST_TIMEOUT, sendMillis));
+      refuse(Failure.of(ResultCode.REQUEST_TIMEOUT, limits.sendMillis()));
     }
   }
 
@@ -126,18 +127,18 @@
     exchange.setPersistent(false);
     refuse(
         error instanceof RequestTooBigException
-            ? Failure.of(ResultCode.BODY_TOO_LARGE, maxBodyBytes)
+            ? Failure.of(ResultCode.BODY_TOO_LARGE, CallerListener.MAX_BODY_BYTES)
             : Failure.of(ResultCode.CANCELLED));
   }
 
-  private void submit(CallerHeaders head, ServiceDefinition service, byte[] body) {
+  private void submit(CallerHeaders head, ServiceDefinition definition, byte[] body) {
     if (body.length > 0 && (head.method().equals("GET") || head.method().equals("HEAD"))) {
       refuse(
           Failure.of(ResultCode.HEADER_INVALID, "Content-Length", head.method() + " has no body"));
       return;
     }
     long deadlineMillis =
-        head.deadlineMillis() > 0 ? head.deadlineMillis() : service.deadlineMillis();
+        head.deadlineMillis() > 0 ? head.deadlineMillis() : definition.deadlineMillis();
     Ticket ticket =
         requests.accept(
             new CallerRequest(
@@ -159,7 +160,7 @@
   /** Refuses the request as not run, before it was started. */
   void refuse(Failure failure) {
     CallerAnswer answer = CallerAnswer.notRun(failure);
-    context.metrics.refused(RequestMetrics.NO_SERVICE, answer);
+    requests.refused(service, answer);
     write(answer);
   }
 
--- a/runtime/src/main/java/org/persimmonloom/runtime/caller/RoutingTable.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/caller/RoutingTable.java
@@ -163,7 +163,6 @@
         dispatcher.removeEndpoint(endpoint.name());
       }
     }
-    dispatcher.pump();
   }
 
   private static RoutingEndpoint endpoint(Host host) {
--- a/runtime/src/main/java/org/persimmonloom/runtime/entry/EntryHostService.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/entry/EntryHostService.java
@@ -18,6 +18,7 @@
 import org.persimmonloom.runtime.log.GroupCommitter;
 import org.persimmonloom.runtime.log.LogFollower;
 import org.persimmonloom.runtime.log.Proposer;
+import org.persimmonloom.runtime.log.SnapshotWriter;
 import org.persimmonloom.runtime.operator.OperatorListener;
 import org.persimmonloom.runtime.peer.ClusterView;
 import org.persimmonloom.runtime.peer.PeerMesh;
@@ -41,6 +42,7 @@
   private final LogFollower follower;
   private final GroupCommitter committer;
   private final PeerMesh mesh;
+  private final SnapshotWriter snapshots;
   private final HostListWatcher hostList;
   private final JobController jobs;
   private final WaveController waves;
@@ -59,6 +61,7 @@
       LogFollower follower,
       GroupCommitter committer,
       PeerMesh mesh,
+      SnapshotWriter snapshots,
       HostListWatcher hostList,
       JobController jobs,
       WaveController waves,
@@ -76,6 +79,7 @@
     this.follower = follower;
     this.committer = committer;
     this.mesh = mesh;
+    this.snapshots = snapshots;
     this.hostList = hostList;
     this.jobs = jobs;
     this.waves = waves;
@@ -127,10 +131,11 @@
     settle(deadlineMillis);
     callers.stop();
     operators.stop();
-    waves.stop();
     jobs.stop();
+    waves.stop();
     hostList.stop();
     timer.stop();
+    snapshots.stop();
     committer.stop();
     follower.stop();
     mesh.stop();
--- a/runtime/src/main/java/org/persimmonloom/runtime/entry/OperatorModule.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/entry/OperatorModule.java
@@ -7,6 +7,7 @@
 import org.persimmonloom.runtime.operator.Readiness;
 import org.persimmonloom.runtime.operator.ReleaseApplyRoute;
 import org.persimmonloom.runtime.operator.ReleaseShowRoute;
+import org.persimmonloom.runtime.operator.ReleaseStatusRoute;
 import org.persimmonloom.runtime.operator.ReleaseValidateRoute;
 
 /** Collects the paths of the operators' interface. */
@@ -24,6 +25,8 @@
   @IntoSet
   OperatorRoute releaseValidate(ReleaseValidateRoute route);
 
+  OperatorRoute releaseStatus(ReleaseStatusRoute route);
+
   @Binds
   Readiness readiness(HostReadiness readiness);
 }
--- a/runtime/src/main/java/org/persimmonloom/runtime/fleet/HostListWatcher.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/fleet/HostListWatcher.java
@@ -21,15 +21,15 @@
 import org.persimmonloom.core.maintenance.MaintenanceSteps.Step;
 import org.persimmonloom.core.member.EntryHost;
 import org.persimmonloom.runtime.caller.LeavingHosts;
-import org.persimmonloom.runtime.log.LogStatus;
 import org.persimmonloom.runtime.log.Proposer;
 import org.persimmonloom.runtime.log.ReplicatedState;
+import org.persimmonloom.runtime.peer.Currency;
 import org.persimmonloom.runtime.settings.EntrySettings;
 
 /**
  * Reads the host list at an interval and proposes what {@link HostListTracker} decides. A failed
- * read is no reading: no host is missing because the list is. Hosts that are named as leaving get
- * no new work from this entry host at once, before their drain is folded. Started and stopped once.
+ * read is no reading: no host is missing because the list is. Hosts named as leaving get no new
+ * work from this entry host, even before their drain is folded. Started and stopped once.
  */
 @Singleton
 public final class HostListWatcher {
@@ -38,12 +38,12 @@
 
   private final HostListClient client;
   private final ReplicatedState state;
-  private final LogStatus logStatus;
+  private final Currency currency;
+  private final LeavingHosts leaving;
   private final InstantSource clock;
   private final StepProposer proposer;
   private final HostListTracker tracker = new HostListTracker();
   private final ScheduledExecutorService executor = WaveController.executor("host-list");
-  private final LeavingHosts leaving;
   private List<String> massEvents = List.of();
   private boolean reachable = true;
 
@@ -51,15 +51,15 @@
   public HostListWatcher(
       HostListClient client,
       ReplicatedState state,
-      LogStatus logStatus,
+      Currency currency,
+      LeavingHosts leaving,
       Proposer proposer,
       EntrySettings settings,
-      InstantSource clock,
-      LeavingHosts leaving) {
-    this.leaving = leaving;
+      InstantSource clock) {
     this.client = client;
     this.state = state;
-    this.logStatus = logStatus;
+    this.currency = currency;
+    this.leaving = leaving;
     this.clock = clock;
     this.proposer = new StepProposer(proposer, settings.name());
   }
@@ -77,9 +77,9 @@
   private void poll() {
     try {
       HostList list = client.read();
-      leaving.setHostList(list.leaving());
       reachable = true;
-      if (logStatus.readMillis().isPresent()) {
+      leaving.setHostList(list.leaving());
+      if (currency.isCurrent()) {
         take(list, clock.millis());
       }
     } catch (IOException e) {
--- a/runtime/src/main/java/org/persimmonloom/runtime/peer/ClusterService.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/peer/ClusterService.java
@@ -1,7 +1,6 @@
 package org.persimmonloom.runtime.peer;
 
 import java.time.InstantSource;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -22,6 +21,7 @@
 import org.persimmonloom.core.member.LossRule;
 import org.persimmonloom.core.member.MeshPlan;
 import org.persimmonloom.core.member.PeerView;
+import org.persimmonloom.core.member.RelayPlan;
 import org.persimmonloom.core.result.Failure;
 import org.persimmonloom.core.result.ResultCode;
 import org.persimmonloom.runtime.log.GroupCommitter;
@@ -38,9 +38,6 @@
 public final class ClusterService implements MeshDelegate, ClusterView, Currency {
   private static final Logger LOGGER = LogManager.getLogger(ClusterService.class);
 
-  /** How long to wait for the fold of a proposed loss before it is proposed again. */
-  private static final long REPEAT_LOSS_MILLIS = 5_000;
-
   private final EntrySettings settings;
   private final ReplicatedState state;
   private final GroupCommitter committer;
@@ -51,9 +48,9 @@
   private final List<Listener> listeners = new CopyOnWriteArrayList<>();
   private final PeerView view = new PeerView();
   private final CatchUpGoal goal = new CatchUpGoal();
-  private final Map<EntryHostLost, Long> proposedLosses = new HashMap<>();
+  private final LossRule lossRule;
+  private final RelayPlan relayPlan = new RelayPlan();
   private List<EntryHost> registered = List.of();
-  private int relayIndex;
   private volatile Map<String, String> addresses = Map.of();
   private volatile List<String> wantedPeers = List.of();
   private volatile List<Member> live = List.of();
@@ -72,6 +69,7 @@
       LeavingSource leaving,
       InstantSource clock) {
     this.settings = settings;
+    this.lossRule = new LossRule(settings.name());
     this.state = state;
     this.committer = committer;
     this.logStatus = logStatus;
@@ -88,7 +86,8 @@
     synchronized (this) {
       registered = hosts;
       view.setPeers(hosts.stream().map(EntryHost::name).toList(), nowMillis);
-      losses = dueLosses(hosts, foldTimeMillis, nowMillis);
+      relayPlan.setNames(hosts.stream().map(EntryHost::name).toList());
+      losses = lossRule.due(hosts, view, foldTimeMillis, nowMillis);
       decideCurrency(nowMillis);
     }
     addresses =
@@ -103,17 +102,6 @@
     publish(nowMillis);
   }
 
-  private List<EntryHostLost> dueLosses(
-      List<EntryHost> hosts, long foldTimeMillis, long nowMillis) {
-    proposedLosses.values().removeIf(millis -> nowMillis - millis > REPEAT_LOSS_MILLIS);
-    List<EntryHostLost> due =
-        LossRule.due(settings.name(), hosts, view, foldTimeMillis, nowMillis).stream()
-            .filter(loss -> !proposedLosses.containsKey(loss))
-            .toList();
-    due.forEach(loss -> proposedLosses.put(loss, nowMillis));
-    return due;
-  }
-
   private void decideCurrency(long nowMillis) {
     long logReadMillis = logStatus.readMillis().orElse(nowMillis - Heartbeat.NEVER);
     CurrencyRule.Own own =
@@ -207,21 +195,9 @@
 
   @Override
   public synchronized List<PeerMessage.Relayed> relayedTo(String peer, long nowMillis) {
-    if (MeshPlan.isFullMesh(registered.size())) {
-      return List.of();
-    }
-    List<PeerView.Heard> fresh =
-        view.all().stream()
-            .filter(heard -> !heard.heartbeat().name().equals(peer))
-            .filter(heard -> heard.heardMillis() <= nowMillis)
-            .filter(heard -> nowMillis - heard.heardMillis() < PeerView.LOST_AFTER_MILLIS)
-            .toList();
-    if (fresh.isEmpty()) {
-      return List.of();
-    }
-    relayIndex = (relayIndex + 1) % fresh.size();
-    PeerView.Heard chosen = fresh.get(relayIndex);
-    return List.of(new PeerMessage.Relayed(chosen.heartbeat(), nowMillis - chosen.heardMillis()));
+    return relayPlan.choose(peer, view, nowMillis).stream()
+        .map(heard -> new PeerMessage.Relayed(heard.heartbeat(), nowMillis - heard.heardMillis()))
+        .toList();
   }
 
   @Override
--- a/tool/src/main/java/org/persimmonloom/tool/command/Main.java
+++ b/tool/src/main/java/org/persimmonloom/tool/command/Main.java
@@ -22,17 +22,9 @@
     commands.put("measure routing", new MeasureRoutingCommand());
     commands.put("release apply", new ReleaseApplyCommand());
     commands.put("release show", new ReleaseShowCommand());
-    commands.put("pool list", new PoolListCommand());
-    commands.put("pool show", new PoolShowCommand());
-    commands.put("host list", new HostListCommand());
-    commands.put("host move", new HostMoveCommand());
-    commands.put("maintenance request", new MaintenanceRequestCommand());
-    commands.put("maintenance status", new MaintenanceStatusCommand());
-    commands.put("maintenance cancel", new MaintenanceCancelCommand());
-    commands.put("maintenance plan", new MaintenancePlanCommand());
-    commands.put("explain", new ExplainCommand());
     commands.put("release status", new ReleaseStatusCommand());
     commands.put("release validate", new ReleaseValidateCommand());
+    commands.put("report burn", new ReportBurnCommand());
     commands.put("demo", new DemoCommand());
     commands.put("job submit", new JobSubmitCommand());
     commands.put("job list", new JobListCommand());
@@ -40,6 +32,17 @@
     commands.put("job cancel", new JobCancelCommand());
     commands.put("job release", new JobReleaseCommand());
     commands.put("measure", new PolicyMeasureCommand());
+    commands.put("measure fold", new MeasureFoldCommand());
+    commands.put("pool list", new PoolListCommand());
+    commands.put("pool show", new PoolShowCommand());
+    commands.put("host list", new HostListCommand());
+    commands.put("host move", new HostMoveCommand());
+    commands.put("maintenance request", new MaintenanceRequestCommand());
+    commands.put("maintenance status", new MaintenanceStatusCommand());
+    commands.put("maintenance cancel", new MaintenanceCancelCommand());
+    commands.put("maintenance plan", new MaintenancePlanCommand());
+    commands.put("explain", new ExplainCommand());
+    commands.put("measure jobs", new MeasureJobsCommand());
     commands.put("standin", new StandInCommand());
     commands.put("measure slopes", new SlopesCommand());
     return commands;
@@ -72,6 +75,8 @@
         JCommander.newBuilder().programName("persimmonloom " + name).addObject(command).build();
     if (options.contains("--help")) {
       printHelp(parser, command);
+      parser.usage();
+      command.examples().forEach(it -> System.out.println("  Example: persimmonloom " + it));
       return ResultCode.OK;
     }
     try {
--- a/tool/src/main/java/org/persimmonloom/tool/demo/DemoRun.java
+++ b/tool/src/main/java/org/persimmonloom/tool/demo/DemoRun.java
@@ -162,7 +162,11 @@
 
   private void finish(int stepCount) throws InterruptedException {
     progress("demand ends");
+    long deadline = System.currentTimeMillis() + DRAIN_MILLIS;
     demand.stop(DRAIN_MILLIS);
+    while (runningSteps.get() > 0 && System.currentTimeMillis() < deadline) {
+      Thread.sleep(SAMPLE_MILLIS);
+    }
     callers.shutdownNow();
     callers.awaitTermination(1, TimeUnit.SECONDS);
     if (demand.waiting() > 0) {
--- a/tool/src/main/java/org/persimmonloom/tool/standin/HostListStandIn.java
+++ b/tool/src/main/java/org/persimmonloom/tool/standin/HostListStandIn.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -19,14 +18,14 @@
 
 /**
  * Stands in for the platform's host list and its reboots. Readers see a change once it is older
- * than the lag. A rebooted host is off the list until its reboot time is over; a repeated attempt
- * reboots nothing. Safe for any thread.
+ * than the lag. A rebooted host vanishes from the list until its reboot time is over; a repeated
+ * attempt reboots nothing. Safe for any thread.
  */
 public final class HostListStandIn {
   private final Codec codec = new Codec(Map.of());
   private final StandInServer server;
   private final ArrayDeque<Version> versions = new ArrayDeque<>();
-  private final TreeMap<String, HostFacts> vanished = new TreeMap<>();
+  private final Set<String> vanished = new HashSet<>();
   private final Set<String> attempts = new HashSet<>();
   private final ScheduledExecutorService timer =
       Executors.newSingleThreadScheduledExecutor(
@@ -35,6 +34,7 @@
             thread.setDaemon(true);
             return thread;
           });
+  private HostList list;
   private long lagMillis;
   private long rebootMillis = 2_000;
   private Consumer<String> rebootListener = host -> {};
@@ -44,6 +44,7 @@
   /** Creates a list that will be served at {@code address}. */
   public HostListStandIn(InetSocketAddress address, HostList list) {
     server = new StandInServer(address, this::handle);
+    this.list = list;
     versions.add(new Version(0, list));
   }
 
@@ -54,33 +55,14 @@
 
   /** Replaces the list; readers get it after the lag. */
   public synchronized void set(HostList next) {
-    versions.add(new Version(System.currentTimeMillis(), next));
+    list = next;
+    publish();
   }
 
-  /** Marks a live host as leaving. */
-  public synchronized void setLeaving(String host) {
-    setLeaving(host, true);
-  }
-
-  /** Marks a live host as leaving, or takes the mark back. */
-  public synchronized void setLeaving(String host, boolean isLeaving) {
-    HostList latest = versions.getLast().list();
-    Set<String> leaving = new HashSet<>(latest.leaving());
-    leaving.remove(host);
-    if (isLeaving) {
-      leaving.add(host);
-    }
-    set(new HostList(latest.live(), leaving));
-  }
-
-  synchronized HostList visible(long nowMillis) {
-    HostList visible = versions.getFirst().list();
-    for (Version version : versions) {
-      if (version.timeMillis() + lagMillis <= nowMillis) {
-        visible = version.list();
-      }
-    }
-    return visible;
+  private void publish() {
+    List<HostFacts> live = new ArrayList<>(list.live());
+    live.removeIf(facts -> vanished.contains(facts.name()));
+    versions.add(new Version(System.currentTimeMillis(), new HostList(live, list.leaving())));
   }
 
   /** Sets how long a rebooted host is away; a host never returns if this is negative. */
@@ -93,28 +75,23 @@
     rebootListener = listener;
   }
 
+  /** Names a host as leaving, or takes the mark back. */
+  public synchronized void setLeaving(String host, boolean isLeaving) {
+    Set<String> leaving = new HashSet<>(list.leaving());
+    boolean unused = isLeaving ? leaving.add(host) : leaving.remove(host);
+    set(new HostList(list.live(), leaving));
+  }
+
   /** Takes a host off the list. */
   public synchronized void vanish(String host) {
-    HostList latest = versions.getLast().list();
-    List<HostFacts> live = new ArrayList<>(latest.live());
-    for (HostFacts facts : latest.live()) {
-      if (facts.name().equals(host)) {
-        live.remove(facts);
-        vanished.put(host, facts);
-      }
-    }
-    set(new HostList(live, latest.leaving()));
+    vanished.add(host);
+    publish();
   }
 
   /** Puts a vanished host back on the list. */
   public synchronized void restore(String host) {
-    HostFacts facts = vanished.remove(host);
-    if (facts != null) {
-      HostList latest = versions.getLast().list();
-      List<HostFacts> live = new ArrayList<>(latest.live());
-      live.add(facts);
-      set(new HostList(live, latest.leaving()));
-    }
+    vanished.remove(host);
+    publish();
   }
 
   /** Returns the number of reboots that took place. */
@@ -122,13 +99,14 @@
     return attempts.size();
   }
 
-  private void handle(HttpServerExchange exchange) {
-    if (exchange.getRequestPath().equals("/reboot")) {
-      var parameters = exchange.getQueryParameters();
-      reboot(parameters.get("host").getFirst(), parameters.get("attempt").getFirst());
-    } else {
-      exchange.getResponseSender().send(codec.toJson(visible(System.currentTimeMillis())));
+  synchronized HostList visible(long nowMillis) {
+    HostList visible = versions.getFirst().list();
+    for (Version version : versions) {
+      if (version.timeMillis() + lagMillis <= nowMillis) {
+        visible = version.list();
+      }
     }
+    return visible;
   }
 
   private void reboot(String host, String attempt) {
@@ -146,6 +124,15 @@
     listener.accept(host);
   }
 
+  private void handle(HttpServerExchange exchange) {
+    if (exchange.getRequestPath().equals("/reboot")) {
+      var parameters = exchange.getQueryParameters();
+      reboot(parameters.get("host").getFirst(), parameters.get("attempt").getFirst());
+    } else {
+      exchange.getResponseSender().send(codec.toJson(visible(System.currentTimeMillis())));
+    }
+  }
+
   /** Starts listening. */
   public void start() {
     server.start();
