--- a/core/src/main/java/org/persimmonloom/core/capacity/CapacityLimits.java
+++ b/core/src/main/java/org/persimmonloom/core/capacity/CapacityLimits.java
@@ -60,7 +60,7 @@
         coverage + COVERAGE_BAND,
         clamp(0.125 + 0.15 * (shortWait - buffer), 0.05, 0.2),
         0.5 + 1.5 * clamp(moves / Math.max(shortWait + buffer, LEAST_SHARE), 0, 4),
-        0.75 + 2 * clamp(moves / Math.max(buffer, LEAST_SHARE), 0, 4),
+        0.75 + 2.5 * clamp(moves / Math.max(buffer, LEAST_SHARE), 0, 4),
         Math.round(moveMillis * clamp(moves, 0.1, 1)),
         rollout > 2 * (shortWait + buffer) ? 0 : 1,
         (int) Math.round(clamp(0.5 + 2 * (rollout - shortWait), 0, 3)));
