--- a/tool/src/main/java/org/persimmonloom/tool/standin/TaskLedger.java
+++ b/tool/src/main/java/org/persimmonloom/tool/standin/TaskLedger.java
@@ -51,17 +51,21 @@
     return List.copyOf(runs.getOrDefault(job, List.of()));
   }
 
-  /** Returns the jobs of which two runs overlapped, or that succeeded twice. */
-  public synchronized List<String> doubled() {
-    List<String> doubled = new ArrayList<>();
-    runs.forEach(
-        (job, all) -> {
-          long successes = all.stream().filter(it -> it.state() == TaskState.FINISHED).count();
-          if (successes > 1 || hasOverlap(all)) {
-            doubled.add(job);
-          }
-        });
-    return doubled;
+  /** Returns the jobs of which two runs overlapped. */
+  public synchronized List<String> overlapping() {
+    return runs.keySet().stream().filter(job -> hasOverlap(runs.get(job))).toList();
+  }
+
+  /**
+   * Returns the jobs that succeeded more than once. A repeatable job may, if its first success was
+   * lost with its worker.
+   */
+  public synchronized List<String> succeededTwice() {
+    return runs.keySet().stream()
+        .filter(
+            job ->
+                runs.get(job).stream().filter(it -> it.state() == TaskState.FINISHED).count() > 1)
+        .toList();
   }
 
   private static boolean hasOverlap(List<Run> all) {
--- a/tool/src/test/java/org/persimmonloom/tool/standin/JobsEndToEndTest.java
+++ b/tool/src/test/java/org/persimmonloom/tool/standin/JobsEndToEndTest.java
@@ -180,7 +180,8 @@
     }
     entryHosts.remove(0).stop();
     submitted.forEach(job -> await(() -> isIn(job, "FINISHED")));
-    assertThat(ledger.doubled()).isEmpty();
+    assertThat(ledger.overlapping()).isEmpty();
+    assertThat(ledger.succeededTwice()).isEmpty();
     assertThat(submitted).allSatisfy(job -> assertThat(ledger.starts(job)).isEqualTo(1));
   }
 
@@ -192,7 +193,8 @@
     String plain = submit("plain", 1, false);
     String bad = submit("bad", 1, false);
     await(() -> isIn(hungry, "FINISHED") && isIn(plain, "FINISHED") && isIn(bad, "PARKED"));
-    assertThat(ledger.doubled()).isEmpty();
+    assertThat(ledger.overlapping()).isEmpty();
+    assertThat(ledger.succeededTwice()).isEmpty();
     assertThat(ledger.starts(bad)).isEqualTo(WORKERS);
   }
 
@@ -210,6 +212,7 @@
     }
     submitted.subList(0, WORKERS).forEach(job -> await(() -> isIn(job, "CANCELLED")));
     assertThat(ledger.running()).isZero();
-    assertThat(ledger.doubled()).isEmpty();
+    assertThat(ledger.overlapping()).isEmpty();
+    assertThat(ledger.succeededTwice()).isEmpty();
   }
 }
--- a/tool/src/test/java/org/persimmonloom/tool/standin/WorkerTasksTest.java
+++ b/tool/src/test/java/org/persimmonloom/tool/standin/WorkerTasksTest.java
@@ -79,7 +79,8 @@
     nowMillis += 500;
     assertThat(state()).isEqualTo(TaskState.FINISHED);
     assertThat(ledger.starts("job")).isEqualTo(1);
-    assertThat(ledger.doubled()).isEmpty();
+    assertThat(ledger.overlapping()).isEmpty();
+    assertThat(ledger.succeededTwice()).isEmpty();
   }
 
   /** Guards against a task that uses more memory than was reserved. */
