--- a/tool/src/main/java/org/persimmonloom/tool/standin/EndpointStandIn.java
+++ b/tool/src/main/java/org/persimmonloom/tool/standin/EndpointStandIn.java
@@ -136,13 +136,14 @@
       exchange.endExchange();
       return;
     }
+    long arrivedMillis = System.currentTimeMillis();
     slots.submit(
         Long.parseLong(query(exchange, "run", "0")),
-        () -> listener.accept(execution(exchange)),
+        () -> listener.accept(execution(exchange, arrivedMillis)),
         () -> finish(exchange, active));
   }
 
-  private Execution execution(HttpServerExchange exchange) {
+  private Execution execution(HttpServerExchange exchange, long arrivedMillis) {
     String[] segments = exchange.getRequestPath().split("/", 3);
     return new Execution(
         name,
@@ -150,6 +151,7 @@
         key(exchange),
         Integer.parseInt(query(exchange, "try", "0")),
         header(exchange, ATTEMPT),
+        arrivedMillis,
         System.currentTimeMillis());
   }
 
--- a/tool/src/main/java/org/persimmonloom/tool/standin/Execution.java
+++ b/tool/src/main/java/org/persimmonloom/tool/standin/Execution.java
@@ -8,7 +8,14 @@
  * @param key the caller's key, from the query or the request-key header; empty if none
  * @param callerTry number of the caller's try, from the query; 0 if none
  * @param attempt the entry host's attempt identifier; empty if none
- * @param timeMillis when it began, by the clock of the stand-in
+ * @param arrivedMillis when the whole request had arrived, by the clock of the stand-in
+ * @param timeMillis when it began to run, after its wait for a slot
  */
 public record Execution(
-    String endpoint, String service, String key, int callerTry, String attempt, long timeMillis) {}
+    String endpoint,
+    String service,
+    String key,
+    int callerTry,
+    String attempt,
+    long arrivedMillis,
+    long timeMillis) {}
