Return no host to a spare pool without reports; give exact reasons

Cause: a return checked the reports of the donor only, and the reason of a move from the spare pool named a surplus threshold that does not apply to it. Change: the spare pool must have recent reports; each reason names the figures that would stop it.

--- a/core/src/main/java/org/persimmonloom/core/capacity/KindPlanner.java
+++ b/core/src/main/java/org/persimmonloom/core/capacity/KindPlanner.java
@@ -89,7 +89,7 @@
 
   private Optional<ProposedMove> returnSurplus() {
     Optional<PoolBalance> spare =
-        balances.stream().filter(each -> each.pool().isSpare()).findFirst();
+        balances.stream().filter(each -> each.pool().isSpare() && each.isKnown()).findFirst();
     if (spare.isEmpty()) {
       return Optional.empty();
     }
@@ -186,19 +186,38 @@
     String reason =
         String.format(
             Locale.ROOT,
-            "%s has %.0f hosts to come and needs %.1f, %s has %.0f and ample are %.1f; a shortfall under"
-                + " %.1f or a surplus under %.1f beyond the error would not move it",
+            "%s has %.0f hosts to come and needs %.1f, %s has %.0f and ample are %.1f; %s",
             target.pool().name(),
             target.toCome(),
             target.needed(),
             donor.pool().name(),
             donor.toCome(),
             donor.ample(),
-            limits.shortfallThreshold(),
-            limits.surplusThreshold());
+            whatWouldStop(donor, target));
     outcomes.put(target.pool().name(), "gets " + host.name() + " from " + donor.pool().name());
     outcomes.put(donor.pool().name(), "gives " + host.name() + " to " + target.pool().name());
     return new ProposedMove(
         host.name(), donor.pool().name(), target.pool().name(), view.offset(), reason);
   }
+
+  private String whatWouldStop(PoolBalance donor, PoolBalance target) {
+    if (target.pool().isSpare()) {
+      return String.format(
+          Locale.ROOT,
+          "with ample at %.1f or more it would stay",
+          donor.toCome() - donor.error() - limits.surplusThreshold());
+    }
+    String need =
+        String.format(
+            Locale.ROOT,
+            "at a need of %.1f or less it would stay",
+            target.toCome() + target.error() + limits.shortfallThreshold());
+    return donor.pool().isSpare()
+        ? String.format(
+            Locale.ROOT,
+            "%s, or with %.1f or fewer available hosts in the spare pool",
+            need,
+            donor.needed() + bufferHosts)
+        : need;
+  }
 }
--- a/core/src/main/java/org/persimmonloom/core/capacity/TrendPolicy.java
+++ b/core/src/main/java/org/persimmonloom/core/capacity/TrendPolicy.java
@@ -20,10 +20,11 @@
  * lent.
  *
  * <p>What keeps moves few: the thresholds for shortfall and surplus are apart (hysteresis); moves
- * of one kind of host are at least an interval apart; a pool that took part in a move does not take
- * part in one in the other direction for {@value KindPlanner#REVERSAL_MOVES} times the length of a
- * move; a pool in a wave gives no host up, because the wave already takes from its budget; no move
- * starts while the host list is doubted or the reports of either pool are old or incomplete.
+ * of one kind of host are at least an interval apart; a pool but the spare that took part in a move
+ * does not take part in one in the other direction for {@value KindPlanner#REVERSAL_MOVES} times
+ * the length of a move; a pool in a wave gives no host up, because the wave already takes from its
+ * budget; no move starts while the host list is doubted or the reports of either pool are old or
+ * incomplete.
  *
  * <p>At most one move per kind of host is proposed in a round. The fold refuses it if the state
  * changed after the view's offset, so that two hosts that plan at once don't add up. The planner
@@ -94,12 +95,16 @@
   }
 
   private static String change(PoolBalance balance, CapacityLimits limits) {
+    double giveAt = balance.toCome() - balance.error() - limits.surplusThreshold();
+    String give =
+        giveAt > 0
+            ? String.format(Locale.ROOT, "give one up with ample hosts at %.1f", giveAt)
+            : "give none up";
     return String.format(
         Locale.ROOT,
-        "stays; it would get a host at a need of %.1f and give one up with ample hosts at %.1f"
-            + " (now %.1f)",
+        "stays; it would get a host at a need of %.1f and %s (ample is now %.1f)",
         balance.toCome() + balance.error() + limits.shortfallThreshold(),
-        balance.toCome() - balance.error() - limits.surplusThreshold(),
+        give,
         balance.ample());
   }
 }
--- a/core/src/test/java/org/persimmonloom/core/capacity/TrendPolicyTest.java
+++ b/core/src/test/java/org/persimmonloom/core/capacity/TrendPolicyTest.java
@@ -86,6 +86,16 @@
     assertThat(plan.verdicts().get(0).reason()).contains("too few to act on");
   }
 
+  /** Guards against a return of surplus hosts to a spare pool whose reports are missing. */
+  @Test
+  void surplusStaysWhileTheSparePoolIsUnknown() {
+    PoolView surplus = plain("a", 12, at -> 6, 0);
+    PoolView unknown =
+        pool("spare", hosts("spare", 4, HostState.AVAILABLE, 0), 3, DemandForecast.UNKNOWN);
+    assertThat(policy.plan(view(DEPOT, List.of(), surplus, spare()), NOW).moves()).hasSize(1);
+    assertThat(policy.plan(view(DEPOT, List.of(), surplus, unknown), NOW).moves()).isEmpty();
+  }
+
   /** Guards against moves while the host list is doubted. */
   @Test
   void doubtedHostListMovesNothing() {
