--- a/core/src/main/java/org/persimmonloom/core/maintenance/AvailabilityBudgets.java
+++ b/core/src/main/java/org/persimmonloom/core/maintenance/AvailabilityBudgets.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.SortedMap;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.persimmonloom.core.host.Host;
 import org.persimmonloom.core.host.HostTable;
@@ -18,18 +19,31 @@
  * Checks the availability budgets against the hosts as they are.
  *
  * <p>A budget has no account of its own that could drift: its use is counted anew from the host
- * table at each check, so that planned, lost and moving hosts always count together and a changed
- * definition or a changed rack is in force at once. Confined to the thread that folds.
+ * table at each check, so that planned, lost, moving and quarantined hosts always count together
+ * and a changed definition or a changed rack is in force at once. Confined to the thread that
+ * folds.
  */
 public final class AvailabilityBudgets {
   private final Supplier<SortedMap<String, BudgetDefinition>> definitions;
   private final HostTable hosts;
+  private final Predicate<String> isQuarantined;
 
-  /** Creates the checks of the budgets in force over {@code hosts}. */
+  /**
+   * Creates the checks of the budgets in force over {@code hosts}.
+   *
+   * @param isQuarantined tells whether a worker gets no jobs because they fail there
+   */
   public AvailabilityBudgets(
-      Supplier<SortedMap<String, BudgetDefinition>> definitions, HostTable hosts) {
+      Supplier<SortedMap<String, BudgetDefinition>> definitions,
+      HostTable hosts,
+      Predicate<String> isQuarantined) {
     this.definitions = definitions;
     this.hosts = hosts;
+    this.isQuarantined = isQuarantined;
+  }
+
+  private boolean isUnplannedLoss(Host host) {
+    return host.isUnplannedLoss() || (!host.isUnavailable() && isQuarantined.test(host.name()));
   }
 
   /** Returns the groups that count the host, by budget name. */
@@ -52,14 +66,37 @@
     return use(group, Set.of());
   }
 
+  /**
+   * Returns the groups that unplanned losses alone use up, by key. Costs one look at each host,
+   * because it is asked with each batch while a wave is open.
+   */
+  SortedMap<String, BudgetUse> exhaustedByLosses() {
+    SortedMap<String, BudgetGroup> groups = new TreeMap<>();
+    for (Host host : hosts.all()) {
+      if (isUnplannedLoss(host)) {
+        groupsOf(host).forEach(group -> groups.put(group.key(), group));
+      }
+    }
+    SortedMap<String, BudgetUse> exhausted = new TreeMap<>();
+    groups.forEach(
+        (key, group) -> {
+          BudgetUse use = use(group);
+          if (use.unplanned().size() >= group.maxUnavailable()) {
+            exhausted.put(key, use);
+          }
+        });
+    return exhausted;
+  }
+
   private BudgetUse use(BudgetGroup group, Collection<String> assumedUnavailable) {
     List<String> holders = new ArrayList<>();
     List<String> unplanned = new ArrayList<>();
     for (Host host : hosts.inPool(group.pool())) {
-      boolean counts = host.isUnavailable() || assumedUnavailable.contains(host.name());
+      boolean counts =
+          host.isUnavailable() || isUnplannedLoss(host) || assumedUnavailable.contains(host.name());
       if (counts && group.contains(host)) {
         holders.add(host.name());
-        if (host.isUnplannedLoss()) {
+        if (isUnplannedLoss(host)) {
           unplanned.add(host.name());
         }
       }
--- a/runtime/src/main/java/org/persimmonloom/runtime/entry/EntryHostService.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/entry/EntryHostService.java
@@ -14,6 +14,7 @@
 import org.persimmonloom.runtime.caller.RequestTimer;
 import org.persimmonloom.runtime.endpoint.EndpointClient;
 import org.persimmonloom.runtime.fleet.HostListWatcher;
+import org.persimmonloom.runtime.fleet.WaveController;
 import org.persimmonloom.runtime.log.GroupCommitter;
 import org.persimmonloom.runtime.log.LogFollower;
 import org.persimmonloom.runtime.log.Proposer;
@@ -44,6 +45,7 @@
   private final SnapshotWriter snapshots;
   private final HostListWatcher hostList;
   private final JobController jobs;
+  private final WaveController waves;
   private final OperatorListener operators;
   private final CallerListener callers;
   private final RequestService requests;
@@ -62,6 +64,7 @@
       SnapshotWriter snapshots,
       HostListWatcher hostList,
       JobController jobs,
+      WaveController waves,
       OperatorListener operators,
       CallerListener callers,
       RequestService requests,
@@ -79,6 +82,7 @@
     this.snapshots = snapshots;
     this.hostList = hostList;
     this.jobs = jobs;
+    this.waves = waves;
     this.operators = operators;
     this.callers = callers;
     this.requests = requests;
@@ -99,6 +103,7 @@
     hostList.start();
     requests.start(endpoints);
     jobs.start();
+    waves.start();
     operators.start();
     callers.start();
   }
@@ -127,6 +132,7 @@
     callers.stop();
     operators.stop();
     jobs.stop();
+    waves.stop();
     hostList.stop();
     timer.stop();
     snapshots.stop();
--- a/runtime/src/main/java/org/persimmonloom/runtime/entry/RequestModule.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/entry/RequestModule.java
@@ -4,7 +4,6 @@
 import dagger.Lazy;
 import dagger.Module;
 import dagger.Provides;
-import java.time.InstantSource;
 import java.util.List;
 import org.persimmonloom.core.routing.RequestSchedulerFactory;
 import org.persimmonloom.core.routing.RoutingLimits;
@@ -45,12 +44,11 @@
   }
 
   @Provides
-  static LeavingSource leavingSource(
-      LeavingHosts leaving, Lazy<RoutingTable> routing, InstantSource clock) {
+  static LeavingSource leavingSource(LeavingHosts leaving) {
     return new LeavingSource() {
       @Override
       public List<String> leaving() {
-        return List.copyOf(leaving.seenHere(clock.millis()));
+        return List.copyOf(leaving.toReport());
       }
 
       @Override
--- a/runtime/src/main/java/org/persimmonloom/runtime/worker/OwnedWorkers.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/worker/OwnedWorkers.java
@@ -20,14 +20,25 @@
  * visited when such an attempt has waited for too long. Confined to the controller's thread.
  */
 final class OwnedWorkers {
+  /**
+   * How often the next host in rank visits a worker with tasks, whether or not its owner does. Half
+   * of the worker's lease, so that no task ends because the loss of its owner is noticed late.
+   */
+  static final long BACKUP_EVERY_MILLIS = LeaseRules.WORKER_LEASE_MILLIS / 2;
+
   private final String self;
   private final Map<String, Integer> ranks = new HashMap<>();
   private final Map<String, Long> waitingSince = new HashMap<>();
   private final Map<String, Long> visited = new HashMap<>();
   private List<String> entryHosts = List.of();
 
-  /** A worker to visit. */
-  record Target(String worker, String address) {}
+  /**
+   * A worker to visit.
+   *
+   * @param isOwn whether this host owns it; only the owner reports it silent, because a backup that
+   *     is cut off from it would contradict the owner again and again
+   */
+  record Target(String worker, String address, boolean isOwn) {}
 
   OwnedWorkers(String self) {
     this.self = self;
@@ -44,7 +55,7 @@
     for (Host host : fleet.hosts().all()) {
       if (host.facts().kind() == HostKind.WORKER && isDue(fleet, host.name(), nowMillis)) {
         visited.put(host.name(), nowMillis);
-        due.add(new Target(host.name(), host.facts().address()));
+        due.add(new Target(host.name(), host.facts().address(), isOwn(host.name())));
       }
     }
     return due;
@@ -70,8 +81,13 @@
       return WorkerDivision.isTurn(rank, nowMillis - since);
     }
     waitingSince.remove(worker);
+    boolean isBackup = rank == 1 && !fleet.jobs().liveAt(worker).isEmpty();
+    if (rank != 0 && !isBackup) {
+      return false;
+    }
     Long last = visited.get(worker);
-    return rank == 0 && (last == null || nowMillis - last >= LeaseRules.RENEW_EVERY_MILLIS);
+    long everyMillis = isBackup ? BACKUP_EVERY_MILLIS : LeaseRules.RENEW_EVERY_MILLIS;
+    return last == null || nowMillis - last >= everyMillis;
   }
 
   private static boolean isWaiting(FleetState fleet, String worker) {
--- a/tool/src/main/java/org/persimmonloom/tool/command/Main.java
+++ b/tool/src/main/java/org/persimmonloom/tool/command/Main.java
@@ -33,6 +33,16 @@
     commands.put("job release", new JobReleaseCommand());
     commands.put("measure", new PolicyMeasureCommand());
     commands.put("measure fold", new MeasureFoldCommand());
+    commands.put("pool list", new PoolListCommand());
+    commands.put("pool show", new PoolShowCommand());
+    commands.put("host list", new HostListCommand());
+    commands.put("host move", new HostMoveCommand());
+    commands.put("maintenance request", new MaintenanceRequestCommand());
+    commands.put("maintenance status", new MaintenanceStatusCommand());
+    commands.put("maintenance cancel", new MaintenanceCancelCommand());
+    commands.put("maintenance plan", new MaintenancePlanCommand());
+    commands.put("explain", new ExplainCommand());
+    commands.put("measure jobs", new MeasureJobsCommand());
     commands.put("standin", new StandInCommand());
     commands.put("measure slopes", new SlopesCommand());
     return commands;
@@ -65,6 +75,8 @@
         JCommander.newBuilder().programName("persimmonloom " + name).addObject(command).build();
     if (options.contains("--help")) {
       printHelp(parser, command);
+      parser.usage();
+      command.examples().forEach(it -> System.out.println("  Example: persimmonloom " + it));
       return ResultCode.OK;
     }
     try {
--- a/tool/src/main/java/org/persimmonloom/tool/standin/StandInConsole.java
+++ b/tool/src/main/java/org/persimmonloom/tool/standin/StandInConsole.java
@@ -74,7 +74,7 @@
   private void runHosts(String what, String value) {
     switch (what) {
       case "lag" -> hosts.setLagMillis(Long.parseLong(value));
-      case "leaving" -> hosts.setLeaving(value);
+      case "leaving" -> hosts.setLeaving(value, true);
       default -> throw new IllegalArgumentException(what);
     }
   }
