--- a/tool/src/test/java/org/persimmonloom/tool/command/CommandTest.java
+++ b/tool/src/test/java/org/persimmonloom/tool/command/CommandTest.java
@@ -23,6 +23,9 @@
   private static final Pattern SHELL_LINE = Pattern.compile("    bin/persimmonloom (.*)");
   private static final Pattern CODE_ROW = Pattern.compile("\\| (\\d+) \\| `(\\w+)` \\| `(.*)` \\|");
 
+  /** A word, whose parts in single quotes may hold spaces. */
+  private static final Pattern WORD = Pattern.compile("(?:'[^']*'|[^\\s'])+");
+
   private static String read(String file) throws Exception {
     return Files.readString(ROOT.resolve(file));
   }
@@ -49,7 +52,8 @@
   @ParameterizedTest
   @MethodSource("commandLines")
   void documentedCommandsParse(String line) {
-    List<String> words = List.of(line.strip().split("\\s+"));
+    List<String> words =
+        WORD.matcher(line).results().map(it -> it.group().replace("'", "")).toList();
     Map<String, Command> commands = Main.commands();
     int length =
         words.size() > 1 && commands.containsKey(words.get(0) + " " + words.get(1)) ? 2 : 1;
