Send nothing on a choice of endpoint older than 1.5 s

Change: the last step before a request is written checks how long ago its endpoint was chosen, by a clock that runs on during a pause; an older attempt is not sent and may move to another endpoint. A pause between this check and the write remains possible, and can't be excluded.

Conclusion: the window is reduced from the length of the pause to the write itself.

--- a/runtime/src/main/java/org/persimmonloom/runtime/endpoint/AttemptEvents.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/endpoint/AttemptEvents.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.net.Proxy;
 import java.net.SocketTimeoutException;
+import java.util.concurrent.TimeUnit;
 import okhttp3.Call;
 import okhttp3.Connection;
 import okhttp3.EventListener;
@@ -26,7 +27,15 @@
   private static final String SAVED_RETRY_AFTER = "Persimmonloom-Saved-Retry-After";
   private static final String RETRY_AFTER = "Retry-After";
 
+  /**
+   * An endpoint that was chosen longer ago may be leaving by now: the process was paused since.
+   * With the interval at which the host list is read, it stays below the 3 s after which a leaving
+   * endpoint gets no new work.
+   */
+  private static final long MAX_DECISION_AGE_MILLIS = 1_500;
+
   private final EndpointConnections connections;
+  private final long decidedNanos;
   private final boolean isIdleLimited;
   private final boolean hasUserAgent;
   private final boolean hasAcceptEncoding;
@@ -36,8 +45,14 @@
   private volatile boolean hasAnswer;
   private volatile boolean isRefused;
 
-  AttemptEvents(EndpointConnections connections, EndpointRequest request) {
+  /**
+   * Creates the events of one call.
+   *
+   * @param decidedNanos when the endpoint was chosen, by {@link System#nanoTime}
+   */
+  AttemptEvents(EndpointConnections connections, EndpointRequest request, long decidedNanos) {
     this.connections = connections;
+    this.decidedNanos = decidedNanos;
     connectMillis = EndpointClient.connectMillis(request);
     isIdleLimited = !request.isRepeatable();
     hasUserAgent = has(request, "User-Agent");
@@ -115,12 +130,14 @@
     if (mayBeSent) {
       throw new IOException("a second transmission was refused");
     }
-    if (isIdleLimited) {
-      long idleMillis = connections.idleMillis(chain.connection());
-      if (idleMillis > EndpointConnections.MAX_IDLE_MILLIS) {
-        closeConnection();
-        throw new IdleConnectionException(idleMillis);
-      }
+    long idleMillis = connections.idleMillis(chain.connection());
+    if (isIdleLimited && idleMillis > EndpointConnections.MAX_IDLE_MILLIS) {
+      closeConnection();
+      throw new IdleConnectionException(idleMillis);
+    }
+    long ageMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - decidedNanos);
+    if (ageMillis > MAX_DECISION_AGE_MILLIS) {
+      throw new IOException("the endpoint was chosen " + ageMillis + " ms ago");
     }
     Request.Builder request = chain.request().newBuilder();
     if (!hasUserAgent) {
--- a/runtime/src/main/java/org/persimmonloom/runtime/endpoint/EndpointClient.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/endpoint/EndpointClient.java
@@ -108,6 +108,7 @@
     private final AtomicReference<Call> current = new AtomicReference<>();
     private final RoutingEndpoint endpoint;
     private final EndpointRequest request;
+    private final long decidedNanos = System.nanoTime();
     private volatile boolean isCancelled;
 
     private Attempt(RoutingEndpoint endpoint, EndpointRequest request) {
@@ -150,12 +151,12 @@
 
     private EndpointResult exchange(EndpointConnections connections) {
       long startMillis = clock.millis();
-      AttemptEvents events = new AttemptEvents(connections, request);
+      AttemptEvents events = new AttemptEvents(connections, request, decidedNanos);
       try {
         return complete(call(connections, events), startMillis, events);
       } catch (AttemptEvents.IdleConnectionException e) {
         connections.closeIdle();
-        events = new AttemptEvents(connections, request);
+        events = new AttemptEvents(connections, request, decidedNanos);
         try {
           return complete(call(connections, events), startMillis, events);
         } catch (IOException again) {
--- a/runtime/src/test/java/org/persimmonloom/runtime/caller/EndpointClientTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/caller/EndpointClientTest.java
@@ -9,7 +9,9 @@
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
 import okhttp3.OkHttpClient;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -81,6 +83,32 @@
     }
   }
 
+  /** Guards against new work for an endpoint that left while the process was paused. */
+  @Test
+  void attemptThatWasDecidedBeforeAPauseIsNotSent() throws Exception {
+    OkHttpClient paused =
+        new OkHttpClient.Builder()
+            .addNetworkInterceptor(
+                chain -> {
+                  LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(1_700));
+                  return chain.proceed(chain.request());
+                })
+            .build();
+    try (FakeEndpoint endpoint = new FakeEndpoint(Behavior.ANSWER)) {
+      EndpointResult result =
+          new EndpointClient(paused, clock)
+              .send(
+                  new RoutingEndpoint("h1", endpoint.address(), "r1", "dc1"),
+                  new EndpointRequest(
+                      "POST", "/x", List.of(), new byte[1], "a", 10_000, 10_000, 1, false))
+              .result()
+              .get();
+      assertThat(result.mayHaveRun()).isFalse();
+      assertThat(result.result()).isEqualTo(AttemptResult.CANCELLED);
+      assertThat(endpoint.seen).isEmpty();
+    }
+  }
+
   /** Guards against more connections to an endpoint than this host's share. */
   @Test
   void attemptBeyondTheConnectionShareIsNotSent() throws Exception {
