--- a/tool/src/main/java/org/persimmonloom/tool/command/DemoCommand.java
+++ b/tool/src/main/java/org/persimmonloom/tool/command/DemoCommand.java
@@ -50,7 +50,7 @@
     }
     DemoOptions options = new DemoOptions(DemoDeployment.named(deployment), seconds, seed);
     try {
-      return judge(new DemoRun(options, System.out).run(DemoScript.standard()));
+      return judge(new DemoRun(options, System.out).run(DemoScript.standard(options.deployment())));
     } catch (IOException e) {
       return Either.left(Failure.of(ResultCode.INTERNAL, e.getMessage()));
     } catch (InterruptedException e) {
--- a/tool/src/main/java/org/persimmonloom/tool/demo/DemandDriver.java
+++ b/tool/src/main/java/org/persimmonloom/tool/demo/DemandDriver.java
@@ -81,6 +81,16 @@
         });
   }
 
+  /** Returns the service at this position, from 0. */
+  public DemoService service(int position) {
+    return services.get(position);
+  }
+
+  /** Returns the name of the spare service. */
+  public String spare() {
+    return services.stream().filter(DemoService::isSpare).findFirst().orElseThrow().name();
+  }
+
   /** Returns the service that is at its peak. */
   public DemoService peak() {
     return services.get(schedule.peak(System.currentTimeMillis() - startMillis));
--- a/tool/src/main/java/org/persimmonloom/tool/demo/DemoDeployment.java
+++ b/tool/src/main/java/org/persimmonloom/tool/demo/DemoDeployment.java
@@ -29,6 +29,12 @@
   /** Executors of each service. */
   public static final int EXECUTORS_PER_SERVICE = 8;
 
+  /** Workers that run the jobs of the spare service. */
+  public static final int WORKERS = 8;
+
+  /** The team that submits jobs. */
+  public static final String TEAM = "demo-team";
+
   private static final int DATA_CENTRES = 4;
 
   private final String region;
@@ -81,6 +87,7 @@
                     repeatable = %4$s
                     deadline_millis = 10000
                     queue_limit = 512
+                    workers = %5$s
 
                     [add budget %1$s]
                     pool = %2$s
@@ -90,9 +97,34 @@
                             service.name(),
                             service.pool(),
                             service.isSpare(),
-                            service.isRepeatable()))
+                            service.isRepeatable(),
+                            service.isSpare() ? workerPool() : ""))
             .collect(Collectors.joining("\n"));
-    return "[release]\nname = first\n\n" + sections;
+    return "[release]\nname = first\n\n" + sections + workerSections();
+  }
+
+  /**
+   * The pool of workers that runs the jobs of the spare service, and the team that submits them.
+   */
+  private String workerSections() {
+    return """
+
+        [add pool %1$s]
+        kind = workers
+
+        [add budget %1$s]
+        pool = %1$s
+        max_unavailable = 2
+
+        [add team %2$s]
+        quota_cores = 64
+        """
+        .formatted(workerPool(), TEAM);
+  }
+
+  /** Returns the name of the pool of workers. */
+  public String workerPool() {
+    return spare().name() + "-workers";
   }
 
   /**
--- a/tool/src/main/java/org/persimmonloom/tool/demo/DemoOperator.java
+++ b/tool/src/main/java/org/persimmonloom/tool/demo/DemoOperator.java
@@ -42,6 +42,12 @@
     return call(new Request.Builder().url(url).post(RequestBody.create(note, TEXT)));
   }
 
+  /** Posts to a path of the operators' interface; the path may have a query. */
+  public Either<Failure, String> post(String path, String body) throws IOException {
+    return call(
+        new Request.Builder().url(host.operatorUrl() + path).post(RequestBody.create(body, TEXT)));
+  }
+
   /** Returns the number of the revision in force at the operator's entry host. */
   public long revision() throws IOException {
     return call(new Request.Builder().url(host.operatorUrl() + "/release"))
--- a/tool/src/main/java/org/persimmonloom/tool/demo/DemoScript.java
+++ b/tool/src/main/java/org/persimmonloom/tool/demo/DemoScript.java
@@ -6,10 +6,13 @@
 import org.persimmonloom.tool.demo.step.DisturbLog;
 import org.persimmonloom.tool.demo.step.LeaveEndpoint;
 import org.persimmonloom.tool.demo.step.LoseEntryHost;
+import org.persimmonloom.tool.demo.step.MaintainHosts;
+import org.persimmonloom.tool.demo.step.MoveHost;
 import org.persimmonloom.tool.demo.step.PauseEntryHost;
 import org.persimmonloom.tool.demo.step.RaceOperators;
 import org.persimmonloom.tool.demo.step.SilenceConnections;
 import org.persimmonloom.tool.demo.step.StopEntryHost;
+import org.persimmonloom.tool.demo.step.SubmitJobs;
 import org.persimmonloom.tool.standin.EndpointFault;
 
 /** The steps of a demo, in the order in which they begin. */
@@ -21,8 +24,14 @@
    * service, and the fourth is the peak of the non-repeatable one. Release notes come while no
    * entry host is disturbed, because the roll-out time counts all entry hosts.
    */
-  public static List<ScheduledStep> standard() {
+  public static List<ScheduledStep> standard(DemoDeployment deployment) {
+    String waveService = deployment.services().get(0).name();
+    List<String> waveHosts =
+        List.of(Platform.endpointName(waveService, 7), Platform.endpointName(waveService, 8));
     return List.of(
+        new ScheduledStep(0.02, new SubmitJobs(12, 25_000)),
+        new ScheduledStep(0.15, new MaintainHosts(waveHosts, 1_200, 20_000)),
+        new ScheduledStep(0.20, new MoveHost(8, 2)),
         new ScheduledStep(0.05, new SilenceConnections(1, 3)),
         new ScheduledStep(0.10, new DisturbEndpoint(2, EndpointFault.FAIL_EVERYTHING, 1, 4_000)),
         new ScheduledStep(0.21, new DisturbEndpoint(3, EndpointFault.CROSSED_ANSWER, 0.1, 1_000)),
