Map the fleet state to the input of the capacity planner

Cause: the capacity policy ran only in measure, which fills its input from simulated hosts. The daemon had no way to build that input.

Change: FleetCapacityView builds a CapacityView from pools, hosts by state, budgets, weights, waves and moves in progress. MoveHistory keeps the moves of the last hour, because the fleet state forgets the old pool of a host once it has moved. Racks carry their data centre, since rack names are unique only within one.

--- /dev/null
+++ b/core/src/test/java/org/persimmonloom/core/capacity/FleetCapacityViewTest.java
@@ -0,0 +1,90 @@
+package org.persimmonloom.core.capacity;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.persimmonloom.core.maintenance.FleetFixture.budget;
+
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.persimmonloom.core.host.HostMoveRequested;
+import org.persimmonloom.core.host.HostState;
+import org.persimmonloom.core.maintenance.FleetFixture;
+import org.persimmonloom.core.release.BudgetDefinition.Domain;
+import org.persimmonloom.core.result.ResultCode;
+
+class FleetCapacityViewTest {
+  private final FleetFixture fleet =
+      FleetFixture.withPools(
+          budget("whole", "*", "pool", 2)
+              + budget("racks", "*", "rack", 1)
+              + "[add service s]\npool = a\nslots_per_endpoint = 4\n");
+
+  @BeforeEach
+  void admit() {
+    fleet.admit("a", "r1", "h1", "h2");
+    fleet.admit("a", "r2", "h3", "h4");
+    fleet.admit("w", "r1", "x1");
+  }
+
+  private CapacityView view() {
+    return FleetCapacityView.of(fleet.state, Map.of(), List.of(), fleet.now);
+  }
+
+  private PoolView pool(String name) {
+    return view().pools().stream().filter(it -> it.name().equals(name)).findFirst().orElseThrow();
+  }
+
+  /** Guards against a plan on another number of hosts, slots or budget places than the fold has. */
+  @Test
+  void mapsMovesLossesAndBudgets() {
+    long read = view().offset();
+    assertThat(fleet.code(new HostMoveRequested("h1", "b", read, "t"))).isEqualTo(ResultCode.OK);
+    assertThat(fleet.lose("h3")).isEqualTo(ResultCode.OK);
+    PoolView a = pool("a");
+    assertThat(a.slotsPerHost()).isEqualTo(4);
+    assertThat(a.count(HostState.DRAINING)).isEqualTo(1);
+    assertThat(a.count(HostState.LOST)).isEqualTo(1);
+    assertThat(view().arriving("b")).isEqualTo(1);
+    assertThat(a.rooms())
+        .containsExactlyInAnyOrder(
+            new DomainRoom(Domain.POOL, "a", 2, 2),
+            new DomainRoom(Domain.RACK, "dc1/r1", 1, 1),
+            new DomainRoom(Domain.RACK, "dc1/r2", 1, 1));
+    assertThat(pool("w").slotsPerHost()).isEqualTo(8);
+    assertThat(view().offset()).isEqualTo(fleet.state.nextOffset() - 1);
+  }
+
+  /** Guards against a pool that gives hosts up because its reports are missing. */
+  @Test
+  void missingForecastIsUnknownAndUnusedPoolNeedsNone() {
+    assertThat(pool("a").demand()).isEqualTo(DemandForecast.UNKNOWN);
+    assertThat(pool("b").demand().coverage()).isEqualTo(1);
+  }
+
+  /** Guards against a wave that is not counted, or counted before its window. */
+  @Test
+  void wavesCountWhileTheyRun() {
+    fleet.wave("w1", 1, 1_000, "a");
+    assertThat(fleet.grant("h1", "w1")).isEqualTo(ResultCode.OK);
+    assertThat(pool("a").isInWave()).isTrue();
+    assertThat(pool("b").isInWave()).isFalse();
+    assertThat(pool("a").hosts().stream().filter(HostView::awaitsMaintenance)).hasSize(3);
+  }
+
+  /** Guards against a move that is forgotten at its end and reversed at once. */
+  @Test
+  void moveIsRememberedAfterItEnded() {
+    MoveHistory history = new MoveHistory();
+    fleet.code(new HostMoveRequested("h1", "b", view().offset(), "t"));
+    long started = fleet.now;
+    history.observe(fleet.state.hosts().all(), fleet.now + 500);
+    fleet.confirm("h1");
+    fleet.step();
+    history.observe(fleet.state.hosts().all(), fleet.now + 2_000);
+    assertThat(history.moves()).containsExactly(new RecentMove("h1", "a", "b", started));
+    history.observe(fleet.state.hosts().all(), started + 60 * 60_000L + 1);
+    assertThat(fleet.host("h1").pool()).isEqualTo("b");
+    assertThat(history.moves()).isEmpty();
+  }
+}
