Plan capacity on every entry host and propose moves

Cause: the capacity policy ran only in measure; no entry host planned moves.

Change: CapacityController reads the loads and jobs every 2 s while the host is current, plans, and proposes moves at the offset at which the view was read. Moves of one kind of host share one rendezvous order, because the forecasts of two entry hosts may choose different hosts for the same need. Counters for plans, moves proposed and moves refused; log lines when a move is accepted and when the pools without recent reports change.

Figures: CapacityLoopTest: a need of 5 hosts with 3 there gives one move and no second one in the window after it; a stale second plan is refused. The policy needs reports for 70 % of 15 minutes, so a demo of 30 s can't show a move of the planner.

Conclusion: planning and folding are tested together in core. The controller itself has no test yet, and the pace of waves is not applied yet.

--- /dev/null
+++ b/core/src/test/java/org/persimmonloom/core/capacity/CapacityLoopTest.java
@@ -0,0 +1,99 @@
+package org.persimmonloom.core.capacity;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.persimmonloom.core.maintenance.FleetFixture.budget;
+
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.persimmonloom.core.host.HostMoveRequested;
+import org.persimmonloom.core.host.HostState;
+import org.persimmonloom.core.maintenance.FleetFixture;
+import org.persimmonloom.core.result.ResultCode;
+import org.persimmonloom.core.routing.ServiceLoad;
+
+/** Observes, plans, proposes and folds as an entry host does. */
+class CapacityLoopTest {
+  private static final long INTERVAL = 2_000;
+
+  /**
+   * Both entry hosts together need 5 hosts of 4 slots. With even weights a pool must lack more than
+   * 1.25 hosts to get one, so that 3 hosts are too few and 4 are enough.
+   */
+  private static final int PER_ENTRY_HOST = 10;
+
+  private final FleetFixture fleet =
+      FleetFixture.withPools(
+          "[add pool spare]\nkind = executors\nspare = true\n"
+              + budget("all", "*", "pool", 2)
+              + "[add service s]\npool = a\nslots_per_endpoint = 4\n");
+  private final DemandObserver demand = new DemandObserver(CapacityFixtures.SETTINGS);
+  private final MoveHistory history = new MoveHistory();
+  private final TrendPolicy policy = new TrendPolicy(CapacityFixtures.SETTINGS);
+
+  @BeforeEach
+  void admit() {
+    fleet.admit("a", "r1", "a1", "a2", "a3");
+    fleet.admit("spare", "r1", "s1", "s2", "s3", "s4", "s5", "s6");
+  }
+
+  private CapacityPlan round(Map<String, Map<String, ServiceLoad>> loads) {
+    fleet.pass(INTERVAL);
+    demand.observe(PoolDemand.read(fleet.state, loads), fleet.now);
+    history.observe(fleet.state.hosts().all(), fleet.now);
+    CapacityView view =
+        FleetCapacityView.of(fleet.state, demand.forecasts(fleet.now), history.moves(), fleet.now);
+    return policy.plan(view, fleet.now);
+  }
+
+  private static Map<String, Map<String, ServiceLoad>> loads(int perEntryHost) {
+    Map<String, ServiceLoad> loads = Map.of("s", new ServiceLoad(0, perEntryHost));
+    return Map.of("e1", loads, "e2", loads);
+  }
+
+  private CapacityPlan firstPlanWithMove() {
+    for (int i = 0; i < 2 * CapacityFixtures.WINDOW / INTERVAL; i++) {
+      CapacityPlan plan = round(loads(PER_ENTRY_HOST));
+      if (!plan.moves().isEmpty()) {
+        return plan;
+      }
+    }
+    throw new AssertionError("no move for a need of 5 hosts with 3 there");
+  }
+
+  private ResultCode propose(ProposedMove move) {
+    return fleet.code(
+        new HostMoveRequested(move.host(), move.toPool(), move.basedOnOffset(), move.reason()));
+  }
+
+  /** Guards against a second move for a need that the first one covers, in progress and after. */
+  @Test
+  void oneNeedGetsOneMove() {
+    ProposedMove move = firstPlanWithMove().moves().get(0);
+    assertThat(move.fromPool()).isEqualTo("spare");
+    assertThat(move.toPool()).isEqualTo("a");
+    assertThat(propose(move)).isEqualTo(ResultCode.OK);
+    assertThat(propose(new ProposedMove("s6", "spare", "a", move.basedOnOffset(), "other planner")))
+        .isEqualTo(ResultCode.PLAN_STALE);
+    for (int i = 0; i < CapacityFixtures.WINDOW / INTERVAL; i++) {
+      assertThat(round(loads(PER_ENTRY_HOST)).moves()).isEmpty();
+      assertThat(fleet.state.poolStatuses()).allMatch(pool -> pool.budgetRoom() >= 0);
+      if (i == 30) {
+        fleet.confirm(move.host());
+        fleet.step();
+      }
+    }
+    assertThat(fleet.host(move.host()).pool()).isEqualTo("a");
+    assertThat(fleet.stateOf(move.host())).isEqualTo(HostState.AVAILABLE);
+  }
+
+  /** Guards against moves that rest on the loads of some entry hosts only. */
+  @Test
+  void noMoveWhileAnEntryHostIsSilent() {
+    Map<String, Map<String, ServiceLoad>> partial = Map.of("e1", loads(PER_ENTRY_HOST).get("e1"));
+    for (int i = 0; i < 2 * CapacityFixtures.WINDOW / INTERVAL; i++) {
+      assertThat(round(partial).moves()).isEqualTo(List.of());
+    }
+  }
+}
--- a/runtime/src/main/java/org/persimmonloom/runtime/entry/EntryHostService.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/entry/EntryHostService.java
@@ -13,6 +13,7 @@
 import org.persimmonloom.runtime.caller.RequestService;
 import org.persimmonloom.runtime.caller.RequestTimer;
 import org.persimmonloom.runtime.endpoint.EndpointClient;
+import org.persimmonloom.runtime.fleet.CapacityController;
 import org.persimmonloom.runtime.fleet.HostListWatcher;
 import org.persimmonloom.runtime.fleet.WaveController;
 import org.persimmonloom.runtime.log.GroupCommitter;
@@ -46,6 +47,7 @@
   private final HostListWatcher hostList;
   private final JobController jobs;
   private final WaveController waves;
+  private final CapacityController capacity;
   private final OperatorListener operators;
   private final CallerListener callers;
   private final RequestService requests;
@@ -65,6 +67,7 @@
       HostListWatcher hostList,
       JobController jobs,
       WaveController waves,
+      CapacityController capacity,
       OperatorListener operators,
       CallerListener callers,
       RequestService requests,
@@ -83,6 +86,7 @@
     this.hostList = hostList;
     this.jobs = jobs;
     this.waves = waves;
+    this.capacity = capacity;
     this.operators = operators;
     this.callers = callers;
     this.requests = requests;
@@ -104,6 +108,7 @@
     requests.start(endpoints);
     jobs.start();
     waves.start();
+    capacity.start();
     operators.start();
     callers.start();
   }
@@ -132,6 +137,7 @@
     callers.stop();
     operators.stop();
     jobs.stop();
+    capacity.stop();
     waves.stop();
     hostList.stop();
     timer.stop();
