--- a/tool/src/main/java/org/persimmonloom/tool/demo/Balancer.java
+++ b/tool/src/main/java/org/persimmonloom/tool/demo/Balancer.java
@@ -22,19 +22,19 @@
   private static final long CHECK_TIMEOUT_MILLIS = 500;
   private static final int CHECK_THREADS = 9;
 
-  private final List<EntryHostProcess> hosts = new CopyOnWriteArrayList<>();
-  private final Set<EntryHostProcess> ready = ConcurrentHashMap.newKeySet();
+  private final List<EntryTarget> hosts = new CopyOnWriteArrayList<>();
+  private final Set<EntryTarget> ready = ConcurrentHashMap.newKeySet();
   private final ScheduledExecutorService executor =
       DemoThreads.scheduled("balancer", CHECK_THREADS);
 
   /** Adds an entry host and begins to check it. */
-  public void add(EntryHostProcess host) {
+  public void add(EntryTarget host) {
     hosts.add(host);
     executor.scheduleWithFixedDelay(
         () -> check(host), 0, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
   }
 
-  private void check(EntryHostProcess host) {
+  private void check(EntryTarget host) {
     OkHttpClient client =
         host.callerClient()
             .newBuilder()
@@ -53,21 +53,21 @@
   }
 
   /** Returns a ready entry host, not the avoided one if there is another. */
-  public Optional<EntryHostProcess> pick(Random random, EntryHostProcess avoided) {
-    List<EntryHostProcess> choices = hosts.stream().filter(ready::contains).toList();
-    List<EntryHostProcess> others = choices.stream().filter(it -> it != avoided).toList();
-    List<EntryHostProcess> from = others.isEmpty() ? choices : others;
+  public Optional<EntryTarget> pick(Random random, EntryTarget avoided) {
+    List<EntryTarget> choices = hosts.stream().filter(ready::contains).toList();
+    List<EntryTarget> others = choices.stream().filter(it -> it != avoided).toList();
+    List<EntryTarget> from = others.isEmpty() ? choices : others;
     return from.isEmpty() ? Optional.empty() : Optional.of(from.get(random.nextInt(from.size())));
   }
 
   /** Returns whether the last check of the entry host passed. */
-  public boolean isReady(EntryHostProcess host) {
+  public boolean isReady(EntryTarget host) {
     return ready.contains(host);
   }
 
   /** Returns the entry hosts that are up, ready or not. */
-  public List<EntryHostProcess> up() {
-    return hosts.stream().filter(EntryHostProcess::isUp).toList();
+  public List<EntryTarget> up() {
+    return hosts.stream().filter(EntryTarget::isUp).toList();
   }
 
   /** Stops checking. */
--- a/tool/src/main/java/org/persimmonloom/tool/demo/Caller.java
+++ b/tool/src/main/java/org/persimmonloom/tool/demo/Caller.java
@@ -54,9 +54,9 @@
   /** Sends the request until it is settled, and returns all tries. */
   public CallerRecord call(CallerRequest request, Random random) {
     List<CallerTry> tries = new ArrayList<>();
-    EntryHostProcess last = null;
+    EntryTarget last = null;
     for (int number = 1; number <= MAX_TRIES && !Thread.currentThread().isInterrupted(); number++) {
-      Optional<EntryHostProcess> host = balancer.pick(random, last);
+      Optional<EntryTarget> host = balancer.pick(random, last);
       if (host.isPresent()) {
         last = host.get();
         tries.add(send(last, request, number));
@@ -71,8 +71,8 @@
 
   /** Sends the same request to two entry hosts at once, and returns both tries. */
   public CallerRecord callTwice(CallerRequest request, Random random) {
-    EntryHostProcess first = balancer.pick(random, null).orElse(null);
-    EntryHostProcess second = balancer.pick(random, first).orElse(null);
+    EntryTarget first = balancer.pick(random, null).orElse(null);
+    EntryTarget second = balancer.pick(random, first).orElse(null);
     if (first == null || second == null) {
       return recordOf(request, List.of());
     }
@@ -101,14 +101,14 @@
   }
 
   /** Sends one try to one entry host. */
-  CallerTry send(EntryHostProcess host, CallerRequest request, int number) {
+  CallerTry send(EntryTarget host, CallerRequest request, int number) {
     long start = System.currentTimeMillis();
     Told told = sendOnce(host, request, number);
     return new CallerTry(
         number, host.name(), start, System.currentTimeMillis(), told.result(), told.outcome());
   }
 
-  private Told sendOnce(EntryHostProcess host, CallerRequest request, int number) {
+  private Told sendOnce(EntryTarget host, CallerRequest request, int number) {
     Request http =
         new Request.Builder()
             .url(host.callerUrl() + request.target(number))
--- a/tool/src/main/java/org/persimmonloom/tool/demo/DemoOperator.java
+++ b/tool/src/main/java/org/persimmonloom/tool/demo/DemoOperator.java
@@ -18,11 +18,11 @@
   private static final MediaType TEXT = MediaType.get("text/plain; charset=utf-8");
 
   private final String name;
-  private final EntryHostProcess host;
+  private final EntryTarget host;
   private final OkHttpClient client = new OkHttpClient();
 
   /** Creates an operator who uses one entry host. */
-  public DemoOperator(String name, EntryHostProcess host) {
+  public DemoOperator(String name, EntryTarget host) {
     this.name = name;
     this.host = host;
   }
--- a/tool/src/main/java/org/persimmonloom/tool/demo/DemoRun.java
+++ b/tool/src/main/java/org/persimmonloom/tool/demo/DemoRun.java
@@ -128,11 +128,16 @@
     return host;
   }
 
+  private List<EntryHostProcess> up() {
+    synchronized (hosts) {
+      return hosts.stream().filter(EntryHostProcess::isUp).toList();
+    }
+  }
+
   /** Starts one more entry host. */
   public EntryHostProcess startReplacement() throws IOException {
     List<InetSocketAddress> ports = FreePorts.choose(3);
-    List<InetSocketAddress> seeds =
-        balancer.up().stream().map(EntryHostProcess::peerAddress).toList();
+    List<InetSocketAddress> seeds = up().stream().map(EntryHostProcess::peerAddress).toList();
     return startEntryHost(
         new EntryHostProcess.Addresses(ports.get(0), ports.get(1), ports.get(2)), seeds);
   }
@@ -206,7 +211,7 @@
     probe.stop();
     balancer.stop();
     ExecutorService stops = DemoThreads.cached("tear-down");
-    for (EntryHostProcess host : balancer.up()) {
+    for (EntryHostProcess host : up()) {
       host.gate().thaw();
       stops.execute(() -> stop(host));
     }
@@ -238,7 +243,7 @@
     if (result.isLeft()) {
       return Optional.of(result.getLeft());
     }
-    Set<String> up = balancer.up().stream().map(EntryHostProcess::name).collect(Collectors.toSet());
+    Set<String> up = up().stream().map(EntryHostProcess::name).collect(Collectors.toSet());
     oracle.rollout().accepted(name, sentMillis, up);
     probe.follow(name);
     return Optional.empty();
--- a/tool/src/main/java/org/persimmonloom/tool/demo/EntryHostProcess.java
+++ b/tool/src/main/java/org/persimmonloom/tool/demo/EntryHostProcess.java
@@ -15,7 +15,7 @@
  * One entry host inside this process, behind a {@link NetworkGate}. Started once and then stopped
  * or lost once; other methods are safe for any thread.
  */
-public final class EntryHostProcess {
+public final class EntryHostProcess implements EntryTarget {
   /** Token of the operators in a demo. */
   public static final String TOKEN = "demo-operator-token";
 
@@ -49,9 +49,23 @@
             .connectionPool(new ConnectionPool(IDLE_CONNECTIONS, IDLE_SECONDS, TimeUnit.SECONDS))
             .retryOnConnectionFailure(false)
             .build();
+    String settings = settings(name, dataCentre, region, addresses, seeds, platform);
+    service =
+        DaggerDemoEntryComponent.factory()
+            .create(parse(settings), new GatedClock(gate), gate)
+            .entryHost();
+  }
+
+  /** Returns the settings of an entry host that listens at the addresses. */
+  static String settings(
+      String name,
+      String dataCentre,
+      String region,
+      Addresses addresses,
+      List<InetSocketAddress> seeds,
+      Platform platform) {
     String seedText = String.join(",", seeds.stream().map(EntryHostProcess::text).toList());
-    String settings =
-        """
+    return """
         [entry]
         name = %s
         data_centre = %s
@@ -71,21 +85,17 @@
         balancer_delay_millis = 1000
         deadline_millis = 15000
         """
-            .formatted(
-                name,
-                dataCentre,
-                region,
-                text(addresses.caller()),
-                text(addresses.operator()),
-                TOKEN,
-                text(addresses.peer()),
-                seedText,
-                platform.logUrl(),
-                platform.hostListUrl());
-    service =
-        DaggerDemoEntryComponent.factory()
-            .create(parse(settings), new GatedClock(gate), gate)
-            .entryHost();
+        .formatted(
+            name,
+            dataCentre,
+            region,
+            text(addresses.caller()),
+            text(addresses.operator()),
+            TOKEN,
+            text(addresses.peer()),
+            seedText,
+            platform.logUrl(),
+            platform.hostListUrl());
   }
 
   private static EntrySettings parse(String settings) {
@@ -123,27 +133,27 @@
     return gate;
   }
 
-  /** Returns a client whose connections end at the gate. */
+  @Override
   public OkHttpClient callerClient() {
     return callerClient;
   }
 
-  /** Returns whether it was started and neither stopped nor lost. */
+  @Override
   public boolean isUp() {
     return isUp;
   }
 
-  /** Returns its name. */
+  @Override
   public String name() {
     return name;
   }
 
-  /** Returns the address of its callers' listener as a URL without path. */
+  @Override
   public String callerUrl() {
     return "http://" + text(addresses.caller());
   }
 
-  /** Returns the address of its operators' listener as a URL without path. */
+  @Override
   public String operatorUrl() {
     return "http://" + text(addresses.operator());
   }
--- a/tool/src/main/java/org/persimmonloom/tool/demo/RolloutProbe.java
+++ b/tool/src/main/java/org/persimmonloom/tool/demo/RolloutProbe.java
@@ -38,7 +38,7 @@
   }
 
   /** Begins to probe an entry host, one request at a time. */
-  public void add(EntryHostProcess host) {
+  public void add(EntryTarget host) {
     executor.scheduleWithFixedDelay(
         () -> notes.forEach(note -> probe(host, note)), 0, INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
   }
@@ -48,7 +48,7 @@
     notes.add(note);
   }
 
-  private void probe(EntryHostProcess host, String note) {
+  private void probe(EntryTarget host, String note) {
     if (!host.isUp() || !balancer.isReady(host)) {
       return;
     }
--- a/tool/src/main/java/org/persimmonloom/tool/demo/SetUpCheck.java
+++ b/tool/src/main/java/org/persimmonloom/tool/demo/SetUpCheck.java
@@ -29,13 +29,13 @@
       throw new IOException("the first release note was refused: " + refusal);
     }
     for (DemoService service : deployment.services()) {
-      for (EntryHostProcess host : balancer.up()) {
+      for (EntryTarget host : balancer.up()) {
         await(deadline, host.name() + " serves " + service.name(), () -> serves(host, service));
       }
     }
   }
 
-  private boolean serves(EntryHostProcess host, DemoService service) {
+  private boolean serves(EntryTarget host, DemoService service) {
     long now = System.currentTimeMillis();
     String key = now + "-setup" + String.format("%011x", new Random().nextInt(Integer.MAX_VALUE));
     CallerRequest request = new CallerRequest(key, service, true, 1, 2_000);
