Serve only with a registration in the fold

Cause: readiness and admission asked only whether the host had caught up and was current. An entry host could serve before its registration was folded, so a drain granted meanwhile would not wait for its confirmation.

Change: both now require that the fold holds this incarnation as registered and live; otherwise the refusal is NOT_REGISTERED (25), as not run. A registration ends only by a record in the log, so a log outage does not take a registered host out of service. A host that was declared lost has a new incarnation and is refused until that is registered. The rollout probe of the demo takes the new code as saying nothing about a note, as it comes before the service is looked up.

The demo was not run.

Conclusion: an entry host that starts during a log outage no longer serves until it can register.

--- a/core/src/main/java/org/persimmonloom/core/result/ResultCode.java
+++ b/core/src/main/java/org/persimmonloom/core/result/ResultCode.java
@@ -30,6 +30,7 @@
   SERVICE_WITHDRAWN(22, "service {0} is withdrawn"),
   REQUEST_TIMEOUT(23, "the caller did not send the request within {0} ms"),
   OVERLOADED(24, "the entry host holds its limit of {0} concurrent requests"),
+  NOT_REGISTERED(25, "the entry host is not registered in the platform log"),
 
   // Claims on requests that may not be repeated.
   REQUEST_KEY_MISSING(40, "service {0} needs a request key"),
--- a/runtime/src/main/java/org/persimmonloom/runtime/entry/HostReadiness.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/entry/HostReadiness.java
@@ -10,8 +10,8 @@
 import org.persimmonloom.runtime.peer.ClusterService;
 
 /**
- * Ready means: not stopping, able to fold the log, caught up since the start, and current. Safe for
- * any thread.
+ * Ready means: not stopping, able to fold the log, caught up since the start, registered in the
+ * fold, and current. Safe for any thread.
  */
 @Singleton
 public final class HostReadiness implements Readiness {
@@ -43,6 +43,9 @@
     if (!cluster.isCaughtUp()) {
       return Optional.of(Failure.of(ResultCode.NOT_CURRENT));
     }
+    if (!cluster.isRegistered()) {
+      return Optional.of(Failure.of(ResultCode.NOT_REGISTERED));
+    }
     return cluster.reasonNotCurrent();
   }
 }
--- a/runtime/src/main/java/org/persimmonloom/runtime/peer/ClusterService.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/peer/ClusterService.java
@@ -224,6 +224,16 @@
     }
   }
 
+  /**
+   * Returns whether the fold holds this incarnation as registered and live. Without that, a drain
+   * does not wait for this host. A registration ends only by a record in the log, so it outlasts an
+   * outage of the log.
+   */
+  public boolean isRegistered() {
+    long incarnation = committer.incarnation();
+    return state.read(fleet -> fleet.entryHosts().isLive(settings.name(), incarnation));
+  }
+
   /** Returns the latest heartbeat of each peer. */
   public synchronized List<PeerView.Heard> peers() {
     return List.copyOf(view.all());
--- a/tool/src/main/java/org/persimmonloom/tool/demo/RolloutProbe.java
+++ b/tool/src/main/java/org/persimmonloom/tool/demo/RolloutProbe.java
@@ -24,7 +24,11 @@
 
   /** Refusals that come before the service is looked up. */
   private static final Set<ResultCode> SAYS_NOTHING =
-      Set.of(ResultCode.STOPPING, ResultCode.NOT_CURRENT, ResultCode.OVERLOADED);
+      Set.of(
+          ResultCode.STOPPING,
+          ResultCode.NOT_CURRENT,
+          ResultCode.NOT_REGISTERED,
+          ResultCode.OVERLOADED);
 
   private final Balancer balancer;
   private final RolloutCheck check;
