Stop repeatable jobs that outlast a drain

Cause: jobs at a draining worker ran to their end, so one long job stopped a wave for hours.

The fold accepts it only for this drain of the attempt's worker. The attempt is then checkpointed and stopped as for a preemption and goes back to the queue; no failure or preemption is counted. Non-repeatable jobs run to their end.

--- a/core/src/main/java/org/persimmonloom/core/fold/ProposalTypes.java
+++ b/core/src/main/java/org/persimmonloom/core/fold/ProposalTypes.java
@@ -21,6 +21,7 @@
 import org.persimmonloom.core.host.ProbationOver;
 import org.persimmonloom.core.job.JobCancelled;
 import org.persimmonloom.core.job.JobCheckpointed;
+import org.persimmonloom.core.job.JobEvicted;
 import org.persimmonloom.core.job.JobFailed;
 import org.persimmonloom.core.job.JobFinished;
 import org.persimmonloom.core.job.JobLeaseExpired;
@@ -71,6 +72,7 @@
     types.put("job-checkpointed", JobCheckpointed.class);
     types.put("job-throttled", JobThrottled.class);
     types.put("job-preempted", JobPreempted.class);
+    types.put("job-evicted", JobEvicted.class);
     types.put("job-stopped", JobStopped.class);
     types.put("job-finished", JobFinished.class);
     types.put("job-failed", JobFailed.class);
--- a/core/src/main/java/org/persimmonloom/core/job/Attempt.java
+++ b/core/src/main/java/org/persimmonloom/core/job/Attempt.java
@@ -30,7 +30,9 @@
   public enum Stop {
     NONE,
     CANCEL,
-    PREEMPT
+    PREEMPT,
+    /** Its worker is drained. */
+    DRAIN
   }
 
   Attempt started(long millis) {
--- a/core/src/main/java/org/persimmonloom/core/job/JobEvents.java
+++ b/core/src/main/java/org/persimmonloom/core/job/JobEvents.java
@@ -4,6 +4,7 @@
 import java.util.function.BiFunction;
 import org.persimmonloom.core.fold.Position;
 import org.persimmonloom.core.fold.ProposalRegistry;
+import org.persimmonloom.core.host.HostState;
 import org.persimmonloom.core.result.Failure;
 import org.persimmonloom.core.result.ResultCode;
 
@@ -30,9 +31,11 @@
 
   private final JobStore store;
   private final RunTimeEstimates estimates;
+  private final JobEnvironment environment;
 
-  JobEvents(JobStore store, RunTimeEstimates estimates) {
+  JobEvents(JobStore store, RunTimeEstimates estimates, JobEnvironment environment) {
     this.store = store;
+    this.environment = environment;
     this.estimates = estimates;
   }
 
@@ -46,6 +49,7 @@
                 it.job(), it.attempt(), at, (job, pos) -> job.withCheckpoint(it.checkpoint())));
     registry.register(JobThrottled.class, this::throttle);
     registry.register(JobPreempted.class, this::preempt);
+    registry.register(JobEvicted.class, this::evict);
     registry.register(JobStopped.class, (it, at) -> end(it.job(), it.attempt(), at, this::stopped));
     registry.register(
         JobFinished.class,
@@ -135,6 +139,40 @@
         && job.history().preemptions() < MAX_PREEMPTIONS;
   }
 
+  private Either<Failure, String> evict(JobEvicted evicted, Position position) {
+    Job job = store.find(evicted.job());
+    if (job == null || !job.isLive(evicted.attempt())) {
+      return stale(evicted.job(), evicted.attempt());
+    }
+    String worker = job.live().worker();
+    boolean isDraining =
+        environment
+            .host(worker)
+            .filter(host -> host.state() == HostState.DRAINING)
+            .filter(host -> host.drain().offset() == evicted.drainOffset())
+            .isPresent();
+    if (!isDraining) {
+      return Either.left(
+          Failure.of(
+              ResultCode.HOST_STATE_CONFLICT, worker, "not in drain " + evicted.drainOffset()));
+    }
+    if (!isEvictable(job)) {
+      return Either.left(
+          Failure.of(
+              ResultCode.JOB_STATE_CONFLICT,
+              job.name(),
+              job.spec().isRepeatable() ? "stopping already" : "not repeatable"));
+    }
+    store.put(
+        job.withLive(
+            job.state(), job.live().stopping(Attempt.Stop.DRAIN, ""), position.timeMillis()));
+    return Either.right("stops for the drain of " + worker);
+  }
+
+  static boolean isEvictable(Job job) {
+    return job.spec().isRepeatable() && job.live().stop() == Attempt.Stop.NONE;
+  }
+
   /** An attempt that nobody asked to stop does not end this way. */
   private Job stopped(Job job, Position at) {
     return switch (job.live().stop()) {
@@ -143,6 +181,9 @@
       case PREEMPT ->
           job.detached(
               JobState.QUEUED, "preempted for " + job.live().stoppedFor(), at.timeMillis());
+      case DRAIN ->
+          job.detached(
+              JobState.QUEUED, "stopped for the drain of " + job.live().worker(), at.timeMillis());
     };
   }
 
--- /dev/null
+++ b/core/src/main/java/org/persimmonloom/core/job/JobEvicted.java
@@ -0,0 +1,16 @@
+package org.persimmonloom.core.job;
+
+import java.util.Objects;
+import org.persimmonloom.core.fold.Proposal;
+
+/**
+ * Stops a repeatable attempt at a checkpoint because its worker is drained. Unlike {@link
+ * JobPreempted} it does not count against the limit of preemptions.
+ *
+ * @param drainOffset the drain that it was decided for
+ */
+public record JobEvicted(String job, int attempt, long drainOffset) implements Proposal {
+  public JobEvicted {
+    Objects.requireNonNull(job, "job");
+  }
+}
--- a/core/src/main/java/org/persimmonloom/core/job/JobTable.java
+++ b/core/src/main/java/org/persimmonloom/core/job/JobTable.java
@@ -52,7 +52,7 @@
   /** Creates an empty table. */
   public JobTable(JobEnvironment environment) {
     this.environment = environment;
-    this.events = new JobEvents(store, estimates);
+    this.events = new JobEvents(store, estimates, environment);
     this.workerEvents = new WorkerEvents(store, environment);
   }
 
--- a/core/src/main/java/org/persimmonloom/core/job/WorkerVisit.java
+++ b/core/src/main/java/org/persimmonloom/core/job/WorkerVisit.java
@@ -102,7 +102,9 @@
     if (!task.checkpoint().isEmpty() && !task.checkpoint().equals(job.checkpoint())) {
       proposals.add(new JobCheckpointed(ref.job(), ref.attempt(), task.checkpoint()));
     }
-    if (job.live().stop() == Attempt.Stop.PREEMPT) {
+    boolean resumes =
+        job.live().stop() == Attempt.Stop.PREEMPT || job.live().stop() == Attempt.Stop.DRAIN;
+    if (resumes) {
       checkpoints.add(ref);
     }
     if (job.live().stop() != Attempt.Stop.NONE) {
--- a/runtime/src/main/java/org/persimmonloom/runtime/worker/WorkerVisitor.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/worker/WorkerVisitor.java
@@ -9,6 +9,7 @@
 import org.persimmonloom.core.fold.FleetState;
 import org.persimmonloom.core.fold.Proposal;
 import org.persimmonloom.core.job.Attempt;
+import org.persimmonloom.core.job.DrainEviction;
 import org.persimmonloom.core.job.Job;
 import org.persimmonloom.core.job.JobCheckpointed;
 import org.persimmonloom.core.job.JobStarted;
@@ -59,6 +60,7 @@
       LOGGER.debug("visit of {} cut short: {}", worker, e.getMessage());
     }
     proposals.removeIf(it -> it instanceof JobStopped stopped && !isStopping(view, stopped));
+    proposals.addAll(state.read(fleet -> DrainEviction.due(fleet, worker, nowMillis)));
     return proposals;
   }
 
