Report capacity, explain jobs and requests, keep the kind of pools in use

Cause: the planner's figures had no route, 'explain job' and 'explain request' found nothing, and a note could change the kind of a pool that still has hosts. Two measure commands covered the fold.

Placements and cancellations are not journalled, because bursts of them would push out waves and hosts. 'measure fold' is removed; 'measure slopes' covers it.

--- a/core/src/main/java/org/persimmonloom/core/job/JobEvicted.java
+++ b/core/src/main/java/org/persimmonloom/core/job/JobEvicted.java
@@ -1,6 +1,9 @@
 package org.persimmonloom.core.job;
 
+import java.util.List;
 import java.util.Objects;
+import org.persimmonloom.core.explain.Explainable;
+import org.persimmonloom.core.explain.Subject;
 import org.persimmonloom.core.fold.Proposal;
 
 /**
@@ -9,8 +12,14 @@
  *
  * @param drainOffset the drain that it was decided for
  */
-public record JobEvicted(String job, int attempt, long drainOffset) implements Proposal {
+public record JobEvicted(String job, int attempt, long drainOffset)
+    implements Proposal, Explainable {
   public JobEvicted {
     Objects.requireNonNull(job, "job");
   }
+
+  @Override
+  public List<Subject> subjects() {
+    return List.of(Subject.job(job));
+  }
 }
--- a/core/src/main/java/org/persimmonloom/core/job/JobPreempted.java
+++ b/core/src/main/java/org/persimmonloom/core/job/JobPreempted.java
@@ -1,6 +1,9 @@
 package org.persimmonloom.core.job;
 
+import java.util.List;
 import java.util.Objects;
+import org.persimmonloom.core.explain.Explainable;
+import org.persimmonloom.core.explain.Subject;
 import org.persimmonloom.core.fold.Proposal;
 
 /**
@@ -8,9 +11,15 @@
  *
  * @param forJob the urgent job, which must be queued
  */
-public record JobPreempted(String job, int attempt, String forJob) implements Proposal {
+public record JobPreempted(String job, int attempt, String forJob)
+    implements Proposal, Explainable {
   public JobPreempted {
     Objects.requireNonNull(job, "job");
     Objects.requireNonNull(forJob, "forJob");
   }
+
+  @Override
+  public List<Subject> subjects() {
+    return List.of(Subject.job(job), Subject.job(forJob));
+  }
 }
--- a/core/src/main/java/org/persimmonloom/core/job/WorkerQuarantined.java
+++ b/core/src/main/java/org/persimmonloom/core/job/WorkerQuarantined.java
@@ -1,6 +1,9 @@
 package org.persimmonloom.core.job;
 
+import java.util.List;
 import java.util.Objects;
+import org.persimmonloom.core.explain.Explainable;
+import org.persimmonloom.core.explain.Subject;
 import org.persimmonloom.core.fold.Proposal;
 
 /**
@@ -10,9 +13,14 @@
  * @param figures the figures of the decision
  */
 public record WorkerQuarantined(String worker, long plannedOffset, String figures)
-    implements Proposal {
+    implements Proposal, Explainable {
   public WorkerQuarantined {
     Objects.requireNonNull(worker, "worker");
     Objects.requireNonNull(figures, "figures");
   }
+
+  @Override
+  public List<Subject> subjects() {
+    return List.of(Subject.host(worker));
+  }
 }
--- a/core/src/main/java/org/persimmonloom/core/release/Definitions.java
+++ b/core/src/main/java/org/persimmonloom/core/release/Definitions.java
@@ -87,6 +87,11 @@
       withdraw(change, byName, occupancy, errors);
       return;
     }
+    if (changesKindOfUsedPool(change, byName, occupancy)) {
+      int hosts = occupancy.hostCount(change.name());
+      errors.add(new NoteError(change.section(), "kind", "the pool still has " + hosts + " hosts"));
+      return;
+    }
     SortedMap<String, String> merged = new TreeMap<>();
     for (KeyRule rule : change.kind().rules()) {
       if (rule.defaultValue() != null) {
@@ -98,6 +103,17 @@
     byName.put(change.name(), merged);
   }
 
+  /** The hosts of a pool are of its kind, so a pool with hosts keeps it. */
+  private static boolean changesKindOfUsedPool(
+      Change change, Map<String, SortedMap<String, String>> byName, PoolOccupancy occupancy) {
+    String next = change.values().get("kind");
+    return change.kind() == DefinitionKind.POOL
+        && change.action() == ChangeAction.CHANGE
+        && next != null
+        && !next.equals(byName.get(change.name()).get("kind"))
+        && occupancy.hostCount(change.name()) > 0;
+  }
+
   private static void withdraw(
       Change change,
       Map<String, SortedMap<String, String>> byName,
--- a/runtime/src/main/java/org/persimmonloom/runtime/entry/FleetModule.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/entry/FleetModule.java
@@ -1,5 +1,6 @@
 package org.persimmonloom.runtime.entry;
 
+import dagger.Binds;
 import dagger.Module;
 import dagger.Provides;
 import dagger.multibindings.ElementsIntoSet;
@@ -11,6 +12,7 @@
 import org.persimmonloom.runtime.caller.RoutingTable;
 import org.persimmonloom.runtime.fleet.DrainProbe;
 import org.persimmonloom.runtime.log.ReplicatedState;
+import org.persimmonloom.runtime.operator.CapacityRoute;
 import org.persimmonloom.runtime.operator.FleetRoutes;
 import org.persimmonloom.runtime.operator.OperatorRoute;
 
@@ -44,4 +46,8 @@
   static Set<OperatorRoute> fleetRoutes(FleetRoutes routes) {
     return routes.all();
   }
+
+  @Binds
+  @IntoSet
+  OperatorRoute capacity(CapacityRoute route);
 }
--- a/runtime/src/main/java/org/persimmonloom/runtime/operator/ExplainRoute.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/operator/ExplainRoute.java
@@ -7,13 +7,16 @@
 import java.util.Locale;
 import java.util.Optional;
 import javax.inject.Inject;
+import org.persimmonloom.core.claim.Claim;
 import org.persimmonloom.core.explain.Decision;
 import org.persimmonloom.core.explain.Subject;
 import org.persimmonloom.core.fold.FleetState;
 import org.persimmonloom.core.host.Host;
+import org.persimmonloom.core.job.Job;
 import org.persimmonloom.core.maintenance.PoolStatus;
 import org.persimmonloom.core.result.Failure;
 import org.persimmonloom.core.result.ResultCode;
+import org.persimmonloom.core.result.RunOutcome;
 import org.persimmonloom.runtime.log.ReplicatedState;
 
 /** {@code GET /explain?kind=host&id=NAME}: the recent decisions about one subject. */
@@ -68,7 +71,9 @@
               .find(subject.id())
               .map(wave -> (wave.status() + " " + wave.reason()).strip())
               .orElse("");
-      case JOB, REQUEST, LIST -> "";
+      case JOB -> fleet.jobs().find(subject.id()).map(ExplainRoute::text).orElse("");
+      case REQUEST -> claimText(fleet, subject.id());
+      case LIST -> "";
     };
   }
 
@@ -78,6 +83,50 @@
     return host.stateText() + drain + " in pool " + host.pool();
   }
 
+  private static String text(Job job) {
+    String attempt =
+        job.live() == null
+            ? ""
+            : ", attempt "
+                + job.live().number()
+                + " at "
+                + job.live().worker()
+                + " leased until "
+                + job.live().leaseUntilMillis();
+    String reason = job.reason().isEmpty() ? "" : ", " + job.reason();
+    return job.state()
+        + attempt
+        + ", "
+        + job.history().failures()
+        + " failures on "
+        + job.history().failedWorkers()
+        + reason;
+  }
+
+  /** A key may be claimed once for each service; an operator usually knows only the key. */
+  private static String claimText(FleetState fleet, String key) {
+    List<String> claims = new ArrayList<>();
+    for (String service : fleet.releases().services().keySet()) {
+      fleet
+          .claims()
+          .find(service, key)
+          .map(claim -> service + ": " + meaning(claim))
+          .ifPresent(claims::add);
+    }
+    return String.join("; ", claims);
+  }
+
+  private static String meaning(Claim claim) {
+    return switch (claim.state()) {
+      case HELD -> "held by " + claim.holder() + ", which alone may send the request";
+      case RELEASED -> "released by " + claim.holder() + " without being sent; may be sent again";
+      case SETTLED ->
+          claim.outcome() == RunOutcome.RAN
+              ? "ran under " + claim.holder()
+              : "outcome unknown under " + claim.holder() + "; never sent again";
+    };
+  }
+
   private static String text(PoolStatus pool) {
     return pool.hosts() + " hosts, " + pool.hostsByState() + ", budget room " + pool.budgetRoom();
   }
--- a/tool/src/main/java/org/persimmonloom/tool/command/Main.java
+++ b/tool/src/main/java/org/persimmonloom/tool/command/Main.java
@@ -25,6 +25,7 @@
     commands.put("release status", new ReleaseStatusCommand());
     commands.put("release validate", new ReleaseValidateCommand());
     commands.put("report burn", new ReportBurnCommand());
+    commands.put("report capacity", new ReportCapacityCommand());
     commands.put("demo", new DemoCommand());
     commands.put("job submit", new JobSubmitCommand());
     commands.put("job list", new JobListCommand());
@@ -32,7 +33,6 @@
     commands.put("job cancel", new JobCancelCommand());
     commands.put("job release", new JobReleaseCommand());
     commands.put("measure", new PolicyMeasureCommand());
-    commands.put("measure fold", new MeasureFoldCommand());
     commands.put("pool list", new PoolListCommand());
     commands.put("pool show", new PoolShowCommand());
     commands.put("host list", new HostListCommand());
