--- a/runtime/src/main/java/org/persimmonloom/runtime/caller/CallerExchange.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/caller/CallerExchange.java
@@ -39,6 +39,9 @@
           RUN.toString().toLowerCase(Locale.ROOT),
           EndpointClient.ATTEMPT_HEADER.toLowerCase(Locale.ROOT));
 
+  /** Larger bodies are refused at once, at the risk that the caller sees a reset connection. */
+  private static final long MAX_DROPPED_BYTES = 4L * CallerListener.MAX_BODY_BYTES;
+
   private final HttpServerExchange exchange;
   private final RequestService requests;
   private final RequestContext context;
@@ -76,7 +79,7 @@
     long length = exchange.getRequestContentLength();
     if (length > CallerListener.MAX_BODY_BYTES) {
       exchange.setPersistent(false);
-      refuse(Failure.of(ResultCode.BODY_TOO_LARGE, CallerListener.MAX_BODY_BYTES));
+      refuseTooLarge(length);
       return;
     }
     long reserved =
@@ -94,6 +97,37 @@
     receive(head.get(), found.get());
   }
 
+  /**
+   * Reads and drops a body that is moderately too large before it is refused. A connection that is
+   * closed while the caller still sends is reset, and the caller loses the answer.
+   */
+  private void refuseTooLarge(long length) {
+    Failure failure = Failure.of(ResultCode.BODY_TOO_LARGE, CallerListener.MAX_BODY_BYTES);
+    if (length > MAX_DROPPED_BYTES) {
+      refuse(failure);
+      return;
+    }
+    exchange.setMaxEntitySize(MAX_DROPPED_BYTES);
+    Future<?> timeout =
+        context.timer.after(
+            limits.sendMillis(), () -> exchange.getIoThread().execute(this::refuseSlowSender));
+    exchange
+        .getRequestReceiver()
+        .receivePartialBytes(
+            (received, part, isLast) -> {
+              if (isLast) {
+                timeout.cancel(false);
+                isReceived = true;
+                refuse(failure);
+              }
+            },
+            (failed, error) -> {
+              timeout.cancel(false);
+              isReceived = true;
+              refuseUnreadable(error);
+            });
+  }
+
   private void receive(CallerHeaders head, ServiceDefinition definition) {
     Future<?> timeout =
         context.timer.after(
