--- a/core/src/main/java/org/persimmonloom/core/release/Definitions.java
+++ b/core/src/main/java/org/persimmonloom/core/release/Definitions.java
@@ -5,6 +5,7 @@
 import java.util.Collections;
 import java.util.EnumMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.SortedMap;
 import java.util.TreeMap;
@@ -175,7 +176,7 @@
         return change.section();
       }
     }
-    return kind.name().toLowerCase(java.util.Locale.ROOT) + " " + name + " (in force)";
+    return kind.name().toLowerCase(Locale.ROOT) + " " + name + " (in force)";
   }
 
   Map<DefinitionKind, Map<String, SortedMap<String, String>>> values() {
--- a/runtime/src/main/java/org/persimmonloom/runtime/caller/CallerRequest.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/caller/CallerRequest.java
@@ -1,7 +1,9 @@
 package org.persimmonloom.runtime.caller;
 
 import java.util.List;
+import java.util.Set;
 import org.persimmonloom.core.claim.CompleteResponse.Header;
+import org.persimmonloom.core.routing.PendingRequest;
 import org.persimmonloom.core.routing.WorkClass;
 
 /**
@@ -37,4 +39,10 @@
     int third = second < 0 ? -1 : path.indexOf('/', second + 1);
     return method + ' ' + (third < 0 ? path : path.substring(0, third));
   }
+
+  /** Returns the request as the scheduler queues it, for its next attempt. */
+  PendingRequest pending(long id, int attempt, Set<String> triedEndpoints) {
+    return new PendingRequest(
+        id, route(), hint, arrivedMillis, deadlineMillis, attempt, triedEndpoints);
+  }
 }
--- a/runtime/src/main/java/org/persimmonloom/runtime/caller/ClaimedWork.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/caller/ClaimedWork.java
@@ -157,15 +157,7 @@
     PendingRequest pending;
     synchronized (this) {
       queuedId = context.nextId();
-      pending =
-          new PendingRequest(
-              queuedId,
-              request.route(),
-              request.hint(),
-              request.arrivedMillis(),
-              request.deadlineMillis(),
-              attempt,
-              tried);
+      pending = request.pending(queuedId, attempt, tried);
     }
     Either<Failure, WorkClass> offered = dispatcher.offer(pending, this);
     offered.peek(it -> workClass = it).peekLeft(this::refuse);
--- a/runtime/src/main/java/org/persimmonloom/runtime/caller/DemandSlotShares.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/caller/DemandSlotShares.java
@@ -9,6 +9,7 @@
 import org.persimmonloom.core.routing.EndpointCapacity;
 import org.persimmonloom.core.routing.RoutingEndpoint;
 import org.persimmonloom.core.routing.ServiceLoad;
+import org.persimmonloom.core.routing.SlotShares;
 import org.persimmonloom.runtime.peer.ClusterView;
 import org.persimmonloom.runtime.settings.EntrySettings;
 
@@ -17,7 +18,7 @@
  * that is not heard gets no share, so its slots are free for the others. Safe for any thread.
  */
 @Singleton
-public final class DemandSlotShares implements SlotShares {
+public final class DemandSlotShares implements SlotShareSource {
   private static final ServiceLoad NO_LOAD = new ServiceLoad(0, 0);
 
   private final ClusterView cluster;
@@ -45,7 +46,6 @@
                         service.slotsPerEndpoint(),
                         service.connectionsPerEndpoint()))
             .toList();
-    return org.persimmonloom.core.routing.SlotShares.apportion(service.name(), capacities, loads)
-        .slotsOf(settings.name());
+    return SlotShares.apportion(service.name(), capacities, loads).slotsOf(settings.name());
   }
 }
--- a/runtime/src/main/java/org/persimmonloom/runtime/caller/RepeatableTicket.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/caller/RepeatableTicket.java
@@ -59,15 +59,7 @@
         return;
       }
       queuedId = context.nextId();
-      pending =
-          new PendingRequest(
-              queuedId,
-              request.route(),
-              request.hint(),
-              request.arrivedMillis(),
-              request.deadlineMillis(),
-              attempt,
-              tried);
+      pending = request.pending(queuedId, attempt, tried);
     }
     Either<Failure, WorkClass> offered = dispatcher.offer(pending, this);
     offered.peek(this::classified).peekLeft(this::giveUp);
--- a/runtime/src/main/java/org/persimmonloom/runtime/caller/RoutingTable.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/caller/RoutingTable.java
@@ -54,7 +54,7 @@
 
   private final ReplicatedState state;
   private final RequestSchedulerFactory schedulers;
-  private final SlotShares slotShares;
+  private final SlotShareSource slotShares;
   private final LeavingHosts leaving;
   private final InstantSource clock;
   private final AtomicBoolean isDirty = new AtomicBoolean(true);
@@ -78,7 +78,7 @@
   public RoutingTable(
       ReplicatedState state,
       RequestSchedulerFactory schedulers,
-      SlotShares slotShares,
+      SlotShareSource slotShares,
       LeavingHosts leaving,
       InstantSource clock) {
     this.state = state;
--- a/runtime/src/main/java/org/persimmonloom/runtime/caller/SlotShares.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/caller/SlotShareSource.java
@@ -7,7 +7,7 @@
 
 /** Divides the slots of endpoints between the entry hosts. Safe for any thread. */
 @FunctionalInterface
-public interface SlotShares {
+public interface SlotShareSource {
   /** Returns this host's share of the slots of each endpoint, by endpoint name. */
   Map<String, Integer> shares(ServiceDefinition service, List<RoutingEndpoint> endpoints);
 }
--- a/runtime/src/main/java/org/persimmonloom/runtime/endpoint/EndpointClient.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/endpoint/EndpointClient.java
@@ -1,10 +1,12 @@
 package org.persimmonloom.runtime.endpoint;
 
 import java.io.IOException;
+import java.io.InterruptedIOException;
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
@@ -73,7 +75,7 @@
   }
 
   /** Forgets endpoints that are in use no more and closes their idle connections. */
-  public void retain(java.util.Set<String> addresses) {
+  public void retain(Set<String> addresses) {
     byAddress.forEach(
         (address, connections) -> {
           if (!addresses.contains(address) && byAddress.remove(address, connections)) {
@@ -258,7 +260,7 @@
     private EndpointResult broken(
         EndpointConnections connections, AttemptEvents events, IOException e, long startMillis) {
       events.closeConnection();
-      boolean isSilent = e instanceof java.io.InterruptedIOException && !events.hasAnswer();
+      boolean isSilent = e instanceof InterruptedIOException && !events.hasAnswer();
       if (isSilent && events.mayBeSent() && !isCancelled) {
         connections.closeIdle();
       }
--- a/runtime/src/main/java/org/persimmonloom/runtime/entry/EntryHostService.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/entry/EntryHostService.java
@@ -3,6 +3,10 @@
 import java.io.IOException;
 import java.time.InstantSource;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import javax.inject.Inject;
 import javax.inject.Singleton;
 import org.apache.logging.log4j.LogManager;
@@ -158,15 +162,15 @@
   }
 
   /** A second signal must not skip the settlements, so it only shortens this wait. */
-  private boolean awaitUnhurried(java.util.concurrent.CompletableFuture<?> future, long waitMillis)
+  private boolean awaitUnhurried(CompletableFuture<?> future, long waitMillis)
       throws InterruptedException {
     if (plannedStop.await(future, waitMillis)) {
       return true;
     }
     try {
-      future.get(LAST_SETTLEMENTS_MILLIS, java.util.concurrent.TimeUnit.MILLISECONDS);
+      future.get(LAST_SETTLEMENTS_MILLIS, TimeUnit.MILLISECONDS);
       return true;
-    } catch (java.util.concurrent.TimeoutException | java.util.concurrent.ExecutionException e) {
+    } catch (TimeoutException | ExecutionException e) {
       return false;
     }
   }
--- a/runtime/src/main/java/org/persimmonloom/runtime/entry/RequestModule.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/entry/RequestModule.java
@@ -12,7 +12,7 @@
 import org.persimmonloom.runtime.caller.DemandSlotShares;
 import org.persimmonloom.runtime.caller.LeavingHosts;
 import org.persimmonloom.runtime.caller.RoutingTable;
-import org.persimmonloom.runtime.caller.SlotShares;
+import org.persimmonloom.runtime.caller.SlotShareSource;
 import org.persimmonloom.runtime.endpoint.EndpointClient;
 import org.persimmonloom.runtime.endpoint.EndpointSender;
 import org.persimmonloom.runtime.peer.LeavingSource;
@@ -25,7 +25,7 @@
   EndpointSender sender(EndpointClient client);
 
   @Binds
-  SlotShares slotShares(DemandSlotShares shares);
+  SlotShareSource slotShares(DemandSlotShares shares);
 
   @Provides
   static RequestSchedulerFactory schedulers() {
--- a/runtime/src/test/java/org/persimmonloom/runtime/caller/ClaimedPathTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/caller/ClaimedPathTest.java
@@ -6,7 +6,10 @@
 import static org.persimmonloom.runtime.caller.EntryFixture.outcome;
 
 import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -209,7 +212,7 @@
     var otherHost = second.bill(key, DEADLINE_MILLIS);
     await(() -> peers.asked.get() > asked);
     endpoint.gate.countDown();
-    for (var copy : java.util.List.of(original, sameHost, otherHost)) {
+    for (var copy : List.of(original, sameHost, otherHost)) {
       assertThat(outcome(copy.get()) + copy.get().body()).isEqualTo("0 randone");
     }
     awaitSettled(key, RunOutcome.RAN);
@@ -259,7 +262,7 @@
             1,
             FoldVersion.CURRENT,
             System.currentTimeMillis(),
-            java.util.List.of(new EntryHostSeen("127.0.0.1:1", "127.0.0.1:1", "dc1")));
+            List.of(new EntryHostSeen("127.0.0.1:1", "127.0.0.1:1", "dc1")));
     log.append(ProposalTypes.CODEC.encode(batch));
   }
 
@@ -270,12 +273,12 @@
     String key = newKey();
     first.bill(key, DEADLINE_MILLIS).get();
     awaitSettled(key, RunOutcome.RAN);
-    for (EntryFixture entry : java.util.List.of(first, second)) {
+    for (EntryFixture entry : List.of(first, second)) {
       var other =
           entry
               .request("/bill/other")
               .header("Persimmonloom-Request-Key", key)
-              .POST(java.net.http.HttpRequest.BodyPublishers.noBody())
+              .POST(HttpRequest.BodyPublishers.noBody())
               .build();
       await(() -> entry.claim(key).isPresent());
       assertThat(outcome(entry.send(other))).isEqualTo("43 not-run");
@@ -288,7 +291,7 @@
   void requestOfALeavingCallerFinishesAndIsSettled() throws Exception {
     FakeEndpoint endpoint = endpoint("h1", Behavior.GATED);
     String key = newKey();
-    try (var socket = new java.net.Socket("127.0.0.1", first.listener.address().getPort())) {
+    try (var socket = new Socket("127.0.0.1", first.listener.address().getPort())) {
       String head = "POST /bill/pickup HTTP/1.1\r\nHost: a\r\nContent-Length: 6\r\n";
       String rest = "Persimmonloom-Request-Key: " + key + "\r\n\r\npickup";
       socket.getOutputStream().write((head + rest).getBytes("ascii"));
--- a/runtime/src/test/java/org/persimmonloom/runtime/caller/EntryFixture.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/caller/EntryFixture.java
@@ -14,6 +14,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.UnaryOperator;
 import okhttp3.OkHttpClient;
 import org.persimmonloom.core.claim.Claim;
@@ -163,7 +164,7 @@
   }
 
   /** Waits for a condition that other threads bring about; fails after a generous bound. */
-  static void await(java.util.function.BooleanSupplier condition) throws Exception {
+  static void await(BooleanSupplier condition) throws Exception {
     long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(7);
     while (!condition.getAsBoolean()) {
       if (System.nanoTime() > end) {
--- a/runtime/src/test/java/org/persimmonloom/runtime/caller/PassThroughTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/caller/PassThroughTest.java
@@ -9,8 +9,10 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -134,10 +136,7 @@
     FakeEndpoint endpoint = endpoint("h1", Behavior.GATED);
     HttpRequest request = entry.request("/scan/x").build();
     var handler = HttpResponse.BodyHandlers.ofString();
-    var running =
-        java.util.stream.Stream.generate(() -> entry.http.sendAsync(request, handler))
-            .limit(3)
-            .toList();
+    var running = Stream.generate(() -> entry.http.sendAsync(request, handler)).limit(3).toList();
     await(() -> endpoint.seen.size() == 2);
     await(() -> entry.routing.all().stream().mapToInt(it -> it.load().queued()).sum() == 1);
     assertThat(outcome(entry.send(request))).isEqualTo("24 not-run");
@@ -215,11 +214,11 @@
   @Test
   void leavingHostGetsNoNewWork() throws Exception {
     FakeEndpoint endpoint = endpoint("h1", Behavior.ANSWER);
-    entry.leaving.setPeerReport("e2", java.util.Set.of("h1"));
+    entry.leaving.setPeerReport("e2", Set.of("h1"));
     await(() -> !entry.routing.addresses().contains(endpoint.address()));
     assertThat(outcome(entry.send(entry.request("/scan/x").build()))).isEqualTo("15 not-run");
     assertThat(entry.routing.requestsInProgress("h1")).isZero();
-    entry.leaving.setPeerReport("e2", java.util.Set.of());
+    entry.leaving.setPeerReport("e2", Set.of());
     entry.awaitRouted(endpoint.address());
     assertThat(outcome(entry.send(entry.request("/scan/x").build()))).isEqualTo("0 ran");
   }
--- a/runtime/src/test/java/org/persimmonloom/runtime/caller/RoutingTableTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/caller/RoutingTableTest.java
@@ -7,6 +7,7 @@
 import io.prometheus.metrics.model.snapshots.CounterSnapshot;
 import io.prometheus.metrics.model.snapshots.HistogramSnapshot;
 import java.net.http.HttpResponse;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.persimmonloom.core.release.ReleaseProposed;
@@ -78,7 +79,7 @@
                 point.getLabels().stream()
                     .map(it -> it.getValue())
                     .toList()
-                    .containsAll(java.util.List.of(values)))
+                    .containsAll(List.of(values)))
         .mapToDouble(CounterSnapshot.CounterDataPointSnapshot::getValue)
         .sum();
   }
--- a/runtime/src/test/java/org/persimmonloom/runtime/log/LogReplicationTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/log/LogReplicationTest.java
@@ -5,6 +5,7 @@
 import static org.persimmonloom.runtime.log.TestReplica.GENEROUS_MILLIS;
 import static org.persimmonloom.runtime.log.TestReplica.await;
 
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -276,13 +277,12 @@
   private PlatformLog view(FakeLog readability) {
     return new PlatformLog() {
       @Override
-      public long append(byte[] record) throws java.io.IOException {
+      public long append(byte[] record) throws IOException {
         return log.append(record);
       }
 
       @Override
-      public LogPage read(long fromOffset, int maxRecords, long waitMillis)
-          throws java.io.IOException {
+      public LogPage read(long fromOffset, int maxRecords, long waitMillis) throws IOException {
         LogPage page = log.read(fromOffset, maxRecords, waitMillis);
         readability.read(0, 1, 1);
         return page;
--- a/tool/src/main/java/org/persimmonloom/tool/measure/JobMeasurement.java
+++ b/tool/src/main/java/org/persimmonloom/tool/measure/JobMeasurement.java
@@ -1,6 +1,7 @@
 package org.persimmonloom.tool.measure;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import org.persimmonloom.core.fold.Batch;
 import org.persimmonloom.core.fold.FleetState;
@@ -120,7 +121,7 @@
 
   private static double median(double[] values) {
     double[] sorted = values.clone();
-    java.util.Arrays.sort(sorted);
+    Arrays.sort(sorted);
     return sorted[sorted.length / 2];
   }
 
--- a/tool/src/main/java/org/persimmonloom/tool/measure/MeasureRoutingCommand.java
+++ b/tool/src/main/java/org/persimmonloom/tool/measure/MeasureRoutingCommand.java
@@ -33,8 +33,7 @@
       return Either.left(Failure.of(ResultCode.USAGE, "--seeds and --report-age are positive"));
     }
     RoutingModel model = RoutingModel.of(deployment, reportAgeMillis);
-    Map<String, Map<String, RoutingComparison.Spread>> rows =
-        new RoutingComparison(model, seeds).run();
+    Map<String, Map<String, Spread>> rows = new RoutingComparison(model, seeds).run();
     return Either.right(isJson ? ProposalTypes.CODEC.toJson(rows) : RoutingComparison.table(rows));
   }
 }
--- a/tool/src/main/java/org/persimmonloom/tool/measure/RoutingComparison.java
+++ b/tool/src/main/java/org/persimmonloom/tool/measure/RoutingComparison.java
@@ -1,10 +1,8 @@
 package org.persimmonloom.tool.measure;
 
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.function.ToDoubleFunction;
 
@@ -15,23 +13,6 @@
   private final RoutingModel model;
   private final int seeds;
 
-  /** Median, least and greatest value over the seeds. */
-  record Spread(double median, double min, double max) {
-    static Spread of(double[] values) {
-      double[] sorted = values.clone();
-      Arrays.sort(sorted);
-      int middle = sorted.length / 2;
-      double median =
-          sorted.length % 2 == 1 ? sorted[middle] : (sorted[middle - 1] + sorted[middle]) / 2;
-      return new Spread(median, sorted[0], sorted[sorted.length - 1]);
-    }
-
-    @Override
-    public String toString() {
-      return String.format(Locale.ROOT, "%.1f (%.1f to %.1f)", median, min, max);
-    }
-  }
-
   RoutingComparison(RoutingModel model, int seeds) {
     this.model = model;
     this.seeds = seeds;
@@ -62,7 +43,7 @@
     text.append("\n|---|").append("---|".repeat(rows.size()));
     for (String measure : MEASURES.keySet()) {
       text.append("\n| ").append(measure).append(" |");
-      rows.values().forEach(row -> text.append(' ').append(row.get(measure)).append(" |"));
+      rows.values().forEach(row -> text.append(' ').append(row.get(measure).text(1)).append(" |"));
     }
     return text.toString();
   }
--- a/tool/src/test/java/org/persimmonloom/tool/PlannedStopTest.java
+++ b/tool/src/test/java/org/persimmonloom/tool/PlannedStopTest.java
@@ -20,6 +20,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import okhttp3.OkHttpClient;
 import org.junit.jupiter.api.AfterEach;
@@ -149,7 +150,7 @@
         if (condition.holds()) {
           return;
         }
-      } catch (IOException | java.util.concurrent.ExecutionException e) {
+      } catch (IOException | ExecutionException e) {
         // Not listening yet.
         Thread.onSpinWait();
       }
