--- a/core/src/main/java/org/persimmonloom/core/fold/SnapshotSchedule.java
+++ b/core/src/main/java/org/persimmonloom/core/fold/SnapshotSchedule.java
@@ -9,8 +9,8 @@
 /**
  * Decides when a snapshot is due and whether this host writes it.
  *
- * <p>A snapshot is due a quarter of the log's retention, or {@link #MAX_RECORDS} records, after the
- * last complete one. So the oldest record that a starting host needs, the first one after the last
+ * <p>A snapshot is due a quarter of the log's retention, or a number of records, after the last
+ * complete one. So the oldest record that a starting host needs, the first one after the last
  * complete snapshot, stays younger than the retention as long as a snapshot is written within the
  * other three quarters. The first host in rendezvous order writes at once; each later one waits
  * longer and begins again to wait while chunks still appear. Which snapshot is due follows from the
@@ -18,9 +18,15 @@
  * lock.
  */
 public final class SnapshotSchedule {
-  /** Records after which a snapshot is due; limits what a starting host must fold. */
+  /** Records after which a small snapshot is due; limits what a starting host must fold. */
   public static final long MAX_RECORDS = 20_000;
 
+  /**
+   * Records for each chunk of the last snapshot, before the next is due: chunks take at most one
+   * percent of the appends. A snapshot of the future size has over 500 chunks.
+   */
+  public static final long RECORDS_PER_CHUNK = 100;
+
   /** Share of the retention after which a snapshot is due. */
   public static final int RETENTION_PARTS = 4;
 
@@ -33,6 +39,7 @@
   private final long intervalMillis;
   private final TreeMap<String, BitSet> open = new TreeMap<>();
   private long lastOffset;
+  private long lastChunks;
   private long lastMillis = NONE;
   private long dueOffset = NONE;
   private long dueSinceMillis;
@@ -61,13 +68,17 @@
       }
     }
     boolean isDue =
-        offset + 1 - lastOffset >= MAX_RECORDS || foldTimeMillis - lastMillis >= intervalMillis;
+        offset + 1 - lastOffset >= maxRecords() || foldTimeMillis - lastMillis >= intervalMillis;
     if (isDue && dueOffset == NONE) {
       dueOffset = offset + 1;
       dueSinceMillis = nowMillis;
     }
   }
 
+  private long maxRecords() {
+    return Math.max(MAX_RECORDS, lastChunks * RECORDS_PER_CHUNK);
+  }
+
   private void add(SnapshotChunk chunk, long foldTimeMillis, long nowMillis) {
     if (!Snapshots.isWellFormed(chunk) || chunk.snapshotOffset() <= lastOffset) {
       return;
@@ -81,6 +92,7 @@
     indices.set(chunk.index());
     if (indices.cardinality() == chunk.total()) {
       open.remove(key);
+      lastChunks = chunk.total();
       completed(chunk.snapshotOffset(), foldTimeMillis);
     }
   }
--- a/core/src/test/java/org/persimmonloom/core/fold/SnapshotScheduleTest.java
+++ b/core/src/test/java/org/persimmonloom/core/fold/SnapshotScheduleTest.java
@@ -20,6 +20,22 @@
   /** A snapshot that a host is writing: its chunks that are not in the log yet. */
   private record Writing(String host, List<SnapshotChunk> chunks) {}
 
+  /** Guards against large snapshots that take the log's appends from everything else. */
+  @ParameterizedTest
+  @CsvSource({"1, 20000", "200, 20000", "600, 60000"})
+  void nextSnapshotIsDueAfterRecordsInProportionToItsChunks(int chunks, long expected) {
+    SnapshotSchedule schedule = new SnapshotSchedule(Long.MAX_VALUE);
+    long offset = 0;
+    List<SnapshotChunk> parts = Snapshots.split(10, new byte[chunks * Snapshots.CHUNK_BYTES]);
+    for (SnapshotChunk part : parts) {
+      schedule.folded(offset++, 0, List.of(part), 0);
+    }
+    while (!schedule.isDue()) {
+      schedule.folded(offset++, 0, List.of(), 0);
+    }
+    assertThat(offset - schedule.lastOffset()).isEqualTo(expected);
+  }
+
   /**
    * Guards against needed records that expire: of seven hosts up to {@code failing} stop in the
    * middle of each snapshot that they begin.
