--- a/runtime/src/main/java/org/persimmonloom/runtime/entry/OperatorModule.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/entry/OperatorModule.java
@@ -25,6 +25,8 @@
   @IntoSet
   OperatorRoute releaseValidate(ReleaseValidateRoute route);
 
+  @Binds
+  @IntoSet
   OperatorRoute releaseStatus(ReleaseStatusRoute route);
 
   @Binds
--- a/tool/src/test/java/org/persimmonloom/tool/command/FleetCommandsTest.java
+++ b/tool/src/test/java/org/persimmonloom/tool/command/FleetCommandsTest.java
@@ -158,6 +158,8 @@
         "[release]\nname = first\n[add pool a]\n[add pool b]\n"
             + "[add budget all]\npool = *\nmax_unavailable = 1\n");
     await("release", () -> run("release", "apply", "--file", note.toString()) == ResultCode.OK);
+    assertThat(run("release", "status")).isEqualTo(ResultCode.OK);
+    await("first capacity plan", () -> run("report", "capacity") == ResultCode.OK);
     await("hosts", () -> json(Host[].class, "host", "list").length == 3);
   }
 
