Wait for the second signal without a thread of its own

Cause: each wait of a planned stop started a thread that only turned a latch into a future.

Change: the second signal is a future itself; pausing and waiting share one method.

--- a/runtime/src/main/java/org/persimmonloom/runtime/entry/PlannedStop.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/entry/PlannedStop.java
@@ -1,7 +1,6 @@
 package org.persimmonloom.runtime.entry;
 
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -15,7 +14,7 @@
  */
 @Singleton
 public final class PlannedStop {
-  private final CountDownLatch hurried = new CountDownLatch(1);
+  private final CompletableFuture<Void> hurried = new CompletableFuture<>();
   private volatile boolean isBegun;
 
   @Inject
@@ -30,7 +29,7 @@
 
   /** Ends all waiting. */
   public void hurry() {
-    hurried.countDown();
+    hurried.complete(null);
   }
 
   /** Returns whether the stop has begun. */
@@ -40,7 +39,7 @@
 
   /** Waits for the time to pass; less if told to hurry. */
   void pause(long millis) throws InterruptedException {
-    hurried.await(Math.max(0, millis), TimeUnit.MILLISECONDS);
+    await(hurried, millis);
   }
 
   /**
@@ -49,26 +48,10 @@
    * @return whether the future completed
    */
   boolean await(CompletableFuture<?> future, long millis) throws InterruptedException {
-    CompletableFuture<Void> hurry = new CompletableFuture<>();
-    Thread waiter =
-        new Thread(
-            () -> {
-              try {
-                hurried.await();
-                hurry.complete(null);
-              } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-              }
-            },
-            "second-signal");
-    waiter.setDaemon(true);
-    waiter.start();
     try {
-      CompletableFuture.anyOf(future, hurry).get(Math.max(0, millis), TimeUnit.MILLISECONDS);
+      CompletableFuture.anyOf(future, hurried).get(Math.max(0, millis), TimeUnit.MILLISECONDS);
     } catch (TimeoutException | ExecutionException e) {
       return future.isDone();
-    } finally {
-      waiter.interrupt();
     }
     return future.isDone();
   }
