--- /dev/null
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/EndHandler.java
@@ -0,0 +1,89 @@
+package org.persimmonloom.core.scheduling;
+
+import org.persimmonloom.core.workflow.StepSpec;
+import org.persimmonloom.core.workflow.WorkflowState;
+
+/** Draws the consequences of ended runs for their tasks and workers. Not thread-safe. */
+final class EndHandler {
+  /** After this many failures without a success in between a worker is avoided. */
+  private static final int SUSPICIOUS_FAILURES = 3;
+
+  private static final long AVOID_FAILING_MILLIS = 4_000;
+
+  private final TaskBook book;
+
+  EndHandler(TaskBook book) {
+    this.book = book;
+  }
+
+  void ended(WorkerState worker, EndedTask ended, long nowMillis) {
+    TaskRun run = worker.runs.get(ended.task());
+    if (run != null && run.number <= ended.run()) {
+      remove(run);
+    }
+    OccurrenceState occurrence = book.occurrence(ended.task());
+    TaskState task = occurrence == null ? null : occurrence.task(ended.task());
+    if (task == null) {
+      return;
+    }
+    task.runs = Math.max(task.runs, ended.run());
+    if (!ended.checkpoint().isEmpty()) {
+      task.checkpoint = ended.checkpoint();
+    }
+    switch (ended.cause()) {
+      case DONE -> done(worker, occurrence, task);
+      case FAILED -> failed(worker, occurrence, task, nowMillis);
+      default -> {
+        // The task becomes runnable again by losing its run.
+      }
+    }
+  }
+
+  private void done(WorkerState worker, OccurrenceState occurrence, TaskState task) {
+    worker.failuresInARow = 0;
+    if (occurrence.step(task.step).longRunning()) {
+      return;
+    }
+    if (occurrence.step(task.step).gang()) {
+      for (TaskState member : occurrence.tasks) {
+        if (member.step == task.step) {
+          occurrence.markDone(member);
+        }
+      }
+    }
+    occurrence.markDone(task);
+    if (occurrence.isComplete()) {
+      book.end(occurrence, WorkflowState.COMPLETE);
+    } else {
+      book.markDirty(occurrence);
+    }
+  }
+
+  private void failed(
+      WorkerState worker, OccurrenceState occurrence, TaskState task, long nowMillis) {
+    worker.failuresInARow++;
+    if (worker.failuresInARow >= SUSPICIOUS_FAILURES) {
+      worker.avoidUntilMillis = nowMillis + AVOID_FAILING_MILLIS;
+    }
+    task.failedOn.add(worker.facts.id());
+    StepSpec step = occurrence.step(task.step);
+    if (step.longRunning()) {
+      return;
+    }
+    task.failures++;
+    if (task.failures >= book.policy(occurrence.spec).attempts()) {
+      book.end(occurrence, WorkflowState.FAILED);
+    } else {
+      book.markDirty(occurrence);
+    }
+  }
+
+  /** Forgets a run; its task may start again if no other run is active. */
+  void remove(TaskRun run) {
+    run.worker.remove(run);
+    TaskState task = book.task(run.task);
+    if (task != null) {
+      task.active.remove(run);
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
@@ -0,0 +1,242 @@
+package org.persimmonloom.core.scheduling;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.persimmonloom.core.workflow.QueuePolicy;
+import org.persimmonloom.core.workflow.StepSpec;
+import org.persimmonloom.core.workflow.TaskId;
+import org.persimmonloom.core.workflow.WorkflowEntry;
+import org.persimmonloom.core.workflow.WorkflowState;
+
+/**
+ * Decides which task runs where, for the present owner of the fleet.
+ *
+ * <p>Workers are the record of what runs. A new owner first asks every worker under its own fence,
+ * adopts what runs there, and starts nothing that an unheard worker might still run. A run whose
+ * start was not answered is stopped, which also keeps a delayed order from taking effect, before
+ * its task starts elsewhere. A worker that does not answer keeps its runs until their lease has
+ * expired on the slowest clock the protocol allows. Ends are acknowledged to workers only after
+ * they are recorded in the log. Not thread-safe.
+ */
+public final class FleetScheduler {
+  private static final long STOP_RETRY_MILLIS = 300;
+
+  /** An unanswered start that the worker does not list after this time is stopped. */
+  private static final long START_PATIENCE_MILLIS = 400;
+
+  private final TaskBook book = new TaskBook();
+  private final WorkerBook workers;
+  private final List<OccurrenceState> order = new ArrayList<>();
+  private final long takeoverOffset;
+  private final long blockedUntilMillis;
+  private Set<String> runningServices = Set.of();
+
+  /**
+   * Creates the scheduler of a new owner.
+   *
+   * @param settings limits
+   * @param takeoverOffset end of the workflow log when the ownership was won
+   * @param nowMillis present time on the steady clock
+   */
+  public FleetScheduler(SchedulingSettings settings, long takeoverOffset, long nowMillis) {
+    this.takeoverOffset = takeoverOffset;
+    blockedUntilMillis = nowMillis + settings.takeoverBlockMillis();
+    workers = new WorkerBook(settings.maxLeaseMillis(), book);
+  }
+
+  /** Takes over a configuration: queues by name and the services whose workers run. */
+  public void configure(Map<String, QueuePolicy> queues, Set<String> services) {
+    book.configure(queues);
+    runningServices = Set.copyOf(services);
+  }
+
+  /** Takes over a change of a workflow. */
+  public void workflowChanged(
+      WorkflowEntry entry, long nowMillis, long wallMillis, boolean isBacklog) {
+    book.changed(entry, nowMillis, wallMillis, isBacklog);
+  }
+
+  /** Takes over the published list of workers. */
+  public void workersListed(Collection<WorkerFacts> listed, long nowMillis) {
+    workers.listed(listed, nowMillis);
+  }
+
+  /** Takes over a worker's lists; {@code sentMillis} is when they were asked for. */
+  public void reported(WorkerFacts asked, long sentMillis, WorkerReport report, long nowMillis) {
+    workers.reported(asked, sentMillis, report, nowMillis);
+  }
+
+  /** Notes that a worker did not answer, or that another process answers at its address. */
+  public void holdFailed(WorkerFacts asked, CallResult result) {
+    workers.holdFailed(asked, result);
+  }
+
+  /** Returns the requests for lists that are due, one for each worker that has none in flight. */
+  public List<HoldOrder> dueHolds(Set<String> inFlight, long nowMillis) {
+    return workers.dueHolds(inFlight, nowMillis);
+  }
+
+  /** Takes over the answer to an order. */
+  public void answered(Order order, CallResult result, long nowMillis) {
+    workers.answered(order, result, nowMillis);
+  }
+
+  /** Returns unrecorded changes, which count as handed over. */
+  public ProgressBatch takeProgress(long wallMillis) {
+    return new ProgressBatch(book.takeRecords(wallMillis), workers.takeEndMarks());
+  }
+
+  /** Notes that the records of a batch are durable. */
+  public void progressRecorded(ProgressBatch batch) {
+    workers.recorded(batch.ends());
+  }
+
+  /**
+   * Returns the orders to send now.
+   *
+   * @param nowMillis present time on the steady clock
+   * @param wallMillis present Unix time, for scheduled occurrences
+   * @param mayStart whether new runs may start
+   */
+  public List<Order> decide(long nowMillis, long wallMillis, boolean mayStart) {
+    List<Order> orders = new ArrayList<>();
+    workers.expire(nowMillis);
+    stopUnwanted(orders, nowMillis);
+    if (mayStart) {
+      order.clear();
+      book.all().forEach(order::addAll);
+      order.sort(QueueOrder.at(nowMillis, book));
+      for (OccurrenceState occurrence : order) {
+        place(occurrence, orders, nowMillis, wallMillis);
+      }
+    }
+    return orders;
+  }
+
+  private void stopUnwanted(List<Order> orders, long nowMillis) {
+    for (WorkerState worker : workers.all()) {
+      for (TaskRun run : worker.runs.values()) {
+        if (needsStop(run, nowMillis)) {
+          run.phase = TaskRun.Phase.STOPPING;
+          run.lastOrderMillis = nowMillis;
+          orders.add(new Order.Stop(worker.facts, run.task, run.number));
+        }
+      }
+    }
+  }
+
+  private boolean needsStop(TaskRun run, long nowMillis) {
+    long sinceOrder = nowMillis - run.lastOrderMillis;
+    if (run.phase == TaskRun.Phase.STOPPING) {
+      return run.settledAtMillis == Long.MAX_VALUE && sinceOrder >= STOP_RETRY_MILLIS;
+    }
+    if (run.phase == TaskRun.Phase.STARTING) {
+      return run.isUnanswered && sinceOrder >= START_PATIENCE_MILLIS;
+    }
+    TaskState task = book.task(run.task);
+    return task == null || task.isDone || !task.active.contains(run);
+  }
+
+  private void place(
+      OccurrenceState occurrence, List<Order> orders, long nowMillis, long wallMillis) {
+    if (wallMillis < occurrence.spec.dueMillis(occurrence.number)) {
+      return;
+    }
+    String service = book.policy(occurrence.spec).service();
+    if (!runningServices.contains(service) || isBlocked(occurrence, service, nowMillis)) {
+      return;
+    }
+    List<WorkerState> pool = workers.ofService(service);
+    for (int step = 0; step < occurrence.missing.length; step++) {
+      if (occurrence.missing[step] == 0 || !occurrence.isReady(step)) {
+        continue;
+      }
+      if (occurrence.step(step).gang()) {
+        placeGang(occurrence, step, pool, orders, nowMillis);
+      } else {
+        placeTasks(occurrence, step, pool, orders, nowMillis);
+      }
+    }
+  }
+
+  /** Returns whether a worker that is not heard yet may run tasks of the occurrence. */
+  private boolean isBlocked(OccurrenceState occurrence, String service, long nowMillis) {
+    return occurrence.submittedOffset < takeoverOffset
+        && nowMillis < blockedUntilMillis
+        && workers.hasUnheard(service);
+  }
+
+  private void placeTasks(
+      OccurrenceState occurrence,
+      int step,
+      List<WorkerState> pool,
+      List<Order> orders,
+      long nowMillis) {
+    int first = occurrence.spec.firstTask(step);
+    int count = occurrence.step(step).tasks();
+    for (int i = first; i < first + count; i++) {
+      TaskState task = occurrence.tasks[i];
+      if (!task.isRunnable()) {
+        continue;
+      }
+      WorkerState worker = Placement.choose(pool, occurrence, task, nowMillis);
+      if (worker == null) {
+        return;
+      }
+      start(occurrence, task, task.runs + 1, worker, orders, nowMillis);
+    }
+  }
+
+  private void placeGang(
+      OccurrenceState occurrence,
+      int step,
+      List<WorkerState> pool,
+      List<Order> orders,
+      long nowMillis) {
+    int first = occurrence.spec.firstTask(step);
+    List<TaskState> members = new ArrayList<>();
+    int run = 0;
+    for (int i = first; i < first + occurrence.step(step).tasks(); i++) {
+      TaskState task = occurrence.tasks[i];
+      if (!task.isRunnable()) {
+        return;
+      }
+      members.add(task);
+      run = Math.max(run, task.runs);
+    }
+    Map<TaskState, WorkerState> chosen = Placement.chooseAll(pool, occurrence, members, nowMillis);
+    if (chosen == null) {
+      return;
+    }
+    String checkpoint = members.get(0).checkpoint;
+    for (TaskState task : members) {
+      task.checkpoint = checkpoint;
+      start(occurrence, task, run + 1, chosen.get(task), orders, nowMillis);
+    }
+  }
+
+  private void start(
+      OccurrenceState occurrence,
+      TaskState task,
+      int run,
+      WorkerState worker,
+      List<Order> orders,
+      long nowMillis) {
+    StepSpec step = occurrence.step(task.step);
+    TaskId id = occurrence.taskId(task);
+    TaskRun started = new TaskRun(id, run, worker, step.reserved(), nowMillis);
+    task.runs = run;
+    task.active.add(started);
+    worker.add(started);
+    long until = worker.lease.grant(nowMillis);
+    orders.add(
+        new Order.Start(worker.facts, id, run, occurrence.spec.payload(), until, task.checkpoint));
+    if (occurrence.state == WorkflowState.PENDING) {
+      occurrence.state = WorkflowState.ACTIVE;
+      book.markDirty(occurrence);
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/Placement.java
@@ -0,0 +1,101 @@
+package org.persimmonloom.core.scheduling;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import org.persimmonloom.core.workflow.Resources;
+import org.persimmonloom.core.workflow.StepSpec;
+
+/**
+ * Chooses the worker of a task.
+ *
+ * <p>Short tasks go where the least room is left over, so that whole workers stay idle. Tasks that
+ * last go to the worker with the fewest of their kind. A worker where the task failed before, or
+ * that is far from its data, comes after all others. Stateless.
+ */
+final class Placement {
+  private static final double PENALTY_FAILED_HERE = 1_000;
+  private static final double PENALTY_FAR_FROM_DATA = 100;
+  private static final double PENALTY_PER_SERVING_TASK = 10;
+
+  private Placement() {}
+
+  /** Returns the best worker for the task, or null if none can take it now. */
+  static WorkerState choose(
+      Collection<WorkerState> workers, OccurrenceState occurrence, TaskState task, long nowMillis) {
+    WorkerState best = null;
+    double bestScore = Double.MAX_VALUE;
+    for (WorkerState worker : workers) {
+      if (!worker.mayStart(nowMillis) || !fits(worker, worker.free, occurrence, task.step, 0)) {
+        continue;
+      }
+      double score = score(worker, occurrence.step(task.step), task);
+      if (score < bestScore) {
+        best = worker;
+        bestScore = score;
+      }
+    }
+    return best;
+  }
+
+  /**
+   * Returns a worker for every task of a gang, or null if they don't all fit at once. The gang
+   * prefers one rack where its step asks for it.
+   */
+  static Map<TaskState, WorkerState> chooseAll(
+      Collection<WorkerState> workers,
+      OccurrenceState occurrence,
+      Collection<TaskState> tasks,
+      long nowMillis) {
+    Map<TaskState, WorkerState> chosen = new HashMap<>();
+    Map<WorkerState, Resources> free = new HashMap<>();
+    Map<WorkerState, Integer> added = new HashMap<>();
+    for (TaskState task : tasks) {
+      WorkerState found = null;
+      for (WorkerState worker : workers) {
+        Resources room = free.getOrDefault(worker, worker.free);
+        int count = added.getOrDefault(worker, 0);
+        if (worker.mayStart(nowMillis) && fits(worker, room, occurrence, task.step, count)) {
+          found = worker;
+          break;
+        }
+      }
+      if (found == null) {
+        return null;
+      }
+      chosen.put(task, found);
+      Resources reserved = occurrence.step(task.step).reserved();
+      free.put(found, free.getOrDefault(found, found.free).minus(reserved));
+      added.merge(found, 1, Integer::sum);
+    }
+    return chosen;
+  }
+
+  private static boolean fits(
+      WorkerState worker, Resources free, OccurrenceState occurrence, int stepIndex, int added) {
+    StepSpec step = occurrence.step(stepIndex);
+    if (!free.fits(step.reserved())) {
+      return false;
+    }
+    if (!step.label().isEmpty() && !worker.facts.labels().contains(step.label())) {
+      return false;
+    }
+    return step.maxPerWorker() == 0
+        || worker.countOf(occurrence, stepIndex) + added < step.maxPerWorker();
+  }
+
+  private static double score(WorkerState worker, StepSpec step, TaskState task) {
+    double score =
+        worker.free.cpuMillis() / (double) Math.max(1, worker.facts.capacity().cpuMillis());
+    if (step.longRunning()) {
+      score = PENALTY_PER_SERVING_TASK * worker.runs.size() - score;
+    }
+    if (task.failedOn.contains(worker.facts.id())) {
+      score += PENALTY_FAILED_HERE;
+    }
+    if (!step.dataRack().isEmpty() && !worker.facts.labels().contains(step.dataRack())) {
+      score += PENALTY_FAR_FROM_DATA;
+    }
+    return score;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/TaskBook.java
@@ -0,0 +1,143 @@
+package org.persimmonloom.core.scheduling;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.persimmonloom.core.workflow.OccurrenceProgress;
+import org.persimmonloom.core.workflow.QueuePolicy;
+import org.persimmonloom.core.workflow.TableRecord;
+import org.persimmonloom.core.workflow.TaskId;
+import org.persimmonloom.core.workflow.WorkflowEntry;
+import org.persimmonloom.core.workflow.WorkflowRecords;
+import org.persimmonloom.core.workflow.WorkflowSpec;
+import org.persimmonloom.core.workflow.WorkflowState;
+
+/**
+ * The occurrences that have not ended, and which of them have unrecorded changes. Not thread-safe.
+ */
+final class TaskBook {
+  /** Submissions that an earlier owner left are not taken to be older than this, in ms. */
+  private static final long MAX_BACKLOG_AGE_MILLIS = 60_000;
+
+  private final Map<String, List<OccurrenceState>> workflows = new HashMap<>();
+  private final Set<OccurrenceState> dirty = new LinkedHashSet<>();
+  private final WorkflowRecords records = new WorkflowRecords();
+  private Map<String, QueuePolicy> policies = Map.of();
+
+  void configure(Map<String, QueuePolicy> queues) {
+    policies = Map.copyOf(queues);
+  }
+
+  /**
+   * Returns the policy in force for a workflow; a withdrawn queue keeps the policy of submission.
+   */
+  QueuePolicy policy(WorkflowSpec spec) {
+    return policies.getOrDefault(spec.policy().queue(), spec.policy());
+  }
+
+  /** Takes over a change of the table. */
+  void changed(WorkflowEntry entry, long nowMillis, long wallMillis, boolean isBacklog) {
+    List<OccurrenceState> known = workflows.get(entry.id());
+    if (entry.state() == WorkflowState.CANCELLED) {
+      cancel(entry, known, nowMillis);
+    } else if (known == null && entry.spec().isPresent() && !entry.state().isFinal()) {
+      add(entry, nowMillis, wallMillis, isBacklog);
+    }
+  }
+
+  private void add(WorkflowEntry entry, long nowMillis, long wallMillis, boolean isBacklog) {
+    WorkflowSpec spec = entry.spec().orElseThrow();
+    long age = isBacklog ? wallMillis - spec.acceptedMillis() : 0;
+    long submitted = nowMillis - Math.max(0, Math.min(age, MAX_BACKLOG_AGE_MILLIS));
+    List<OccurrenceState> occurrences = new ArrayList<>();
+    for (int number = 0; number < spec.occurrences(); number++) {
+      OccurrenceProgress progress = entry.progress().get(number);
+      if (progress != null && progress.state().isFinal()) {
+        continue;
+      }
+      OccurrenceState occurrence =
+          new OccurrenceState(spec, number, entry.submittedOffset(), submitted);
+      if (progress != null) {
+        occurrence.restore(progress);
+      }
+      occurrences.add(occurrence);
+    }
+    workflows.put(entry.id(), occurrences);
+  }
+
+  private void cancel(WorkflowEntry entry, List<OccurrenceState> known, long nowMillis) {
+    if (known != null) {
+      for (OccurrenceState occurrence : List.copyOf(known)) {
+        end(occurrence, WorkflowState.CANCELLED);
+      }
+    } else if (entry.spec().isPresent()) {
+      add(entry, nowMillis, 0, false);
+      cancel(entry, workflows.get(entry.id()), nowMillis);
+    }
+  }
+
+  /** Ends an occurrence; its tasks are no longer wanted. */
+  void end(OccurrenceState occurrence, WorkflowState state) {
+    occurrence.state = state;
+    markDirty(occurrence);
+    List<OccurrenceState> siblings = workflows.get(occurrence.spec.id());
+    if (siblings == null) {
+      return;
+    }
+    siblings.remove(occurrence);
+    if (state == WorkflowState.FAILED) {
+      siblings.clear();
+    }
+    if (siblings.isEmpty()) {
+      workflows.remove(occurrence.spec.id());
+    }
+  }
+
+  void markDirty(OccurrenceState occurrence) {
+    occurrence.isDirty = true;
+    dirty.add(occurrence);
+  }
+
+  /** Returns the records of all unrecorded changes and counts them as recorded. */
+  List<TableRecord> takeRecords(long wallMillis) {
+    List<TableRecord> taken = new ArrayList<>();
+    for (OccurrenceState occurrence : dirty) {
+      occurrence.isDirty = false;
+      String id = occurrence.spec.id();
+      taken.add(records.progress(id, occurrence.number, occurrence.progress(wallMillis)));
+      if (occurrence.state.isFinal() && !workflows.containsKey(id)) {
+        taken.add(records.submissionRemoval(id));
+      }
+    }
+    dirty.clear();
+    return taken;
+  }
+
+  Collection<List<OccurrenceState>> all() {
+    return workflows.values();
+  }
+
+  /** Returns the occurrence a task belongs to, or null if it has ended or is unknown. */
+  OccurrenceState occurrence(TaskId id) {
+    List<OccurrenceState> occurrences = workflows.get(id.workflow());
+    if (occurrences == null) {
+      return null;
+    }
+    for (OccurrenceState occurrence : occurrences) {
+      if (occurrence.number == id.occurrence()) {
+        return occurrence;
+      }
+    }
+    return null;
+  }
+
+  /** Returns the task, or null if its occurrence has ended or is unknown. */
+  TaskState task(TaskId id) {
+    OccurrenceState occurrence = occurrence(id);
+    return occurrence == null ? null : occurrence.task(id);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/TaskRun.java
@@ -0,0 +1,45 @@
+package org.persimmonloom.core.scheduling;
+
+import org.persimmonloom.core.workflow.Resources;
+import org.persimmonloom.core.workflow.TaskId;
+
+/** A run of a task at a worker, as far as the owner knows. Not thread-safe. */
+final class TaskRun {
+  /** Progress of a run from its first order to its end. */
+  enum Phase {
+    STARTING,
+    RUNNING,
+    STOPPING
+  }
+
+  final TaskId task;
+  final int number;
+  final WorkerState worker;
+  final Resources reserved;
+  final long orderedAtMillis;
+  Phase phase = Phase.STARTING;
+
+  /** When the last order about this run was answered; a later report that lacks the run ends it. */
+  long settledAtMillis = Long.MAX_VALUE;
+
+  long lastOrderMillis;
+  String checkpoint = "";
+  int percent;
+  int load;
+  int pace = 100;
+  boolean isUnanswered;
+
+  TaskRun(TaskId task, int number, WorkerState worker, Resources reserved, long nowMillis) {
+    this.task = task;
+    this.number = number;
+    this.worker = worker;
+    this.reserved = reserved;
+    orderedAtMillis = nowMillis;
+    lastOrderMillis = nowMillis;
+  }
+
+  /** Returns whether the run works at full speed. */
+  boolean isAtWork() {
+    return phase == Phase.RUNNING && percent >= 100;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/TaskState.java
@@ -0,0 +1,32 @@
+package org.persimmonloom.core.scheduling;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/** A task of an occurrence. Not thread-safe. */
+final class TaskState {
+  final int position;
+  final int step;
+  final int index;
+  final List<TaskRun> active = new ArrayList<>();
+  final Set<String> failedOn = new HashSet<>();
+  boolean isDone;
+  int runs;
+  int failures;
+  String checkpoint = "";
+
+  /** Since when the task has had no run at work, for tasks that last. */
+  long awaySinceMillis;
+
+  TaskState(int position, int step, int index) {
+    this.position = position;
+    this.step = step;
+    this.index = index;
+  }
+
+  boolean isRunnable() {
+    return !isDone && active.isEmpty();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerBook.java
@@ -0,0 +1,319 @@
+package org.persimmonloom.core.scheduling;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.persimmonloom.core.workflow.Resources;
+import org.persimmonloom.core.workflow.TaskId;
+
+/**
+ * The workers, what runs on them and how far their ends are processed. Not thread-safe.
+ *
+ * <p>See {@link FleetScheduler} for the rules by which a run is taken to have ended.
+ */
+final class WorkerBook {
+  /** Lists are asked for at most this often while recorded ends are outstanding, in ms. */
+  private static final long UNRECORDED_POLL_MILLIS = 300;
+
+  /** Ends that come close together are fetched with one request, in ms. */
+  private static final long GATHER_MILLIS = 25;
+
+  /** A silent worker is asked again after this time, in ms. */
+  private static final long SILENT_RETRY_MILLIS = 400;
+
+  /** Well below the lease, so that a lost answer leaves time for another request, in ms. */
+  private static final int HOLD_WAIT_MILLIS = 1_500;
+
+  private static final long AVOID_FULL_MILLIS = 250;
+  private static final long AVOID_UNHEALTHY_MILLIS = 1_000;
+
+  private final Map<String, WorkerState> byId = new HashMap<>();
+  private final Map<String, List<WorkerState>> byService = new HashMap<>();
+  private final EndHandler ends;
+  private final TaskBook book;
+  private final long maxLeaseMillis;
+
+  WorkerBook(long maxLeaseMillis, TaskBook book) {
+    this.maxLeaseMillis = maxLeaseMillis;
+    this.book = book;
+    ends = new EndHandler(book);
+  }
+
+  Collection<WorkerState> all() {
+    return byId.values();
+  }
+
+  List<WorkerState> ofService(String service) {
+    return byService.getOrDefault(service, List.of());
+  }
+
+  boolean hasUnheard(String service) {
+    return ofService(service).stream().anyMatch(worker -> !worker.isHeard);
+  }
+
+  void listed(Collection<WorkerFacts> listed, long nowMillis) {
+    Set<String> present = new HashSet<>();
+    for (WorkerFacts facts : listed) {
+      present.add(facts.id());
+      WorkerState known = byId.get(facts.id());
+      if (known == null) {
+        byId.put(facts.id(), new WorkerState(facts, maxLeaseMillis));
+      } else if (isReborn(known, facts.bornMillis())) {
+        lose(known);
+        byId.put(facts.id(), new WorkerState(facts, maxLeaseMillis));
+      } else {
+        Resources used = known.facts.capacity().minus(known.free);
+        known.facts = facts;
+        known.free = facts.capacity().minus(used);
+        known.isListed = true;
+      }
+    }
+    for (WorkerState worker : List.copyOf(byId.values())) {
+      if (!present.contains(worker.facts.id())) {
+        worker.isListed = false;
+        if (worker.runs.isEmpty()) {
+          byId.remove(worker.facts.id());
+        }
+      }
+    }
+    byService.clear();
+    for (WorkerState worker : byId.values()) {
+      byService.computeIfAbsent(worker.facts.service(), key -> new ArrayList<>()).add(worker);
+    }
+  }
+
+  private static boolean isReborn(WorkerState known, long bornMillis) {
+    return bornMillis != 0 && known.bornMillis != 0 && bornMillis > known.bornMillis;
+  }
+
+  private WorkerState current(WorkerFacts facts) {
+    WorkerState worker = byId.get(facts.id());
+    boolean sameLife = worker != null && worker.facts.bornMillis() == facts.bornMillis();
+    return sameLife ? worker : null;
+  }
+
+  void reported(WorkerFacts asked, long sentMillis, WorkerReport report, long nowMillis) {
+    WorkerState worker = current(asked);
+    if (worker == null) {
+      return;
+    }
+    if (isReborn(worker, report.bornMillis())) {
+      lose(worker);
+      worker.lease = new LeaseClock(maxLeaseMillis);
+      worker.processedEnd = 0;
+      worker.handedOverEnd = 0;
+      worker.recordedEnd = 0;
+      worker.acknowledgedEnd = 0;
+    }
+    if (report.bornMillis() != 0) {
+      worker.bornMillis = report.bornMillis();
+    }
+    worker.lease.observe(report.clockMillis(), nowMillis);
+    worker.lastReportMillis = nowMillis;
+    worker.isHeard = true;
+    worker.isReachable = true;
+    for (EndedTask ended : report.ended()) {
+      if (ended.number() > worker.processedEnd) {
+        worker.processedEnd = ended.number();
+        ends.ended(worker, ended, nowMillis);
+      }
+    }
+    noteRunning(worker, sentMillis, report, nowMillis);
+  }
+
+  private void noteRunning(
+      WorkerState worker, long sentMillis, WorkerReport report, long nowMillis) {
+    Set<TaskId> present = new HashSet<>();
+    for (RunningTask running : report.running()) {
+      present.add(running.task());
+      TaskRun run = worker.runs.get(running.task());
+      if (run == null || run.number != running.run()) {
+        run = adopt(worker, running, nowMillis);
+      }
+      run.percent = running.percent();
+      run.load = running.load();
+      run.checkpoint = running.checkpoint();
+      if (run.phase == TaskRun.Phase.STARTING) {
+        run.phase = TaskRun.Phase.RUNNING;
+        run.settledAtMillis = nowMillis;
+        run.isUnanswered = false;
+      }
+      TaskState task = book.task(running.task());
+      if (task != null && !running.checkpoint().isEmpty()) {
+        task.checkpoint = running.checkpoint();
+      }
+    }
+    for (TaskRun run : List.copyOf(worker.runs.values())) {
+      if (!present.contains(run.task) && sentMillis > run.settledAtMillis) {
+        ends.remove(run);
+      }
+    }
+  }
+
+  private TaskRun adopt(WorkerState worker, RunningTask running, long nowMillis) {
+    TaskRun previous = worker.runs.get(running.task());
+    if (previous != null) {
+      ends.remove(previous);
+    }
+    OccurrenceState occurrence = book.occurrence(running.task());
+    TaskState task = occurrence == null ? null : occurrence.task(running.task());
+    Resources reserved = task == null ? Resources.NONE : occurrence.step(task.step).reserved();
+    TaskRun run = new TaskRun(running.task(), running.run(), worker, reserved, nowMillis);
+    run.phase = TaskRun.Phase.RUNNING;
+    run.settledAtMillis = nowMillis;
+    worker.add(run);
+    if (task != null) {
+      task.runs = Math.max(task.runs, running.run());
+      if (task.isRunnable() || occurrence.step(task.step).speculative()) {
+        task.active.add(run);
+      }
+    }
+    return run;
+  }
+
+  void holdFailed(WorkerFacts asked, CallResult result) {
+    WorkerState worker = current(asked);
+    if (worker == null) {
+      return;
+    }
+    if (result == CallResult.GONE) {
+      lose(worker);
+      worker.isListed = false;
+    }
+    worker.isReachable = false;
+  }
+
+  /** Drops the runs of a worker whose life is over; its tasks may start elsewhere. */
+  private void lose(WorkerState worker) {
+    for (TaskRun run : List.copyOf(worker.runs.values())) {
+      ends.remove(run);
+    }
+  }
+
+  void expire(long nowMillis) {
+    for (WorkerState worker : byId.values()) {
+      if (!worker.isReachable && !worker.runs.isEmpty() && worker.lease.isExpired(nowMillis)) {
+        lose(worker);
+      }
+    }
+  }
+
+  List<HoldOrder> dueHolds(Set<String> inFlight, long nowMillis) {
+    List<HoldOrder> due = new ArrayList<>();
+    for (WorkerState worker : byId.values()) {
+      if (!inFlight.contains(worker.facts.id()) && isHoldDue(worker, nowMillis)) {
+        worker.askedMillis = nowMillis;
+        due.add(hold(worker, nowMillis));
+      }
+    }
+    return due;
+  }
+
+  private boolean isHoldDue(WorkerState worker, long nowMillis) {
+    long sinceAsked = nowMillis - worker.askedMillis;
+    if (!worker.isListed && worker.runs.isEmpty()) {
+      return false;
+    }
+    if (!worker.isHeard || !worker.isReachable) {
+      return sinceAsked >= SILENT_RETRY_MILLIS;
+    }
+    long sinceReport = nowMillis - worker.lastReportMillis;
+    if (worker.processedEnd > worker.recordedEnd) {
+      return sinceReport >= UNRECORDED_POLL_MILLIS;
+    }
+    boolean isIdle = worker.runs.isEmpty() && worker.recordedEnd == worker.acknowledgedEnd;
+    return !isIdle && sinceReport >= GATHER_MILLIS;
+  }
+
+  private HoldOrder hold(WorkerState worker, long nowMillis) {
+    boolean mayWait =
+        worker.isHeard
+            && worker.isReachable
+            && worker.processedEnd == worker.recordedEnd
+            && worker.runs.values().stream().allMatch(run -> run.phase == TaskRun.Phase.RUNNING);
+    long until = worker.lease.isKnown() ? worker.lease.grant(nowMillis) : 0;
+    worker.acknowledgedEnd = worker.recordedEnd;
+    return new HoldOrder(worker.facts, until, worker.recordedEnd, mayWait ? HOLD_WAIT_MILLIS : 0);
+  }
+
+  void answered(Order order, CallResult result, long nowMillis) {
+    WorkerState worker = current(order.worker());
+    if (worker == null) {
+      return;
+    }
+    if (result == CallResult.GONE) {
+      holdFailed(order.worker(), result);
+      return;
+    }
+    TaskRun run = worker.runs.get(order.task());
+    if (run == null || run.number != order.run()) {
+      return;
+    }
+    if (order instanceof Order.Start) {
+      startAnswered(worker, run, result, nowMillis);
+    } else if (order instanceof Order.Stop) {
+      stopAnswered(worker, run, result, nowMillis);
+    }
+  }
+
+  private void startAnswered(WorkerState worker, TaskRun run, CallResult result, long nowMillis) {
+    switch (result) {
+      case ACCEPTED, RUN_SUPERSEDED -> {
+        run.settledAtMillis = nowMillis;
+        if (run.phase == TaskRun.Phase.STARTING) {
+          run.phase = TaskRun.Phase.RUNNING;
+        }
+      }
+      case UNKNOWN -> {
+        run.isUnanswered = true;
+        run.lastOrderMillis = nowMillis;
+        worker.isReachable = false;
+      }
+      case NOT_SENT -> {
+        worker.isReachable = false;
+        ends.remove(run);
+      }
+      case NO_ROOM -> {
+        worker.avoidUntilMillis = nowMillis + AVOID_FULL_MILLIS;
+        ends.remove(run);
+      }
+      default -> {
+        worker.avoidUntilMillis = nowMillis + AVOID_UNHEALTHY_MILLIS;
+        ends.remove(run);
+      }
+    }
+  }
+
+  private void stopAnswered(WorkerState worker, TaskRun run, CallResult result, long nowMillis) {
+    switch (result) {
+      case UNKNOWN, NOT_SENT -> worker.isReachable = false;
+      case ACCEPTED, RUN_SUPERSEDED -> run.settledAtMillis = nowMillis;
+      default -> run.lastOrderMillis = nowMillis;
+    }
+  }
+
+  List<ProgressBatch.EndMark> takeEndMarks() {
+    List<ProgressBatch.EndMark> marks = new ArrayList<>();
+    for (WorkerState worker : byId.values()) {
+      if (worker.processedEnd > worker.handedOverEnd) {
+        worker.handedOverEnd = worker.processedEnd;
+        marks.add(
+            new ProgressBatch.EndMark(worker.facts.id(), worker.bornMillis, worker.processedEnd));
+      }
+    }
+    return marks;
+  }
+
+  void recorded(List<ProgressBatch.EndMark> marks) {
+    for (ProgressBatch.EndMark mark : marks) {
+      WorkerState worker = byId.get(mark.worker());
+      if (worker != null && worker.bornMillis == mark.bornMillis()) {
+        worker.recordedEnd = Math.max(worker.recordedEnd, mark.number());
+      }
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/persimmonloom/core/workflow/WorkflowRecords.java
@@ -0,0 +1,102 @@
+package org.persimmonloom.core.workflow;
+
+import io.vavr.control.Either;
+import java.util.Map;
+import java.util.Optional;
+import org.persimmonloom.core.result.Failure;
+import org.persimmonloom.core.wire.Codec;
+
+/**
+ * Forms and reads the table records of workflows. A submission, a cancellation and the progress of
+ * each occurrence have keys of their own, so that submitters and the owner never overwrite each
+ * other. Immutable and safe for any thread.
+ */
+public final class WorkflowRecords {
+  private static final String SUBMISSION = "s.";
+  private static final String CANCELLATION = "c.";
+  private static final String PROGRESS = "p.";
+  private static final byte[] MARK = {1};
+
+  private final Codec codec = new Codec(Map.of());
+
+  /** Kinds of record. */
+  public enum Kind {
+    SUBMISSION,
+    CANCELLATION,
+    PROGRESS
+  }
+
+  /**
+   * Names the entry that a record changes.
+   *
+   * @param kind kind of the record
+   * @param workflow identifier of the workflow
+   * @param occurrence occurrence of a progress record, otherwise 0
+   */
+  public record Entry(Kind kind, String workflow, int occurrence) {}
+
+  /** Returns the record that submits a workflow. */
+  public TableRecord submission(WorkflowSpec spec) {
+    return new TableRecord(SUBMISSION + spec.id(), codec.encode(spec));
+  }
+
+  /** Returns the record that cancels a workflow. */
+  public TableRecord cancellation(String workflow) {
+    return new TableRecord(CANCELLATION + workflow, MARK);
+  }
+
+  /** Returns the record of an occurrence's progress. */
+  public TableRecord progress(String workflow, int occurrence, OccurrenceProgress progress) {
+    return new TableRecord(progressKey(workflow, occurrence), codec.encode(progress));
+  }
+
+  /** Returns the record that removes a submission. */
+  public TableRecord submissionRemoval(String workflow) {
+    return new TableRecord(SUBMISSION + workflow, null);
+  }
+
+  /** Returns the record that removes a cancellation. */
+  public TableRecord cancellationRemoval(String workflow) {
+    return new TableRecord(CANCELLATION + workflow, null);
+  }
+
+  /** Returns the record that removes an occurrence's progress. */
+  public TableRecord progressRemoval(String workflow, int occurrence) {
+    return new TableRecord(progressKey(workflow, occurrence), null);
+  }
+
+  private static String progressKey(String workflow, int occurrence) {
+    return PROGRESS + workflow + '.' + occurrence;
+  }
+
+  /** Returns which entry a key names; empty for a key of another form. */
+  public Optional<Entry> entry(String key) {
+    if (key.startsWith(SUBMISSION)) {
+      return Optional.of(new Entry(Kind.SUBMISSION, key.substring(SUBMISSION.length()), 0));
+    }
+    if (key.startsWith(CANCELLATION)) {
+      return Optional.of(new Entry(Kind.CANCELLATION, key.substring(CANCELLATION.length()), 0));
+    }
+    int dot = key.lastIndexOf('.');
+    if (!key.startsWith(PROGRESS) || dot <= PROGRESS.length()) {
+      return Optional.empty();
+    }
+    try {
+      int occurrence = Integer.parseInt(key.substring(dot + 1));
+      String workflow = key.substring(PROGRESS.length(), dot);
+      return Optional.of(new Entry(Kind.PROGRESS, workflow, occurrence));
+    } catch (NumberFormatException e) {
+      return Optional.empty();
+    }
+  }
+
+  /** Reads the value of a submission. */
+  public Either<Failure, WorkflowSpec> readSubmission(byte[] value) {
+    return codec.decode(value, WorkflowSpec.class);
+  }
+
+  /** Reads the value of a progress record. */
+  public Either<Failure, OccurrenceProgress> readProgress(byte[] value) {
+    return codec.decode(value, OccurrenceProgress.class);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/persimmonloom/core/workflow/WorkflowTable.java
@@ -0,0 +1,96 @@
+package org.persimmonloom.core.workflow;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * All workflows, folded from the keyed records of the platform log.
+ *
+ * <p>Applying the newest record of each key in any order, and the log from there on, gives the same
+ * table as the whole log. Not thread-safe.
+ */
+public final class WorkflowTable {
+  private final WorkflowRecords records = new WorkflowRecords();
+  private final Map<String, WorkflowEntry> entries = new HashMap<>();
+  private long unreadable;
+
+  /** Applies a record and returns the workflow it changed; empty if the record is unreadable. */
+  public Optional<WorkflowEntry> apply(TableRecord record, long offset) {
+    Optional<WorkflowRecords.Entry> target = records.entry(record.key());
+    if (target.isEmpty()) {
+      unreadable++;
+      return Optional.empty();
+    }
+    String id = target.get().workflow();
+    WorkflowEntry entry = entries.computeIfAbsent(id, WorkflowEntry::new);
+    change(entry, target.get(), record.value(), offset);
+    if (entry.isEmpty()) {
+      entries.remove(id);
+    }
+    return Optional.of(entry);
+  }
+
+  private void change(
+      WorkflowEntry entry, WorkflowRecords.Entry target, byte[] value, long offset) {
+    switch (target.kind()) {
+      case SUBMISSION -> {
+        if (value == null) {
+          entry.removeSubmission();
+        } else {
+          records
+              .readSubmission(value)
+              .peek(spec -> entry.submit(spec, offset))
+              .peekLeft(failure -> unreadable++);
+        }
+      }
+      case CANCELLATION -> {
+        if (value == null) {
+          entry.removeCancellation();
+        } else {
+          entry.cancel(offset);
+        }
+      }
+      case PROGRESS -> {
+        if (value == null) {
+          entry.removeProgress(target.occurrence());
+        } else {
+          records
+              .readProgress(value)
+              .peek(progress -> entry.record(target.occurrence(), progress, offset))
+              .peekLeft(failure -> unreadable++);
+        }
+      }
+      default -> throw new AssertionError(target.kind());
+    }
+  }
+
+  /** Returns the workflow with the given identifier. */
+  public Optional<WorkflowEntry> find(String id) {
+    return Optional.ofNullable(entries.get(id));
+  }
+
+  /** Returns all workflows, in no particular order. */
+  public Collection<WorkflowEntry> all() {
+    return entries.values();
+  }
+
+  /** Returns how many untimed workflows of a queue have no started task. */
+  public int waiting(String queue) {
+    int waiting = 0;
+    for (WorkflowEntry entry : entries.values()) {
+      if (entry.state() == WorkflowState.PENDING
+          && entry.spec().isPresent()
+          && queue.equals(entry.queue().orElse(""))) {
+        waiting++;
+      }
+    }
+    return waiting;
+  }
+
+  /** Returns how many records could not be read. */
+  public long unreadable() {
+    return unreadable;
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/FleetServices.java
@@ -0,0 +1,35 @@
+package org.persimmonloom.runtime.workflow;
+
+import java.time.InstantSource;
+import java.util.function.LongSupplier;
+import org.persimmonloom.core.scheduling.SchedulingSettings;
+
+/**
+ * What a term of ownership works with.
+ *
+ * @param log the platform's log
+ * @param gateway calls to workers
+ * @param decoder reads the platform's records
+ * @param workflows replica of the workflow table
+ * @param workflowFollower follower of the workflow table
+ * @param configuration newest configuration
+ * @param scheduling limits of the scheduler
+ * @param clock steady clock in milliseconds
+ * @param wallClock time of day
+ */
+public record FleetServices(
+    KeyedLog log,
+    WorkerGateway gateway,
+    PlatformDecoder decoder,
+    WorkflowReplica workflows,
+    TableFollower workflowFollower,
+    ConfigurationReplica configuration,
+    SchedulingSettings scheduling,
+    LongSupplier clock,
+    InstantSource wallClock) {
+  /** Lets records gather between two reads of a host that only answers for states, in ms. */
+  static final long FOLLOWER_PAUSE_MILLIS = 120;
+
+  /** The owner reads submissions sooner, in ms. */
+  static final long OWNER_PAUSE_MILLIS = 10;
+}
--- /dev/null
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
@@ -0,0 +1,267 @@
+package org.persimmonloom.runtime.workflow;
+
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.persimmonloom.core.scheduling.CallResult;
+import org.persimmonloom.core.scheduling.FleetScheduler;
+import org.persimmonloom.core.scheduling.HoldOrder;
+import org.persimmonloom.core.scheduling.Order;
+import org.persimmonloom.core.scheduling.ProgressBatch;
+import org.persimmonloom.core.scheduling.SchedulingSettings;
+import org.persimmonloom.core.workflow.WorkflowEntry;
+
+/**
+ * One term of ownership: feeds the scheduler with changes and carries out its decisions.
+ *
+ * <p>All decisions run on one thread; calls run on others and report back to it. Start and stop are
+ * safe for any thread.
+ */
+final class OwnerSession {
+  private static final Logger LOG = LogManager.getLogger(OwnerSession.class);
+
+  /** Changes that come close together lead to one pass. */
+  private static final long GATHER_MILLIS = 4;
+
+  private static final long TICK_MILLIS = 100;
+
+  /** Progress is recorded at most this often. */
+  private static final long RECORD_MILLIS = 25;
+
+  private static final String PRODUCER = "fleet-owner";
+
+  private final long fence;
+  private final FleetServices services;
+  private final Runnable depose;
+  private final LongSupplier confirmedMillis;
+  private final ScheduledExecutorService loop;
+  private final ExecutorService calls;
+  private final TableWriter writer;
+  private final TableFollower workerFollower;
+  private final WorkerReplica workers;
+  private final WorkerChannels channels;
+  private FleetScheduler scheduler;
+  private boolean isPassPending;
+  private boolean isRecording;
+  private long lastRecordMillis;
+
+  OwnerSession(long fence, FleetServices services, Runnable depose, LongSupplier confirmedMillis) {
+    this.fence = fence;
+    this.services = services;
+    this.depose = depose;
+    this.confirmedMillis = confirmedMillis;
+    loop = Executors.newSingleThreadScheduledExecutor(task -> daemon(task, "owner-loop"));
+    calls = Executors.newCachedThreadPool(task -> daemon(task, "owner-call"));
+    writer = new TableWriter(services.log(), Table.WORKFLOWS, PRODUCER, fence, services.clock());
+    workers =
+        new WorkerReplica(
+            services.decoder(), listed -> post(() -> scheduler.workersListed(listed, now())));
+    workerFollower =
+        new TableFollower(services.log(), Table.WORKERS, workers, services.clock(), 1_000, 250);
+    channels =
+        new WorkerChannels(
+            services.gateway(),
+            fence,
+            calls,
+            this::execute,
+            services.clock(),
+            new WorkerChannels.Listener() {
+              @Override
+              public void answered(Order order, CallResult result) {
+                orderAnswered(order, result);
+              }
+
+              @Override
+              public void held(HoldOrder order, long sentMillis, WorkerGateway.HoldAnswer answer) {
+                holdAnswered(order, sentMillis, answer);
+              }
+            });
+  }
+
+  private static Thread daemon(Runnable task, String name) {
+    Thread thread = new Thread(task, name);
+    thread.setDaemon(true);
+    return thread;
+  }
+
+  /** Starts the term; the calling thread does not wait. */
+  void start() {
+    execute(this::takeOver);
+  }
+
+  /** Ends the term; orders that are on their way are refused by their fence. */
+  void stop() {
+    services.workflows().ignore();
+    services.workflowFollower().setPauseMillis(FleetServices.FOLLOWER_PAUSE_MILLIS);
+    services.configuration().observe(configuration -> {});
+    workerFollower.stop();
+    loop.shutdownNow();
+    calls.shutdownNow();
+    writer.stop();
+  }
+
+  /** Waits until recorded progress is durable, for at most the given time. */
+  void flush(long millis) throws InterruptedException {
+    execute(this::record);
+    long until = now() + millis;
+    while (now() < until && isRecording) {
+      TimeUnit.MILLISECONDS.sleep(10);
+    }
+  }
+
+  private void takeOver() {
+    if (!services.workflowFollower().refresh() || services.configuration().newest().isEmpty()) {
+      loop.schedule(this::takeOver, 50, TimeUnit.MILLISECONDS);
+      return;
+    }
+    SchedulingSettings settings = services.scheduling();
+    scheduler = new FleetScheduler(settings, services.workflowFollower().end(), now());
+    configure(services.configuration().newest().orElseThrow());
+    services.configuration().observe(changed -> post(() -> configure(changed)));
+    services.workflows().observe(this::workflowChanged);
+    services.workflowFollower().setPauseMillis(FleetServices.OWNER_PAUSE_MILLIS);
+    writer.start();
+    workerFollower.start();
+    loop.scheduleWithFixedDelay(this::tick, 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    LOG.info("event=term_started fence={} end={}", fence, services.workflowFollower().end());
+  }
+
+  private void configure(FleetConfiguration configuration) {
+    scheduler.configure(configuration.policies(), configuration.services());
+  }
+
+  private void workflowChanged(WorkflowEntry entry, boolean isBacklog) {
+    WorkflowEntry copy = entry.copy();
+    post(() -> scheduler.workflowChanged(copy, now(), services.wallClock().millis(), isBacklog));
+  }
+
+  private void execute(Runnable task) {
+    try {
+      loop.execute(
+          () -> {
+            try {
+              task.run();
+            } catch (RuntimeException e) {
+              LOG.error("event=owner_failed fence={}", fence, e);
+            }
+          });
+    } catch (RejectedExecutionException e) {
+      LOG.debug("event=term_over fence={}", fence);
+    }
+  }
+
+  /** Runs a change on the loop, then a pass soon after. */
+  private void post(Runnable change) {
+    execute(
+        () -> {
+          change.run();
+          requestPass();
+        });
+  }
+
+  private void requestPass() {
+    if (!isPassPending) {
+      isPassPending = true;
+      loop.schedule(() -> guarded(this::pass), GATHER_MILLIS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void tick() {
+    guarded(this::pass);
+  }
+
+  private void guarded(Runnable task) {
+    try {
+      task.run();
+    } catch (RuntimeException e) {
+      LOG.error("event=owner_failed fence={}", fence, e);
+    }
+  }
+
+  private void pass() {
+    isPassPending = false;
+    long now = now();
+    workers.publishOnce(workerFollower.isLoaded());
+    long unconfirmed = now - confirmedMillis.getAsLong();
+    boolean mayOrder = unconfirmed < services.scheduling().ownerPatienceMillis();
+    if (!mayOrder) {
+      return;
+    }
+    for (Order order : scheduler.decide(now, services.wallClock().millis(), true)) {
+      channels.send(order);
+    }
+    for (HoldOrder hold : scheduler.dueHolds(channels.holding(), now)) {
+      channels.hold(hold);
+    }
+    record();
+  }
+
+  private void record() {
+    long now = now();
+    if (scheduler == null || isRecording || now - lastRecordMillis < RECORD_MILLIS) {
+      return;
+    }
+    ProgressBatch batch = scheduler.takeProgress(services.wallClock().millis());
+    if (batch.isEmpty()) {
+      return;
+    }
+    lastRecordMillis = now;
+    if (batch.records().isEmpty()) {
+      scheduler.progressRecorded(batch);
+      return;
+    }
+    isRecording = true;
+    writer
+        .append(batch.records(), Long.MAX_VALUE)
+        .thenAccept(outcome -> post(() -> recorded(batch, outcome)));
+  }
+
+  private void recorded(ProgressBatch batch, TableWriter.Outcome outcome) {
+    isRecording = false;
+    if (outcome == TableWriter.Outcome.WRITTEN) {
+      scheduler.progressRecorded(batch);
+    } else {
+      depose.run();
+    }
+  }
+
+  private void orderAnswered(Order order, CallResult result) {
+    if (result != CallResult.ACCEPTED) {
+      LOG.info(
+          "event=order_not_accepted order={} task={} run={} worker={} result={}",
+          order.getClass().getSimpleName(),
+          order.task(),
+          order.run(),
+          order.worker().id(),
+          result);
+    }
+    if (result == CallResult.FENCED) {
+      depose.run();
+      return;
+    }
+    scheduler.answered(order, result, now());
+    requestPass();
+  }
+
+  private void holdAnswered(HoldOrder order, long sentMillis, WorkerGateway.HoldAnswer answer) {
+    if (answer.result() == CallResult.ACCEPTED) {
+      scheduler.reported(order.worker(), sentMillis, answer.report(), now());
+    } else if (answer.result() == CallResult.FENCED) {
+      depose.run();
+      return;
+    } else {
+      LOG.info("event=worker_silent worker={} result={}", order.worker().id(), answer.result());
+      scheduler.holdFailed(order.worker(), answer.result());
+    }
+    requestPass();
+  }
+
+  private long now() {
+    return services.clock().getAsLong();
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/Ownership.java
@@ -0,0 +1,280 @@
+package org.persimmonloom.runtime.workflow;
+
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.persimmonloom.core.wire.Codec;
+import org.persimmonloom.core.workflow.TableRecord;
+
+/**
+ * Decides in the platform's log which entry host owns the fleet.
+ *
+ * <p>Every record of the ownership table is appended on the condition that nothing follows the
+ * record it is based on, so the table holds one sequence of owners. The offset of the record that
+ * won is the owner's fence; fences only rise. The owner renews its record; a host that has read for
+ * {@link #CLAIM_AFTER_MILLIS} without a gap that no renewal came may take over. Runs on a thread of
+ * its own; the methods are safe for any thread.
+ */
+public final class Ownership {
+  /** Hears of gain and loss; called on the ownership's thread. */
+  public interface Listener {
+    /** This host owns the fleet under the given fence. */
+    void gained(long fence);
+
+    /** This host no longer owns the fleet. */
+    void lost();
+  }
+
+  private static final Logger LOG = LogManager.getLogger(Ownership.class);
+  private static final String KEY = "fleet";
+  private static final long RENEW_MILLIS = 800;
+  private static final long CLAIM_AFTER_MILLIS = 2_200;
+  private static final int READ_WAIT_MILLIS = 500;
+  private static final long RETRY_MILLIS = 100;
+
+  /** Candidates claim one after the other, so that most see the first one's record in time. */
+  private static final int MAX_STAGGER_MILLIS = 150;
+
+  private final KeyedLog log;
+  private final String host;
+  private final long incarnation;
+  private final LongSupplier clock;
+  private final Listener listener;
+  private final Codec codec = new Codec(Map.of());
+  private final Thread thread;
+  private volatile boolean isStopping;
+  private volatile boolean mayClaim;
+  private volatile long fence = -1;
+  private volatile long confirmedMillis;
+  private long end;
+  private boolean isLoaded;
+  private OwnershipRecord newest;
+  private long unchangedSinceMillis;
+  private long lastReadMillis;
+
+  /**
+   * Creates the ownership of one host.
+   *
+   * @param incarnation start of this process
+   * @param clock steady clock in milliseconds
+   */
+  public Ownership(
+      KeyedLog log, String host, long incarnation, LongSupplier clock, Listener listener) {
+    this.log = log;
+    this.host = host;
+    this.incarnation = incarnation;
+    this.clock = clock;
+    this.listener = listener;
+    thread = new Thread(this::run, "ownership");
+    thread.setDaemon(true);
+  }
+
+  /** Starts watching. */
+  public void start() {
+    thread.start();
+  }
+
+  /** Gives up the ownership, if this host has it, and claims no more. Blocks for one append. */
+  public void stop() throws InterruptedException {
+    isStopping = true;
+    thread.interrupt();
+    thread.join(TimeUnit.SECONDS.toMillis(2));
+  }
+
+  /** Lets this host claim the ownership, or keeps it from doing so. */
+  public void setMayClaim(boolean allowed) {
+    mayClaim = allowed;
+  }
+
+  /** Returns the steady time at which the last successful renewal was sent. */
+  public long confirmedMillis() {
+    return confirmedMillis;
+  }
+
+  /** Gives up the ownership because a worker or the platform has seen a newer fence. */
+  public void depose() {
+    if (fence >= 0) {
+      loseOwnership("fenced");
+    }
+  }
+
+  private void run() {
+    while (!isStopping) {
+      try {
+        if (!isLoaded) {
+          load();
+        } else if (fence >= 0) {
+          renew();
+        } else {
+          watch();
+        }
+      } catch (InterruptedException e) {
+        break;
+      } catch (RuntimeException e) {
+        LOG.error("event=ownership_failed", e);
+      }
+    }
+    if (fence >= 0) {
+      release();
+    }
+  }
+
+  private void load() throws InterruptedException {
+    LogReadResult result = log.newest(Table.OWNERSHIP);
+    if (result instanceof LogReadResult.Records records) {
+      records.records().forEach(this::note);
+      end = records.end();
+      isLoaded = true;
+      unchangedSinceMillis = clock.getAsLong();
+      lastReadMillis = unchangedSinceMillis;
+    } else {
+      TimeUnit.MILLISECONDS.sleep(RETRY_MILLIS);
+    }
+  }
+
+  private void note(StoredRecord stored) {
+    if (stored.record().value() == null) {
+      return;
+    }
+    codec
+        .decode(stored.record().value(), OwnershipRecord.class)
+        .peek(
+            record -> {
+              long won = record.fence() == 0 ? stored.offset() + 1 : record.fence();
+              newest =
+                  new OwnershipRecord(
+                      record.host(), record.incarnation(), won, record.isReleased());
+            })
+        .peekLeft(failure -> LOG.warn("event=ownership_unreadable cause={}", failure));
+  }
+
+  /** Reads on; a long enough time without a new record, or a release, lets this host claim. */
+  private void watch() throws InterruptedException {
+    long sent = clock.getAsLong();
+    if (sent - lastReadMillis > CLAIM_AFTER_MILLIS) {
+      // Time in which this host did not read, such as a freeze, is no evidence of silence.
+      unchangedSinceMillis = sent;
+    }
+    LogReadResult result = log.read(Table.OWNERSHIP, end, READ_WAIT_MILLIS);
+    if (result instanceof LogReadResult.Expired) {
+      isLoaded = false;
+      return;
+    }
+    if (!(result instanceof LogReadResult.Records records)) {
+      unchangedSinceMillis = clock.getAsLong();
+      lastReadMillis = unchangedSinceMillis;
+      TimeUnit.MILLISECONDS.sleep(RETRY_MILLIS);
+      return;
+    }
+    lastReadMillis = clock.getAsLong();
+    if (!records.records().isEmpty()) {
+      records.records().forEach(this::note);
+      end = records.end();
+      unchangedSinceMillis = lastReadMillis;
+    }
+    if (isOwnRecord()) {
+      // The answer to the claim was lost, or arrived after this host had stopped waiting.
+      gain(newest.fence(), sent);
+      return;
+    }
+    boolean isFree = newest == null || newest.isReleased();
+    boolean isSilent = sent - unchangedSinceMillis >= CLAIM_AFTER_MILLIS;
+    if (mayClaim && (isFree || isSilent)) {
+      claim();
+    }
+  }
+
+  private void claim() throws InterruptedException {
+    TimeUnit.MILLISECONDS.sleep(Math.floorMod(host.hashCode(), MAX_STAGGER_MILLIS));
+    long sent = clock.getAsLong();
+    AppendResult result =
+        log.appendAt(
+            Table.OWNERSHIP, end, record(new OwnershipRecord(host, incarnation, 0, false)));
+    if (result instanceof AppendResult.Appended appended) {
+      end = appended.end();
+      // An offset can be 0, and workers treat a missing fence as 0.
+      gain(appended.offset() + 1, sent);
+    } else {
+      LOG.info("event=claim_failed at={} result={}", end, result);
+      unchangedSinceMillis = clock.getAsLong();
+    }
+  }
+
+  private boolean isOwnRecord() {
+    return newest != null
+        && !newest.isReleased()
+        && newest.host().equals(host)
+        && newest.incarnation() == incarnation;
+  }
+
+  private void gain(long wonFence, long confirmed) {
+    confirmedMillis = confirmed;
+    fence = wonFence;
+    LOG.info("event=ownership_gained fence={} previous={}", fence, newest);
+    listener.gained(wonFence);
+  }
+
+  private void renew() throws InterruptedException {
+    TimeUnit.MILLISECONDS.sleep(RENEW_MILLIS);
+    if (fence < 0) {
+      return;
+    }
+    long sent = clock.getAsLong();
+    AppendResult result =
+        log.appendAt(
+            Table.OWNERSHIP, end, record(new OwnershipRecord(host, incarnation, fence, false)));
+    if (result instanceof AppendResult.Appended appended) {
+      end = appended.end();
+      confirmedMillis = sent;
+    } else if (result instanceof AppendResult.Conflict) {
+      resolveConflict(sent);
+    } else {
+      LOG.warn("event=renewal_failed fence={} result={}", fence, result);
+    }
+  }
+
+  /** A renewal whose answer was lost leaves a record of this host's own behind. */
+  private void resolveConflict(long sent) {
+    LogReadResult result = log.read(Table.OWNERSHIP, end, 0);
+    if (!(result instanceof LogReadResult.Records records)) {
+      isLoaded = isLoaded && !(result instanceof LogReadResult.Expired);
+      if (!isLoaded) {
+        loseOwnership("expired");
+      }
+      return;
+    }
+    records.records().forEach(this::note);
+    end = records.end();
+    if (newest != null && newest.fence() == fence && newest.incarnation() == incarnation) {
+      confirmedMillis = sent;
+    } else {
+      loseOwnership("superseded by " + newest);
+    }
+  }
+
+  private synchronized void loseOwnership(String cause) {
+    if (fence < 0) {
+      return;
+    }
+    LOG.info("event=ownership_lost fence={} cause={}", fence, cause);
+    fence = -1;
+    unchangedSinceMillis = clock.getAsLong();
+    lastReadMillis = unchangedSinceMillis;
+    listener.lost();
+  }
+
+  private void release() {
+    AppendResult result =
+        log.appendAt(
+            Table.OWNERSHIP, end, record(new OwnershipRecord(host, incarnation, fence, true)));
+    LOG.info("event=ownership_released fence={} result={}", fence, result);
+    fence = -1;
+    listener.lost();
+  }
+
+  private TableRecord record(OwnershipRecord value) {
+    return new TableRecord(KEY, codec.encode(value));
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/PlatformDecoder.java
@@ -0,0 +1,17 @@
+package org.persimmonloom.runtime.workflow;
+
+import java.util.Optional;
+import org.persimmonloom.core.scheduling.WorkerFacts;
+import org.persimmonloom.core.workflow.TableRecord;
+
+/**
+ * Reads records that operators and workers write in the platform's own form. Unreadable or foreign
+ * records are empty. Safe for any thread.
+ */
+public interface PlatformDecoder {
+  /** Reads a configuration. */
+  Optional<FleetConfiguration> configuration(TableRecord record);
+
+  /** Reads what a worker publishes of itself. */
+  Optional<WorkerFacts> worker(TableRecord record);
+}
--- /dev/null
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/Table.java
@@ -0,0 +1,15 @@
+package org.persimmonloom.runtime.workflow;
+
+/** Keyed tables in the platform's log. */
+public enum Table {
+  /** Submissions, cancellations and progress of workflows. */
+  WORKFLOWS,
+  /** The present owner of the fleet. */
+  OWNERSHIP,
+  /** Configuration and maintenance waves; written by operators. */
+  OPERATIONS,
+  /** Workers; written by the workers. */
+  WORKERS,
+  /** Progress of maintenance waves, read by operators. */
+  STATUS
+}
--- /dev/null
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/TableWriter.java
@@ -0,0 +1,145 @@
+package org.persimmonloom.runtime.workflow;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.persimmonloom.core.workflow.TableRecord;
+
+/**
+ * Appends records of one writer in groups, one append in flight at a time.
+ *
+ * <p>An unanswered append is repeated with its sequence number until it is answered, so that its
+ * records are appended exactly once. Only records whose append was refused for certain each time
+ * are reported as not written. Safe for any thread.
+ */
+public final class TableWriter {
+  /** How an append ended. */
+  public enum Outcome {
+    WRITTEN,
+    /** Nothing was written, and nothing will be. */
+    NOT_WRITTEN,
+    /** A newer epoch of this writer exists. */
+    FENCED
+  }
+
+  private static final Logger LOG = LogManager.getLogger(TableWriter.class);
+  private static final int MAX_GROUP = 200;
+  private static final long RETRY_MILLIS = 40;
+  private static final long MAX_RETRY_MILLIS = 400;
+
+  private final KeyedLog log;
+  private final Table table;
+  private final String producer;
+  private final long epoch;
+  private final LongSupplier clock;
+  private final BlockingQueue<Item> queue = new LinkedBlockingQueue<>();
+  private final Thread thread;
+  private volatile boolean isStopped;
+  private long sequence;
+
+  private record Item(
+      List<TableRecord> records, long giveUpMillis, CompletableFuture<Outcome> outcome) {}
+
+  /**
+   * Creates a writer.
+   *
+   * @param producer name of the writer
+   * @param epoch epoch of the writer; a higher one shuts out this one
+   * @param clock steady clock in milliseconds
+   */
+  public TableWriter(KeyedLog log, Table table, String producer, long epoch, LongSupplier clock) {
+    this.log = log;
+    this.table = table;
+    this.producer = producer;
+    this.epoch = epoch;
+    this.clock = clock;
+    thread = new Thread(this::run, "append-" + producer);
+    thread.setDaemon(true);
+  }
+
+  /** Starts appending. */
+  public void start() {
+    thread.start();
+  }
+
+  /** Stops; records that are not written yet stay undecided. */
+  public void stop() {
+    isStopped = true;
+    thread.interrupt();
+  }
+
+  /**
+   * Appends records together.
+   *
+   * @param giveUpMillis steady time after which a refusal is final
+   */
+  public CompletableFuture<Outcome> append(List<TableRecord> records, long giveUpMillis) {
+    Item item = new Item(records, giveUpMillis, new CompletableFuture<>());
+    queue.add(item);
+    return item.outcome();
+  }
+
+  private void run() {
+    try {
+      while (!isStopped) {
+        List<Item> group = new ArrayList<>();
+        group.add(queue.take());
+        queue.drainTo(group, MAX_GROUP - 1);
+        sequence++;
+        write(group);
+      }
+    } catch (InterruptedException e) {
+      LOG.debug("event=writer_stopped producer={}", producer);
+    }
+  }
+
+  private void write(List<Item> group) throws InterruptedException {
+    boolean isUncertain = false;
+    long delay = RETRY_MILLIS;
+    while (!group.isEmpty()) {
+      List<TableRecord> records = new ArrayList<>();
+      group.forEach(item -> records.addAll(item.records()));
+      AppendResult result =
+          log.append(table, new KeyedLog.Sequence(producer, epoch, sequence), records);
+      if (result instanceof AppendResult.Appended) {
+        finish(group, Outcome.WRITTEN);
+        return;
+      }
+      if (result instanceof AppendResult.Fenced) {
+        LOG.warn("event=writer_fenced producer={} epoch={}", producer, epoch);
+        finish(group, Outcome.FENCED);
+        return;
+      }
+      isUncertain |= !(result instanceof AppendResult.Refused);
+      if (!isUncertain) {
+        dropExpired(group, result);
+      }
+      TimeUnit.MILLISECONDS.sleep(delay + ThreadLocalRandom.current().nextLong(delay));
+      delay = Math.min(MAX_RETRY_MILLIS, delay * 2);
+    }
+  }
+
+  private static void finish(List<Item> group, Outcome outcome) {
+    group.forEach(item -> item.outcome().complete(outcome));
+    group.clear();
+  }
+
+  private void dropExpired(List<Item> group, AppendResult result) {
+    long now = clock.getAsLong();
+    group.removeIf(
+        item -> {
+          if (now < item.giveUpMillis()) {
+            return false;
+          }
+          LOG.info("event=append_given_up producer={} cause={}", producer, result);
+          return item.outcome().complete(Outcome.NOT_WRITTEN);
+        });
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkerChannels.java
@@ -0,0 +1,102 @@
+package org.persimmonloom.runtime.workflow;
+
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Queue;
+import java.util.Set;
+import java.util.concurrent.Executor;
+import java.util.function.LongSupplier;
+import org.persimmonloom.core.scheduling.CallResult;
+import org.persimmonloom.core.scheduling.HoldOrder;
+import org.persimmonloom.core.scheduling.Order;
+
+/**
+ * Sends orders and requests for lists to workers.
+ *
+ * <p>Each worker gets at most {@link #MAX_ORDERS_IN_FLIGHT} orders at a time, in their order, and
+ * one request for lists, so that an owner holds few connections. Confined to the owner's loop,
+ * except for the calls themselves.
+ */
+final class WorkerChannels {
+  /** Hears of answers, on the owner's loop. */
+  interface Listener {
+    void answered(Order order, CallResult result);
+
+    void held(HoldOrder order, long sentMillis, WorkerGateway.HoldAnswer answer);
+  }
+
+  private static final int MAX_ORDERS_IN_FLIGHT = 2;
+
+  private final WorkerGateway gateway;
+  private final long fence;
+  private final Executor calls;
+  private final Executor loop;
+  private final LongSupplier clock;
+  private final Listener listener;
+  private final Map<String, Queue<Order>> waiting = new HashMap<>();
+  private final Map<String, Integer> inFlight = new HashMap<>();
+  private final Set<String> holding = new HashSet<>();
+
+  WorkerChannels(
+      WorkerGateway gateway,
+      long fence,
+      Executor calls,
+      Executor loop,
+      LongSupplier clock,
+      Listener listener) {
+    this.gateway = gateway;
+    this.fence = fence;
+    this.calls = calls;
+    this.loop = loop;
+    this.clock = clock;
+    this.listener = listener;
+  }
+
+  Set<String> holding() {
+    return holding;
+  }
+
+  void send(Order order) {
+    waiting.computeIfAbsent(order.worker().id(), key -> new ArrayDeque<>()).add(order);
+    next(order.worker().id());
+  }
+
+  private void next(String worker) {
+    Queue<Order> queue = waiting.get(worker);
+    int busy = inFlight.getOrDefault(worker, 0);
+    if (queue == null || queue.isEmpty() || busy >= MAX_ORDERS_IN_FLIGHT) {
+      return;
+    }
+    inFlight.put(worker, busy + 1);
+    Order order = queue.remove();
+    calls.execute(
+        () -> {
+          CallResult result = gateway.send(order, fence);
+          loop.execute(() -> answered(order, result));
+        });
+  }
+
+  private void answered(Order order, CallResult result) {
+    String worker = order.worker().id();
+    inFlight.merge(worker, -1, Integer::sum);
+    listener.answered(order, result);
+    next(worker);
+  }
+
+  void hold(HoldOrder order) {
+    String worker = order.worker().id();
+    holding.add(worker);
+    calls.execute(
+        () -> {
+          long sent = clock.getAsLong();
+          WorkerGateway.HoldAnswer answer = gateway.hold(order, fence);
+          loop.execute(
+              () -> {
+                holding.remove(worker);
+                listener.held(order, sent, answer);
+              });
+        });
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkerReplica.java
@@ -0,0 +1,56 @@
+package org.persimmonloom.runtime.workflow;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
+import java.util.function.Consumer;
+import org.persimmonloom.core.scheduling.WorkerFacts;
+
+/** The published workers. Safe for any thread; the observer is called under the lock. */
+public final class WorkerReplica implements TableFollower.Listener {
+  private final PlatformDecoder decoder;
+  private final Map<String, WorkerFacts> workers = new HashMap<>();
+  private final Consumer<Collection<WorkerFacts>> observer;
+
+  private boolean isPublished;
+
+  public WorkerReplica(PlatformDecoder decoder, Consumer<Collection<WorkerFacts>> observer) {
+    this.decoder = decoder;
+    this.observer = observer;
+  }
+
+  @Override
+  public synchronized void apply(StoredRecord stored, boolean isBacklog) {
+    String key = stored.record().key();
+    WorkerFacts previous =
+        stored.record().value() == null
+            ? workers.remove(key)
+            : decoder.worker(stored.record()).map(facts -> workers.put(key, facts)).orElse(null);
+    boolean isChanged = !Objects.equals(previous, workers.get(key));
+    if (isChanged && !isBacklog) {
+      publish();
+    }
+  }
+
+  @Override
+  public synchronized void restart() {
+    isPublished = false;
+    workers.clear();
+  }
+
+  /**
+   * Gives the list to the observer once it was loaded whole; later changes follow by themselves.
+   */
+  public synchronized void publishOnce(boolean isLoaded) {
+    if (isLoaded && !isPublished) {
+      publish();
+    }
+  }
+
+  private void publish() {
+    isPublished = true;
+    observer.accept(new ArrayList<>(workers.values()));
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowHost.java
@@ -0,0 +1,141 @@
+package org.persimmonloom.runtime.workflow;
+
+import java.time.InstantSource;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.persimmonloom.core.scheduling.SchedulingSettings;
+
+/**
+ * The workflow part of an entry host: replicas, submissions, and the fleet's ownership when it
+ * falls to this host. Start and stop once; the other methods are safe for any thread.
+ */
+public final class WorkflowHost implements Ownership.Listener {
+  private static final Logger LOG = LogManager.getLogger(WorkflowHost.class);
+  private static final long FLUSH_MILLIS = 300;
+
+  /** A configuration read within this time counts as current, in ms. */
+  private static final long CONFIGURATION_WITHIN_MILLIS = 2_500;
+
+  private final TableFollower configurationFollower;
+  private final TableFollower workflowFollower;
+  private final ConfigurationReplica configuration;
+  private final TableWriter writer;
+  private final SubmissionService submissions;
+  private final Ownership ownership;
+  private final FleetServices services;
+  private final LongSupplier clock;
+  private volatile boolean isStopping;
+  private OwnerSession session;
+
+  /**
+   * Creates the host.
+   *
+   * @param name name of this host
+   * @param incarnation start of this process, which tells its lives apart
+   * @param clock steady clock in milliseconds
+   */
+  public WorkflowHost(
+      String name,
+      long incarnation,
+      KeyedLog log,
+      WorkerGateway gateway,
+      PlatformDecoder decoder,
+      SchedulingSettings scheduling,
+      LongSupplier clock) {
+    this.clock = clock;
+    configuration = new ConfigurationReplica(decoder);
+    configurationFollower =
+        new TableFollower(log, Table.OPERATIONS, configuration, clock, 1_000, 0);
+    WorkflowReplica workflows = new WorkflowReplica();
+    workflowFollower =
+        new TableFollower(
+            log, Table.WORKFLOWS, workflows, clock, 1_000, FleetServices.FOLLOWER_PAUSE_MILLIS);
+    writer = new TableWriter(log, Table.WORKFLOWS, name + '-' + incarnation, 1, clock);
+    submissions = new SubmissionService(workflows, workflowFollower, writer, clock);
+    ownership = new Ownership(log, name, incarnation, clock, this);
+    services =
+        new FleetServices(
+            log,
+            gateway,
+            decoder,
+            workflows,
+            workflowFollower,
+            configuration,
+            scheduling,
+            clock,
+            InstantSource.system());
+  }
+
+  /** Starts reading the platform's log. */
+  public void start() {
+    configurationFollower.start();
+    workflowFollower.start();
+    writer.start();
+    ownership.setMayClaim(true);
+    ownership.start();
+  }
+
+  /** Counts as not ready from now on and hands the ownership over; requests are still served. */
+  public void prepareStop() throws InterruptedException {
+    isStopping = true;
+    OwnerSession current = currentSession();
+    if (current != null) {
+      current.flush(FLUSH_MILLIS);
+    }
+    ownership.stop();
+  }
+
+  /** Stops reading and writing. */
+  public void stop() {
+    configurationFollower.stop();
+    workflowFollower.stop();
+    writer.stop();
+  }
+
+  /** Returns whether this host should get new connections. */
+  public boolean isReady() {
+    boolean isConfigured = configuration.newest().isPresent();
+    long age = clock.getAsLong() - configurationFollower.confirmedMillis();
+    return !isStopping
+        && isConfigured
+        && age < CONFIGURATION_WITHIN_MILLIS
+        && submissions.isCurrent();
+  }
+
+  /** Returns the configuration in force; empty until one was read. */
+  public Optional<FleetConfiguration> configuration() {
+    return configuration.newest();
+  }
+
+  /** Returns the service that accepts, cancels and shows workflows. */
+  public SubmissionService submissions() {
+    return submissions;
+  }
+
+  private synchronized OwnerSession currentSession() {
+    return session;
+  }
+
+  @Override
+  public synchronized void gained(long fence) {
+    session = new OwnerSession(fence, services, ownership::depose, ownership::confirmedMillis);
+    session.start();
+  }
+
+  @Override
+  public synchronized void lost() {
+    if (session != null) {
+      session.stop();
+      session = null;
+      LOG.info("event=term_ended host_is_stopping={}", isStopping);
+    }
+  }
+
+  /** Returns a steady clock in milliseconds. */
+  public static LongSupplier steadyClock() {
+    return () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowReplica.java
@@ -0,0 +1,52 @@
+package org.persimmonloom.runtime.workflow;
+
+import java.util.Optional;
+import org.persimmonloom.core.workflow.WorkflowEntry;
+import org.persimmonloom.core.workflow.WorkflowState;
+import org.persimmonloom.core.workflow.WorkflowTable;
+
+/** The workflow table of this host. Safe for any thread; the observer is called under the lock. */
+public final class WorkflowReplica implements TableFollower.Listener {
+  /** Hears of changes of workflows. */
+  @FunctionalInterface
+  public interface Observer {
+    /** A workflow has changed; {@code isBacklog} is true for those that were there before. */
+    void changed(WorkflowEntry entry, boolean isBacklog);
+  }
+
+  private WorkflowTable table = new WorkflowTable();
+  private Observer observer = (entry, isBacklog) -> {};
+
+  /** Gives all workflows to the observer, then each change. */
+  public synchronized void observe(Observer changes) {
+    observer = changes;
+    table.all().forEach(entry -> changes.changed(entry, true));
+  }
+
+  /** Gives no more changes to the observer. */
+  public synchronized void ignore() {
+    observer = (entry, isBacklog) -> {};
+  }
+
+  @Override
+  public synchronized void apply(StoredRecord stored, boolean isBacklog) {
+    table
+        .apply(stored.record(), stored.offset())
+        .ifPresent(entry -> observer.changed(entry, isBacklog));
+  }
+
+  @Override
+  public synchronized void restart() {
+    table = new WorkflowTable();
+  }
+
+  /** Returns the state of a workflow; empty if it is unknown. */
+  public synchronized Optional<WorkflowState> state(String id) {
+    return table.find(id).map(WorkflowEntry::state);
+  }
+
+  /** Returns how many workflows of a queue have no started task. */
+  public synchronized int waiting(String queue) {
+    return table.waiting(queue);
+  }
+}
