Keep an ended workflow from being revived by its older records

Cause: the owner reads its own progress records back. A record written while a workflow was active is read after the workflow has ended here and is no longer known, so it was added anew and its tasks ran twice. Ruled out: ends taken note of late, orders carried out late (all runs were acknowledged in order).

--- a/core/src/main/java/org/persimmonloom/core/scheduling/TaskBook.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/TaskBook.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -24,6 +25,10 @@
   private static final long MAX_BACKLOG_AGE_MILLIS = 60_000;
 
   private final Map<String, List<OccurrenceState>> workflows = new HashMap<>();
+
+  /** Workflows that have ended here while older records of them may still be read. */
+  private final Set<String> ended = new HashSet<>();
+
   private final Set<OccurrenceState> dirty = new LinkedHashSet<>();
   private final WorkflowRecords records = new WorkflowRecords();
   private Map<String, QueuePolicy> policies = Map.of();
@@ -41,6 +46,12 @@
 
   /** Takes over a change of the table. */
   void changed(WorkflowEntry entry, long nowMillis, long wallMillis, boolean isBacklog) {
+    if (ended.contains(entry.id())) {
+      if (entry.spec().isEmpty()) {
+        ended.remove(entry.id());
+      }
+      return;
+    }
     List<OccurrenceState> known = workflows.get(entry.id());
     if (entry.state() == WorkflowState.CANCELLED) {
       cancel(entry, known, nowMillis);
@@ -94,6 +105,7 @@
     }
     if (siblings.isEmpty()) {
       workflows.remove(occurrence.spec.id());
+      ended.add(occurrence.spec.id());
     }
   }
 
--- /dev/null
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/FleetSchedulerTest.java
@@ -0,0 +1,163 @@
+package org.persimmonloom.core.scheduling;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.persimmonloom.core.workflow.TableRecord;
+import org.persimmonloom.core.workflow.TaskId;
+import org.persimmonloom.core.workflow.WorkflowState;
+
+class FleetSchedulerTest {
+  private final SchedulerFixture fleet = new SchedulerFixture();
+
+  /** Guards against a step that starts before the steps it follows are done. */
+  @Test
+  void startsStepAfterAllTasksOfEarlierSteps() {
+    fleet.addWorker("w1");
+    fleet.submit(
+        "f1", SchedulerFixture.step(2, 500, List.of()), SchedulerFixture.step(1, 500, List.of(0)));
+    fleet.report();
+    assertThat(fleet.obey()).hasSize(2);
+
+    fleet.end("w1", new TaskId("f1", 0, 0, 0), 1, EndCause.DONE);
+    fleet.report();
+    assertThat(fleet.obey()).isEmpty();
+
+    fleet.end("w1", new TaskId("f1", 0, 0, 1), 1, EndCause.DONE);
+    fleet.report();
+    assertThat(fleet.obey()).singleElement().extracting(o -> o.task().step()).isEqualTo(1);
+  }
+
+  /**
+   * Guards against a workflow that starts again because an older progress record of it is read
+   * after it has ended (pos-loom, quiet-1: 73 tasks ran twice).
+   */
+  @Test
+  void endedWorkflowIsNotRevivedByItsOlderRecords() {
+    fleet.addWorker("w1");
+    fleet.submit("f1", SchedulerFixture.step(2, 500, List.of()));
+    fleet.report();
+    fleet.obey();
+    List<TableRecord> started = fleet.scheduler.takeProgress(fleet.now).records();
+    fleet.endAll(EndCause.DONE);
+    fleet.report();
+    ProgressBatch ended = fleet.scheduler.takeProgress(fleet.now);
+
+    started.forEach(fleet::apply);
+    assertThat(fleet.obey()).isEmpty();
+    ended.records().forEach(fleet::apply);
+
+    assertThat(fleet.obey()).isEmpty();
+    assertThat(fleet.table.find("f1").orElseThrow().state()).isEqualTo(WorkflowState.COMPLETE);
+  }
+
+  /** Guards against a task that runs elsewhere while a silent worker may still run it. */
+  @Test
+  void silentWorkerKeepsItsTasksUntilTheLeaseHasExpired() {
+    WorkerFacts silent = fleet.addWorker("w1");
+    fleet.submit("f1", SchedulerFixture.step(1, 500, List.of()));
+    fleet.report();
+    fleet.obey();
+    fleet.addWorker("w2");
+    fleet.report();
+    fleet.scheduler.holdFailed(silent, CallResult.UNKNOWN);
+
+    fleet.now += 5_900;
+    fleet.report("w1");
+    assertThat(fleet.obey()).isEmpty();
+    fleet.now += 700;
+    assertThat(fleet.obey()).singleElement().extracting(o -> o.worker().id()).isEqualTo("w2");
+  }
+
+  /** Guards against an unanswered start that takes effect after its task started elsewhere. */
+  @Test
+  void unansweredStartIsStoppedBeforeTheTaskStartsElsewhere() {
+    fleet.addWorker("w1");
+    fleet.submit("f1", SchedulerFixture.step(1, 500, List.of()));
+    fleet.report();
+    Order start = fleet.decide().get(0);
+    fleet.scheduler.answered(start, CallResult.UNKNOWN, fleet.now);
+    fleet.addWorker("w2");
+    fleet.report();
+    assertThat(fleet.decide()).isEmpty();
+
+    fleet.now += 500;
+    List<Order> stop = fleet.decide();
+    assertThat(stop).singleElement().isInstanceOf(Order.Stop.class);
+    fleet.scheduler.answered(stop.get(0), CallResult.ACCEPTED, fleet.now);
+    fleet.report();
+
+    assertThat(fleet.decide()).singleElement().extracting(Order::run).isEqualTo(2);
+  }
+
+  /** Guards against a new owner that starts what a worker it has not heard may still run. */
+  @Test
+  void newOwnerWaitsForUnheardWorkers() {
+    fleet.addWorker("w1");
+    fleet.addWorker("w2");
+    fleet.submit("f1", SchedulerFixture.step(1, 500, List.of()));
+    fleet.report();
+    String worker = fleet.obey().get(0).worker().id();
+    fleet.record();
+
+    fleet.takeOver();
+    fleet.report(worker);
+    assertThat(fleet.obey()).isEmpty();
+    fleet.report();
+    assertThat(fleet.obey()).isEmpty();
+    assertThat(fleet.running.get(worker)).hasSize(1);
+  }
+
+  /** Guards against starts beyond the number of attempts that the queue allows. */
+  @Test
+  void workflowFailsAfterItsAttempts() {
+    fleet.addWorker("w1");
+    fleet.addWorker("w2");
+    fleet.submit("f1", SchedulerFixture.step(1, 500, List.of()));
+    for (int attempt = 0; attempt < SchedulerFixture.POLICY.attempts(); attempt++) {
+      fleet.now += 5_000;
+      fleet.report();
+      assertThat(fleet.obey()).hasSize(1);
+      fleet.endAll(EndCause.FAILED);
+    }
+    fleet.now += 5_000;
+    fleet.report();
+    assertThat(fleet.obey()).isEmpty();
+    fleet.record();
+    assertThat(fleet.table.find("f1").orElseThrow().state()).isEqualTo(WorkflowState.FAILED);
+  }
+
+  /** Guards against ends that a worker forgets before they are recorded. */
+  @Test
+  void endsAreAcknowledgedOnlyOnceRecorded() {
+    fleet.addWorker("w1");
+    fleet.submit(
+        "f1", SchedulerFixture.step(1, 500, List.of()), SchedulerFixture.step(1, 500, List.of(0)));
+    fleet.report();
+    fleet.obey();
+    fleet.endAll(EndCause.DONE);
+    fleet.report();
+    fleet.now += 1_000;
+    assertThat(acknowledged()).isZero();
+    fleet.record();
+    fleet.now += 1_000;
+    assertThat(acknowledged()).isEqualTo(1);
+  }
+
+  private long acknowledged() {
+    return fleet.scheduler.dueHolds(java.util.Set.of(), fleet.now).get(0).acknowledgedEnd();
+  }
+
+  /** Guards against tasks that work on after their workflow was cancelled. */
+  @Test
+  void cancelledWorkflowIsStopped() {
+    fleet.addWorker("w1");
+    fleet.submit("f1", SchedulerFixture.step(2, 500, List.of()));
+    fleet.report();
+    fleet.obey();
+    fleet.apply(fleet.records.cancellation("f1"));
+    assertThat(fleet.obey()).hasSize(2).allMatch(order -> order instanceof Order.Stop);
+    assertThat(fleet.running.get("w1")).isEmpty();
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/SchedulerFixture.java
@@ -0,0 +1,168 @@
+package org.persimmonloom.core.scheduling;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.persimmonloom.core.workflow.QueuePolicy;
+import org.persimmonloom.core.workflow.Resources;
+import org.persimmonloom.core.workflow.StepSpec;
+import org.persimmonloom.core.workflow.TableRecord;
+import org.persimmonloom.core.workflow.TaskId;
+import org.persimmonloom.core.workflow.WorkflowRecords;
+import org.persimmonloom.core.workflow.WorkflowSpec;
+import org.persimmonloom.core.workflow.WorkflowTable;
+
+/** A scheduler with workers that obey at once, on a clock that tests move. */
+final class SchedulerFixture {
+  static final QueuePolicy POLICY = new QueuePolicy("orders", "laundry", 0, 3, 1.5, 600);
+  static final long BORN = 1_000;
+
+  final SchedulingSettings settings = new SchedulingSettings(6_000, 8_000, 120_000);
+  final WorkflowTable table = new WorkflowTable();
+  final WorkflowRecords records = new WorkflowRecords();
+  final Map<String, WorkerFacts> workers = new HashMap<>();
+  final Map<String, Map<TaskId, Integer>> running = new HashMap<>();
+  final Map<String, List<EndedTask>> ended = new HashMap<>();
+  FleetScheduler scheduler;
+  long now = 100_000;
+  long offset;
+
+  SchedulerFixture() {
+    takeOver();
+  }
+
+  void takeOver() {
+    scheduler = new FleetScheduler(settings, offset, now);
+    scheduler.configure(Map.of(POLICY.queue(), POLICY), Set.of(POLICY.service()));
+    table.all().forEach(entry -> scheduler.workflowChanged(entry.copy(), now, now, true));
+    scheduler.workersListed(workers.values(), now);
+  }
+
+  WorkerFacts addWorker(String id) {
+    WorkerFacts facts =
+        new WorkerFacts(
+            id,
+            "10.0.0.1:80",
+            POLICY.service(),
+            "a",
+            false,
+            new Resources(4_000, 8_000, 0),
+            Set.of("kind-a", "rack-1"),
+            BORN);
+    workers.put(id, facts);
+    running.put(id, new HashMap<>());
+    ended.put(id, new ArrayList<>());
+    scheduler.workersListed(workers.values(), now);
+    return facts;
+  }
+
+  static StepSpec step(int tasks, int cpuMillis, List<Integer> after) {
+    return new StepSpec(
+        tasks,
+        new Resources(cpuMillis, 100, 0),
+        500,
+        after,
+        false,
+        false,
+        false,
+        "",
+        "",
+        0,
+        false,
+        false,
+        "",
+        0,
+        false,
+        0);
+  }
+
+  static StepSpec lasting(int tasks, int mayMiss) {
+    return new StepSpec(
+        tasks,
+        new Resources(1_000, 100, 0),
+        500,
+        List.of(),
+        false,
+        false,
+        false,
+        "",
+        "",
+        1,
+        false,
+        true,
+        "image",
+        100,
+        false,
+        mayMiss);
+  }
+
+  void submit(String id, StepSpec... steps) {
+    apply(
+        records.submission(new WorkflowSpec(id, POLICY, "payload", List.of(steps), 0, 0, 0, now)));
+  }
+
+  void apply(TableRecord record) {
+    table
+        .apply(record, offset++)
+        .ifPresent(entry -> scheduler.workflowChanged(entry.copy(), now, now, false));
+  }
+
+  /** Answers for every worker that is not in {@code silent}. */
+  void report(String... silent) {
+    now += 10;
+    for (WorkerFacts worker : workers.values()) {
+      if (!List.of(silent).contains(worker.id())) {
+        List<RunningTask> present = new ArrayList<>();
+        running
+            .get(worker.id())
+            .forEach((task, run) -> present.add(new RunningTask(task, run, "", 100, 0)));
+        scheduler.reported(
+            worker, now - 1, new WorkerReport(now, BORN, present, ended.get(worker.id())), now);
+      }
+    }
+  }
+
+  List<Order> decide() {
+    now += 10;
+    return scheduler.decide(now, now, true);
+  }
+
+  /** Decides, carries out all orders and answers them. */
+  List<Order> obey() {
+    List<Order> orders = decide();
+    for (Order order : orders) {
+      Map<TaskId, Integer> present = running.get(order.worker().id());
+      if (order instanceof Order.Start) {
+        present.put(order.task(), order.run());
+      } else if (order instanceof Order.Stop) {
+        if (present.remove(order.task()) != null) {
+          end(order.worker().id(), order.task(), order.run(), EndCause.STOPPED);
+        }
+      }
+      scheduler.answered(order, CallResult.ACCEPTED, now);
+    }
+    return orders;
+  }
+
+  /** Ends a run; the worker lists it with its next report. */
+  void end(String worker, TaskId task, int run, EndCause cause) {
+    running.get(worker).remove(task);
+    List<EndedTask> list = ended.get(worker);
+    list.add(new EndedTask(list.size() + 1, task, run, cause, ""));
+  }
+
+  void endAll(EndCause cause) {
+    running.forEach(
+        (worker, present) ->
+            Map.copyOf(present).forEach((task, run) -> end(worker, task, run, cause)));
+  }
+
+  ProgressBatch record() {
+    ProgressBatch batch = scheduler.takeProgress(now);
+    batch.records().forEach(this::apply);
+    scheduler.progressRecorded(batch);
+    return batch;
+  }
+}
