--- /dev/null
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/Evacuation.java
@@ -0,0 +1,81 @@
+package org.persimmonloom.core.scheduling;
+
+import java.util.List;
+import org.persimmonloom.core.workflow.StepSpec;
+
+/**
+ * Moves tasks that last off workers that are to go down.
+ *
+ * <p>One task of a step is stopped at a time, only while all others are at work by a recent report
+ * and another worker has room, so that planned work never takes more tasks than the step allows.
+ * Short tasks are left to end. Not thread-safe.
+ */
+final class Evacuation {
+  /** An older report does not show that a task is at work now, in ms. */
+  private static final long REPORT_WITHIN_MILLIS = 2_500;
+
+  private final TaskBook book;
+  private final WorkerBook workers;
+
+  Evacuation(TaskBook book, WorkerBook workers) {
+    this.book = book;
+    this.workers = workers;
+  }
+
+  /** Returns the orders that move tasks off the worker now. */
+  void evacuate(WorkerState worker, List<Order> orders, long nowMillis) {
+    for (TaskRun run : worker.runs.values()) {
+      if (run.phase == TaskRun.Phase.RUNNING && mayStop(run, nowMillis)) {
+        run.phase = TaskRun.Phase.STOPPING;
+        run.settledAtMillis = Long.MAX_VALUE;
+        run.lastOrderMillis = nowMillis;
+        orders.add(new Order.Stop(worker.facts, run.task, run.number));
+      }
+    }
+  }
+
+  private boolean mayStop(TaskRun run, long nowMillis) {
+    OccurrenceState occurrence = book.occurrence(run.task);
+    TaskState task = occurrence == null ? null : occurrence.task(run.task);
+    if (task == null || !occurrence.step(task.step).longRunning()) {
+      return false;
+    }
+    return areOthersAtWork(occurrence, task, nowMillis)
+        && Placement.choose(
+                workers.ofService(book.policy(occurrence.spec).service()),
+                occurrence,
+                task,
+                nowMillis)
+            != null;
+  }
+
+  private static boolean areOthersAtWork(
+      OccurrenceState occurrence, TaskState task, long nowMillis) {
+    StepSpec step = occurrence.step(task.step);
+    int first = occurrence.spec.firstTask(task.step);
+    for (int i = first; i < first + step.tasks(); i++) {
+      TaskState other = occurrence.tasks[i];
+      boolean isAtWork =
+          other.active.stream()
+              .anyMatch(
+                  run ->
+                      run.isAtWork()
+                          && run.worker.isReachable
+                          && nowMillis - run.worker.lastReportMillis < REPORT_WITHIN_MILLIS);
+      if (other != task && !isAtWork) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** Returns whether a task that lasts is still there, which an order to go down would cut off. */
+  boolean hasLastingTask(WorkerState worker) {
+    return worker.runs.values().stream()
+        .anyMatch(
+            run -> {
+              OccurrenceState occurrence = book.occurrence(run.task);
+              return occurrence != null && occurrence.step(run.task.step()).longRunning();
+            });
+  }
+}
--- a/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
@@ -29,6 +29,7 @@
 
   private final TaskBook book = new TaskBook();
   private final WorkerBook workers;
+  private final MachineDirector machines;
   private final List<OccurrenceState> order = new ArrayList<>();
   private final long takeoverOffset;
   private final long blockedUntilMillis;
@@ -45,12 +46,26 @@
     this.takeoverOffset = takeoverOffset;
     blockedUntilMillis = nowMillis + settings.takeoverBlockMillis();
     workers = new WorkerBook(settings.maxLeaseMillis(), book);
+    machines = new MachineDirector(workers, book, nowMillis + settings.dutyLeaseMillis());
   }
 
-  /** Takes over a configuration: queues by name and the services whose workers run. */
-  public void configure(Map<String, QueuePolicy> queues, Set<String> services) {
+  /**
+   * Takes over a configuration.
+   *
+   * @param queues queues by name
+   * @param services services whose workers run
+   * @param spareServices services whose workers are switched off
+   */
+  public void configure(
+      Map<String, QueuePolicy> queues, Set<String> services, Set<String> spareServices) {
     book.configure(queues);
     runningServices = Set.copyOf(services);
+    machines.configure(services, spareServices);
+  }
+
+  /** Returns the part that decides about hosts. */
+  public MachineDirector machines() {
+    return machines;
   }
 
   /** Takes over a change of a workflow. */
--- /dev/null
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/MachineDirector.java
@@ -0,0 +1,77 @@
+package org.persimmonloom.core.scheduling;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Decides about worker hosts: maintenance waves and moves between pools. Not thread-safe.
+ *
+ * <p>A new owner gives no such orders for one duty lease, so that orders of two owners for one host
+ * never alternate within it.
+ */
+public final class MachineDirector {
+  private final MaintenanceWaves waves;
+  private final PoolBalancer balancer;
+  private final TaskBook book;
+  private final Map<String, MachineFacts> machines = new HashMap<>();
+  private final Set<MachineOrder> inFlight = new HashSet<>();
+  private final long notBeforeMillis;
+  private Set<String> services = Set.of();
+  private Set<String> spareServices = Set.of();
+
+  MachineDirector(WorkerBook workers, TaskBook book, long notBeforeMillis) {
+    this.book = book;
+    this.notBeforeMillis = notBeforeMillis;
+    waves = new MaintenanceWaves(workers, new Evacuation(book, workers));
+    balancer = new PoolBalancer(workers, waves);
+  }
+
+  void configure(Set<String> running, Set<String> spare) {
+    services = Set.copyOf(running);
+    spareServices = Set.copyOf(spare);
+  }
+
+  /** Takes over the platform's list of hosts. */
+  public void listed(Collection<MachineFacts> listed) {
+    machines.clear();
+    listed.forEach(facts -> machines.put(facts.id(), facts));
+  }
+
+  /** Takes over an operator's wave and what is recorded of it. */
+  public void waveOrdered(WaveOrder order, WaveProgress recorded) {
+    waves.add(order, recorded == null ? WaveProgress.none(order.number()) : recorded);
+  }
+
+  /** Returns the orders about hosts to send now, and adds orders about tasks to {@code tasks}. */
+  public List<MachineOrder> decide(List<Order> tasks, long nowMillis, long wallMillis) {
+    List<MachineOrder> orders = new ArrayList<>();
+    if (machines.isEmpty() || nowMillis < notBeforeMillis) {
+      return orders;
+    }
+    waves.decide(machines, orders, tasks, nowMillis);
+    PoolDemand demand = PoolDemand.of(book, wallMillis);
+    orders.addAll(balancer.decide(machines, services, spareServices, demand, nowMillis));
+    orders.removeIf(order -> !inFlight.add(order));
+    return orders;
+  }
+
+  /** Takes over the platform's answer to an order. */
+  public void answered(MachineOrder order, MachineOrder.Result result, long nowMillis) {
+    inFlight.remove(order);
+    if (order instanceof MachineOrder.Maintain maintain) {
+      waves.answered(maintain, result, machines);
+    } else if (order instanceof MachineOrder.Move move) {
+      balancer.answered(move, result, machines, nowMillis);
+    }
+  }
+
+  /** Returns the waves whose progress has changed since the last call. */
+  public Collection<WaveProgress> takeWaveChanges() {
+    return waves.takeChanges();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/MaintenanceWaves.java
@@ -0,0 +1,215 @@
+package org.persimmonloom.core.scheduling;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * Carries out the operators' maintenance waves.
+ *
+ * <p>A host is cordoned, its lasting tasks are moved and its short ones end, then it goes down. The
+ * hosts with the least to move go first. No more hosts than the wave allows are cordoned or down at
+ * once, and of each pool only a share, so that the pool keeps serving. Not thread-safe.
+ */
+final class MaintenanceWaves {
+  /** Short tasks that run longer than this on a cordoned host are cut off, in ms. */
+  private static final long DRAIN_PATIENCE_MILLIS = 5_000;
+
+  /** Share of a pool that may be cordoned or down through waves at once. */
+  private static final double MAX_POOL_SHARE = 0.34;
+
+  private final TreeMap<Integer, Wave> waves = new TreeMap<>();
+  private final WorkerBook workers;
+  private final Evacuation evacuation;
+
+  /** A wave in progress. */
+  private static final class Wave {
+    final WaveOrder order;
+    WaveProgress progress;
+    boolean isDirty = true;
+    final Map<String, Long> cordoned = new HashMap<>();
+
+    /** Hosts ordered down, with the worker process they had. */
+    final Map<String, String> down = new HashMap<>();
+
+    Wave(WaveOrder order, WaveProgress progress) {
+      this.order = order;
+      this.progress = progress;
+    }
+  }
+
+  MaintenanceWaves(WorkerBook workers, Evacuation evacuation) {
+    this.workers = workers;
+    this.evacuation = evacuation;
+  }
+
+  void add(WaveOrder order, WaveProgress progress) {
+    waves.computeIfAbsent(order.number(), key -> new Wave(order, progress));
+  }
+
+  /** Returns whether a wave holds the host, so that nothing else is done with it. */
+  boolean isHeld(String machine) {
+    return waves.values().stream()
+        .anyMatch(wave -> wave.cordoned.containsKey(machine) || wave.down.containsKey(machine));
+  }
+
+  /** Returns whether an unfinished wave still has to maintain the host. */
+  boolean isDue(String machine) {
+    return waves.values().stream()
+        .anyMatch(
+            wave ->
+                wave.order.machines().contains(machine)
+                    && !wave.progress.begun().contains(machine));
+  }
+
+  void decide(
+      Map<String, MachineFacts> machines,
+      List<MachineOrder> machineOrders,
+      List<Order> taskOrders,
+      long nowMillis) {
+    for (Wave wave : waves.values()) {
+      if (!wave.progress.isComplete()) {
+        advance(wave, machines, machineOrders, taskOrders, nowMillis);
+      }
+    }
+  }
+
+  private void advance(
+      Wave wave,
+      Map<String, MachineFacts> machines,
+      List<MachineOrder> machineOrders,
+      List<Order> taskOrders,
+      long nowMillis) {
+    noteReturns(wave, machines);
+    for (String machine : List.copyOf(wave.cordoned.keySet())) {
+      drain(wave, machines.get(machine), machine, machineOrders, taskOrders, nowMillis);
+    }
+    for (MachineFacts next : candidates(wave, machines)) {
+      int busy = wave.cordoned.size() + wave.down.size();
+      if (busy >= wave.order.maxAtOnce()) {
+        break;
+      }
+      if (poolHasSpareRoom(next.pool(), machines)) {
+        wave.cordoned.put(next.id(), nowMillis);
+        workers.cordon(next.worker(), true);
+      }
+    }
+    Set<String> left = new HashSet<>(wave.order.machines());
+    left.retainAll(machines.keySet());
+    left.removeAll(wave.progress.begun());
+    if (left.isEmpty() && !machines.isEmpty()) {
+      wave.progress = wave.progress.with(Set.of(), true);
+      wave.isDirty = true;
+    }
+  }
+
+  private static void noteReturns(Wave wave, Map<String, MachineFacts> machines) {
+    wave.down
+        .entrySet()
+        .removeIf(
+            entry -> {
+              MachineFacts facts = machines.get(entry.getKey());
+              return facts == null
+                  || (facts.state() == MachineFacts.State.UP
+                      && !facts.worker().equals(entry.getValue()));
+            });
+  }
+
+  private void drain(
+      Wave wave,
+      MachineFacts facts,
+      String machine,
+      List<MachineOrder> machineOrders,
+      List<Order> taskOrders,
+      long nowMillis) {
+    if (facts == null || facts.state() != MachineFacts.State.UP) {
+      return;
+    }
+    WorkerState worker = workers.find(facts.worker());
+    if (worker != null) {
+      worker.isCordoned = true;
+      if (!worker.isHeard) {
+        return;
+      }
+      evacuation.evacuate(worker, taskOrders, nowMillis);
+      boolean isPatient = nowMillis - wave.cordoned.get(machine) < DRAIN_PATIENCE_MILLIS;
+      if (evacuation.hasLastingTask(worker) || (isPatient && !worker.runs.isEmpty())) {
+        return;
+      }
+    }
+    machineOrders.add(new MachineOrder.Maintain(machine, wave.order.number()));
+  }
+
+  private List<MachineFacts> candidates(Wave wave, Map<String, MachineFacts> machines) {
+    List<MachineFacts> candidates = new ArrayList<>();
+    for (String machine : wave.order.machines()) {
+      MachineFacts facts = machines.get(machine);
+      if (facts != null
+          && facts.state() == MachineFacts.State.UP
+          && !wave.progress.begun().contains(machine)
+          && !isHeld(machine)) {
+        candidates.add(facts);
+      }
+    }
+    candidates.sort(Comparator.comparingInt(this::load).thenComparing(MachineFacts::id));
+    return candidates;
+  }
+
+  private int load(MachineFacts facts) {
+    WorkerState worker = workers.find(facts.worker());
+    return worker == null ? 0 : worker.runs.size();
+  }
+
+  private boolean poolHasSpareRoom(String pool, Map<String, MachineFacts> machines) {
+    int size = 0;
+    int held = 0;
+    for (MachineFacts facts : machines.values()) {
+      if (facts.pool().equals(pool)) {
+        size++;
+        held += isHeld(facts.id()) || facts.state() != MachineFacts.State.UP ? 1 : 0;
+      }
+    }
+    return held < Math.max(1, Math.floor(size * MAX_POOL_SHARE));
+  }
+
+  void answered(
+      MachineOrder.Maintain order, MachineOrder.Result result, Map<String, MachineFacts> machines) {
+    Wave wave = waves.get(order.wave());
+    if (wave == null) {
+      return;
+    }
+    if (result == MachineOrder.Result.DONE) {
+      MachineFacts facts = machines.get(order.machine());
+      wave.cordoned.remove(order.machine());
+      wave.down.put(order.machine(), facts == null ? "" : facts.worker());
+      wave.progress = wave.progress.with(Set.of(order.machine()), false);
+      wave.isDirty = true;
+    } else if (result == MachineOrder.Result.REFUSED) {
+      release(wave, machines.get(order.machine()), order.machine());
+    }
+  }
+
+  private void release(Wave wave, MachineFacts facts, String machine) {
+    wave.cordoned.remove(machine);
+    if (facts != null) {
+      workers.cordon(facts.worker(), false);
+    }
+  }
+
+  Collection<WaveProgress> takeChanges() {
+    List<WaveProgress> changed = new ArrayList<>();
+    for (Wave wave : waves.values()) {
+      if (wave.isDirty) {
+        wave.isDirty = false;
+        changed.add(wave.progress);
+      }
+    }
+    return changed;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/PoolDemand.java
@@ -0,0 +1,70 @@
+package org.persimmonloom.core.scheduling;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.persimmonloom.core.workflow.Resources;
+import org.persimmonloom.core.workflow.StepSpec;
+
+/** What the unended workflows of each service ask for at one moment. Not thread-safe. */
+final class PoolDemand {
+  /** Need of one service. */
+  static final class Need {
+    long cpuMillis;
+    long memoryMegabytes;
+
+    /** Fewest workers over which tasks must be spread. */
+    int spread;
+
+    /** Returns the need in workers of the given capacity. */
+    double workers(Resources capacity) {
+      double byCpu = cpuMillis / (double) Math.max(1, capacity.cpuMillis());
+      double byMemory = memoryMegabytes / (double) Math.max(1, capacity.memoryMegabytes());
+      return Math.max(spread, Math.max(byCpu, byMemory));
+    }
+  }
+
+  private final Map<String, Need> needs = new HashMap<>();
+
+  static PoolDemand of(TaskBook book, long wallMillis) {
+    PoolDemand demand = new PoolDemand();
+    for (List<OccurrenceState> occurrences : book.all()) {
+      for (OccurrenceState occurrence : occurrences) {
+        if (wallMillis >= occurrence.spec.dueMillis(occurrence.number)) {
+          demand.add(occurrence, book.policy(occurrence.spec).service());
+        }
+      }
+    }
+    return demand;
+  }
+
+  private void add(OccurrenceState occurrence, String service) {
+    Need need = needs.computeIfAbsent(service, key -> new Need());
+    for (int step = 0; step < occurrence.missing.length; step++) {
+      int wanted = occurrence.missing[step];
+      if (wanted == 0 || !occurrence.isReady(step)) {
+        continue;
+      }
+      StepSpec spec = occurrence.step(step);
+      Resources each = spec.reserved();
+      need.cpuMillis += (long) wanted * each.cpuMillis();
+      need.memoryMegabytes += (long) wanted * each.memoryMegabytes();
+      if (spec.longRunning() && spec.maxPerWorker() > 0) {
+        need.spread = Math.max(need.spread, ceilDiv(spec.tasks(), spec.maxPerWorker()));
+      }
+    }
+  }
+
+  private static int ceilDiv(int amount, int by) {
+    return (amount + by - 1) / by;
+  }
+
+  Need of(String service) {
+    return needs.getOrDefault(service, new Need());
+  }
+
+  Collection<String> services() {
+    return needs.keySet();
+  }
+}
--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerBook.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerBook.java
@@ -47,6 +47,19 @@
     return byId.values();
   }
 
+  /** Returns a worker, or null if it is unknown. */
+  WorkerState find(String id) {
+    return byId.get(id);
+  }
+
+  /** Keeps new runs off a worker, or lets them start there again. */
+  void cordon(String id, boolean isCordoned) {
+    WorkerState worker = byId.get(id);
+    if (worker != null) {
+      worker.isCordoned = isCordoned;
+    }
+  }
+
   List<WorkerState> ofService(String service) {
     return byService.getOrDefault(service, List.of());
   }
--- a/core/src/test/java/org/persimmonloom/core/scheduling/SchedulerFixture.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/SchedulerFixture.java
@@ -19,7 +19,7 @@
   static final QueuePolicy POLICY = new QueuePolicy("orders", "laundry", 0, 3, 1.5, 600);
   static final long BORN = 1_000;
 
-  final SchedulingSettings settings = new SchedulingSettings(6_000, 8_000, 120_000);
+  final SchedulingSettings settings = new SchedulingSettings(6_000, 8_000, 3_000, 120_000);
   final WorkflowTable table = new WorkflowTable();
   final WorkflowRecords records = new WorkflowRecords();
   final Map<String, WorkerFacts> workers = new HashMap<>();
@@ -35,7 +35,7 @@
 
   void takeOver() {
     scheduler = new FleetScheduler(settings, offset, now);
-    scheduler.configure(Map.of(POLICY.queue(), POLICY), Set.of(POLICY.service()));
+    scheduler.configure(Map.of(POLICY.queue(), POLICY), Set.of(POLICY.service()), Set.of("spare"));
     table.all().forEach(entry -> scheduler.workflowChanged(entry.copy(), now, now, true));
     scheduler.workersListed(workers.values(), now);
   }
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/FleetServices.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/FleetServices.java
@@ -7,23 +7,27 @@
 /**
  * What a term of ownership works with.
  *
+ * @param hostName name of this entry host
  * @param log the platform's log
  * @param gateway calls to workers
+ * @param machines the platform's service for worker hosts
  * @param decoder reads the platform's records
  * @param workflows replica of the workflow table
  * @param workflowFollower follower of the workflow table
- * @param configuration newest configuration
+ * @param operations configuration and waves
  * @param scheduling limits of the scheduler
  * @param clock steady clock in milliseconds
  * @param wallClock time of day
  */
 public record FleetServices(
+    String hostName,
     KeyedLog log,
     WorkerGateway gateway,
+    MachineService machines,
     PlatformDecoder decoder,
     WorkflowReplica workflows,
     TableFollower workflowFollower,
-    ConfigurationReplica configuration,
+    OperationsReplica operations,
     SchedulingSettings scheduling,
     LongSupplier clock,
     InstantSource wallClock) {
--- /dev/null
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/OperationsReplica.java
@@ -0,0 +1,67 @@
+package org.persimmonloom.runtime.workflow;
+
+import java.util.Collection;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.persimmonloom.core.scheduling.WaveOrder;
+
+/**
+ * Holds the newest configuration and the operators' maintenance waves; an older version of the
+ * configuration never replaces a newer one. Safe for any thread.
+ */
+public final class OperationsReplica implements TableFollower.Listener {
+  private static final Logger LOG = LogManager.getLogger(OperationsReplica.class);
+
+  private final PlatformDecoder decoder;
+  private final Map<Integer, WaveOrder> waves = new ConcurrentHashMap<>();
+  private volatile FleetConfiguration newest;
+  private volatile Runnable observer = () -> {};
+
+  public OperationsReplica(PlatformDecoder decoder) {
+    this.decoder = decoder;
+  }
+
+  /** Returns the configuration in force; empty until one was read. */
+  public Optional<FleetConfiguration> configuration() {
+    return Optional.ofNullable(newest);
+  }
+
+  /** Returns the waves that operators have ordered. */
+  public Collection<WaveOrder> waves() {
+    return waves.values();
+  }
+
+  /** Calls {@code changed} after each change from now on. */
+  public void observe(Runnable changed) {
+    observer = changed;
+  }
+
+  @Override
+  public void apply(StoredRecord stored, boolean isBacklog) {
+    decoder
+        .configuration(stored.record())
+        .filter(read -> newest == null || read.version() > newest.version())
+        .ifPresent(read -> accept(read, stored.offset()));
+    decoder
+        .wave(stored.record())
+        .ifPresent(
+            wave -> {
+              waves.put(wave.number(), wave);
+              LOG.info("event=wave_ordered wave={}", wave);
+              observer.run();
+            });
+  }
+
+  private void accept(FleetConfiguration read, long offset) {
+    newest = read;
+    LOG.info(
+        "event=configuration version={} routes={} offset={}",
+        read.version(),
+        read.routes().size(),
+        offset);
+    observer.run();
+  }
+}
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
@@ -1,5 +1,6 @@
 package org.persimmonloom.runtime.workflow;
 
+import java.util.List;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
@@ -46,6 +47,7 @@
   private final WorkerReplica workers;
   private final WorkerChannels channels;
   private FleetScheduler scheduler;
+  private volatile MachineOperations machines;
   private boolean isPassPending;
   private boolean isRecording;
   private long lastRecordMillis;
@@ -98,8 +100,11 @@
   void stop() {
     services.workflows().ignore();
     services.workflowFollower().setPauseMillis(FleetServices.FOLLOWER_PAUSE_MILLIS);
-    services.configuration().observe(configuration -> {});
+    services.operations().observe(() -> {});
     workerFollower.stop();
+    if (machines != null) {
+      machines.stop();
+    }
     loop.shutdownNow();
     calls.shutdownNow();
     writer.stop();
@@ -115,14 +120,20 @@
   }
 
   private void takeOver() {
-    if (!services.workflowFollower().refresh() || services.configuration().newest().isEmpty()) {
+    if (!services.workflowFollower().refresh() || services.operations().configuration().isEmpty()) {
       loop.schedule(this::takeOver, 50, TimeUnit.MILLISECONDS);
       return;
     }
     SchedulingSettings settings = services.scheduling();
     scheduler = new FleetScheduler(settings, services.workflowFollower().end(), now());
-    configure(services.configuration().newest().orElseThrow());
-    services.configuration().observe(changed -> post(() -> configure(changed)));
+    machines =
+        new MachineOperations(services, fence, scheduler.machines(), calls, this::execute, depose);
+    if (!machines.start()) {
+      loop.schedule(this::takeOver, 50, TimeUnit.MILLISECONDS);
+      return;
+    }
+    configure();
+    services.operations().observe(() -> post(this::configure));
     services.workflows().observe(this::workflowChanged);
     services.workflowFollower().setPauseMillis(FleetServices.OWNER_PAUSE_MILLIS);
     writer.start();
@@ -131,8 +142,11 @@
     LOG.info("event=term_started fence={} end={}", fence, services.workflowFollower().end());
   }
 
-  private void configure(FleetConfiguration configuration) {
-    scheduler.configure(configuration.policies(), configuration.services());
+  private void configure() {
+    FleetConfiguration configuration = services.operations().configuration().orElseThrow();
+    scheduler.configure(
+        configuration.policies(), configuration.services(), configuration.spareServices());
+    machines.wavesChanged();
   }
 
   private void workflowChanged(WorkflowEntry entry, boolean isBacklog) {
@@ -192,9 +206,10 @@
     if (!mayOrder) {
       return;
     }
-    for (Order order : scheduler.decide(now, services.wallClock().millis(), true)) {
-      channels.send(order);
-    }
+    long wall = services.wallClock().millis();
+    List<Order> orders = scheduler.decide(now, wall, true);
+    machines.pass(now, wall, orders);
+    orders.forEach(channels::send);
     for (HoldOrder hold : scheduler.dueHolds(channels.holding(), now)) {
       channels.hold(hold);
     }
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/Table.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/Table.java
@@ -6,6 +6,8 @@
   WORKFLOWS,
   /** The present owner of the fleet. */
   OWNERSHIP,
+  /** Progress of maintenance waves, kept for the next owner. */
+  MAINTENANCE,
   /** Configuration and maintenance waves; written by operators. */
   OPERATIONS,
   /** Workers; written by the workers. */
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowHost.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowHost.java
@@ -21,7 +21,7 @@
 
   private final TableFollower configurationFollower;
   private final TableFollower workflowFollower;
-  private final ConfigurationReplica configuration;
+  private final OperationsReplica operations;
   private final TableWriter writer;
   private final SubmissionService submissions;
   private final Ownership ownership;
@@ -42,13 +42,13 @@
       long incarnation,
       KeyedLog log,
       WorkerGateway gateway,
+      MachineService machines,
       PlatformDecoder decoder,
       SchedulingSettings scheduling,
       LongSupplier clock) {
     this.clock = clock;
-    configuration = new ConfigurationReplica(decoder);
-    configurationFollower =
-        new TableFollower(log, Table.OPERATIONS, configuration, clock, 1_000, 0);
+    operations = new OperationsReplica(decoder);
+    configurationFollower = new TableFollower(log, Table.OPERATIONS, operations, clock, 1_000, 0);
     WorkflowReplica workflows = new WorkflowReplica();
     workflowFollower =
         new TableFollower(
@@ -58,12 +58,14 @@
     ownership = new Ownership(log, name, incarnation, clock, this);
     services =
         new FleetServices(
+            name,
             log,
             gateway,
+            machines,
             decoder,
             workflows,
             workflowFollower,
-            configuration,
+            operations,
             scheduling,
             clock,
             InstantSource.system());
@@ -97,7 +99,7 @@
 
   /** Returns whether this host should get new connections. */
   public boolean isReady() {
-    boolean isConfigured = configuration.newest().isPresent();
+    boolean isConfigured = operations.configuration().isPresent();
     long age = clock.getAsLong() - configurationFollower.confirmedMillis();
     return !isStopping
         && isConfigured
@@ -107,7 +109,7 @@
 
   /** Returns the configuration in force; empty until one was read. */
   public Optional<FleetConfiguration> configuration() {
-    return configuration.newest();
+    return operations.configuration();
   }
 
   /** Returns the service that accepts, cancels and shows workflows. */
