--- a/core/src/main/java/org/persimmonloom/core/workflow/WorkflowSpec.java
+++ b/core/src/main/java/org/persimmonloom/core/workflow/WorkflowSpec.java
@@ -73,6 +73,21 @@
     return longest;
   }
 
+  /** Returns the steps in one line for logs, each as tasks x thousandths of a core. */
+  public String outline() {
+    StringBuilder line = new StringBuilder();
+    for (StepSpec step : steps) {
+      line.append(line.isEmpty() ? "" : "+").append(step.tasks()).append('x');
+      line.append(step.request().cpuMillis());
+      line.append(step.longRunning() ? "L" : "").append(step.filler() ? "F" : "");
+      line.append(step.mayMiss() > 0 ? "m" + step.mayMiss() : "");
+      line.append(step.targetMillis() > 0 ? "t" + step.targetMillis() : "");
+      line.append(step.gang() ? "G" : "").append(step.speculative() ? "S" : "");
+      line.append(step.maxPerWorker() > 0 ? "w" + step.maxPerWorker() : "");
+    }
+    return line.toString();
+  }
+
   /** Returns the time from submission within which the workflow should be complete. */
   public long objectiveMillis() {
     return Math.round(policy.stretch() * longestChainMillis()) + policy.targetMillis();
--- /dev/null
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/MachineDirectorTest.java
@@ -0,0 +1,148 @@
+package org.persimmonloom.core.scheduling;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+import org.persimmonloom.core.workflow.Resources;
+
+class MachineDirectorTest {
+  private static final String SERVICE = SchedulerFixture.POLICY.service();
+
+  private final SchedulerFixture fleet = new SchedulerFixture();
+  private final Map<String, MachineFacts> machines = new TreeMap<>();
+
+  private void addMachine(String id, String pool) {
+    boolean isOn = pool.equals(SERVICE);
+    if (isOn) {
+      fleet.addWorker("w-" + id);
+    }
+    put(id, pool, MachineFacts.State.UP, isOn ? "w-" + id : "");
+  }
+
+  private void put(String id, String pool, MachineFacts.State state, String worker) {
+    machines.put(
+        id,
+        new MachineFacts(
+            id, pool, state, Set.of("kind-a"), new Resources(4_000, 8_000, 0), worker));
+  }
+
+  private List<MachineOrder> decide() {
+    fleet.now += 100;
+    fleet.report();
+    fleet.scheduler.machines().listed(machines.values());
+    List<Order> tasks = new ArrayList<>();
+    List<MachineOrder> orders = fleet.scheduler.machines().decide(tasks, fleet.now, fleet.now);
+    for (Order order : tasks) {
+      fleet.running.get(order.worker().id()).remove(order.task());
+      fleet.end(order.worker().id(), order.task(), order.run(), EndCause.STOPPED);
+      fleet.scheduler.answered(order, CallResult.ACCEPTED, fleet.now);
+    }
+    fleet.obey();
+    return orders;
+  }
+
+  private void answerDone(MachineOrder order) {
+    fleet.scheduler.machines().answered(order, MachineOrder.Result.DONE, fleet.now);
+  }
+
+  private void passDutyLease() {
+    fleet.now += fleet.settings.dutyLeaseMillis();
+  }
+
+  /** Guards against orders of a new owner that alternate with those of the last one. */
+  @Test
+  void newOwnerWaitsForOneDutyLease() {
+    for (int i = 0; i < 6; i++) {
+      addMachine("m" + i, SERVICE);
+    }
+    fleet.scheduler.machines().waveOrdered(new WaveOrder(1, Set.of("m0"), 20_000, 1), null);
+    assertThat(decide()).isEmpty();
+    passDutyLease();
+    decide();
+    assertThat(decide()).contains(new MachineOrder.Maintain("m0", 1));
+  }
+
+  /** Guards against more hosts down at once than the wave allows, and against an early end. */
+  @Test
+  void waveKeepsItsLimitAndEndsWhenEveryHostHasBegun() {
+    for (int i = 0; i < 9; i++) {
+      addMachine("m" + i, SERVICE);
+    }
+    passDutyLease();
+    Set<String> due = Set.of("m0", "m1", "m2", "m3");
+    fleet.scheduler.machines().waveOrdered(new WaveOrder(1, due, 20_000, 2), null);
+    Set<String> down = new HashSet<>();
+    boolean isComplete = false;
+    int begun = 0;
+    for (int round = 0; round < 40 && !isComplete; round++) {
+      for (MachineOrder order : decide()) {
+        if (order instanceof MachineOrder.Maintain) {
+          begun++;
+          down.add(order.machine());
+          put(order.machine(), SERVICE, MachineFacts.State.IN_MAINTENANCE, "");
+        }
+        answerDone(order);
+      }
+      assertThat(down).hasSizeLessThanOrEqualTo(2);
+      for (WaveProgress progress : fleet.scheduler.machines().takeWaveChanges()) {
+        isComplete = progress.isComplete();
+        assertThat(isComplete).isEqualTo(begun == due.size() && progress.isComplete());
+      }
+      if (round % 3 == 2) {
+        down.forEach(id -> put(id, SERVICE, MachineFacts.State.UP, "w2-" + id));
+        down.clear();
+      }
+    }
+    assertThat(isComplete).isTrue();
+    assertThat(begun).isEqualTo(due.size());
+  }
+
+  /** Guards against planned work that takes more tasks of a step than it may miss. */
+  @Test
+  void lastingTasksAreMovedOneAtATime() {
+    for (int i = 0; i < 7; i++) {
+      addMachine("m" + i, SERVICE);
+    }
+    fleet.submit("f1", SchedulerFixture.lasting(5, 1));
+    fleet.report();
+    fleet.obey();
+    passDutyLease();
+    fleet.scheduler.machines().waveOrdered(new WaveOrder(1, machines.keySet(), 20_000, 7), null);
+    for (int round = 0; round < 20; round++) {
+      for (MachineOrder order : decide()) {
+        if (order instanceof MachineOrder.Maintain) {
+          assertThat(fleet.running.get("w-" + order.machine())).isEmpty();
+        }
+      }
+      long away = 5 - fleet.running.values().stream().mapToInt(Map::size).sum();
+      assertThat(away).isLessThanOrEqualTo(1);
+    }
+  }
+
+  /** Guards against hosts that are paid for while nothing runs on them. */
+  @Test
+  void idleHostsAreSwitchedOffAndComeBackOnDemand() {
+    for (int i = 0; i < 6; i++) {
+      addMachine("m" + i, SERVICE);
+    }
+    addMachine("m9", "spare");
+    passDutyLease();
+    decide();
+    fleet.now += 2_000;
+    List<MachineOrder> off = decide();
+    assertThat(off).hasSizeGreaterThanOrEqualTo(4).allMatch(order -> isMoveTo(order, "spare"));
+
+    fleet.submit("f1", SchedulerFixture.step(40, 1_000, List.of()));
+    assertThat(decide()).contains(new MachineOrder.Move("m9", SERVICE));
+  }
+
+  private static boolean isMoveTo(MachineOrder order, String pool) {
+    return order instanceof MachineOrder.Move move && move.pool().equals(pool);
+  }
+}
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/SubmissionService.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/SubmissionService.java
@@ -61,6 +61,11 @@
     if (workflows.state(spec.id()).isPresent()) {
       return CompletableFuture.completedFuture(Result.ACCEPTED);
     }
+    LOG.info(
+        "event=submission workflow={} queue={} steps={}",
+        spec.id(),
+        spec.policy().queue(),
+        spec.outline());
     return append(spec.id(), "submit", List.of(records.submission(spec)));
   }
 
