--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerBook.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerBook.java
@@ -23,10 +23,10 @@
   private static final long GATHER_MILLIS = 25;
 
   /** A silent worker is asked again after this time, in ms. */
-  private static final long SILENT_RETRY_MILLIS = 400;
+  private static final long SILENT_RETRY_MILLIS = 150;
 
-  /** Well below the lease, so that a lost answer leaves time for another request, in ms. */
-  private static final int HOLD_WAIT_MILLIS = 1_500;
+  /** A lost answer hides the ends of a worker's runs for about this time, in ms. */
+  private static final int HOLD_WAIT_MILLIS = 600;
 
   private static final long AVOID_FULL_MILLIS = 250;
   private static final long AVOID_UNHEALTHY_MILLIS = 1_000;
