--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
@@ -106,7 +106,8 @@
       machines.stop();
     }
     loop.shutdownNow();
-    calls.shutdownNow();
+    // Calls in progress end by their own limits; their answers are no longer heard.
+    calls.shutdown();
     writer.stop();
   }
 
--- /dev/null
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnershipTest.java
@@ -0,0 +1,89 @@
+package org.persimmonloom.runtime.workflow;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.persimmonloom.core.wire.Codec;
+import org.persimmonloom.core.workflow.TableRecord;
+
+class OwnershipTest {
+  private static final LongSupplier CLOCK = WorkflowHost.steadyClock();
+
+  private final FakeKeyedLog log = new FakeKeyedLog();
+  private final Candidate one = new Candidate("one", 1);
+  private final Candidate two = new Candidate("two", 2);
+
+  /** An entry host's ownership and what it was told. */
+  private final class Candidate implements Ownership.Listener {
+    private final BlockingQueue<Long> fences = new LinkedBlockingQueue<>();
+    private final BlockingQueue<Boolean> losses = new LinkedBlockingQueue<>();
+    private final Ownership ownership;
+
+    Candidate(String name, long incarnation) {
+      ownership = new Ownership(log, name, incarnation, CLOCK, this);
+      ownership.setMayClaim(true);
+    }
+
+    @Override
+    public void gained(long fence) {
+      fences.add(fence);
+    }
+
+    @Override
+    public void lost() {
+      losses.add(true);
+    }
+
+    Long nextFence() throws InterruptedException {
+      return fences.poll(10, TimeUnit.SECONDS);
+    }
+  }
+
+  @AfterEach
+  void stop() throws InterruptedException {
+    one.ownership.stop();
+    two.ownership.stop();
+  }
+
+  /** Guards against an owner that does not know of its claim because the answer was lost. */
+  @Test
+  void claimWhoseAnswerWasLostIsFound() throws Exception {
+    log.lostAnswers = 1;
+    one.ownership.start();
+    assertThat(one.nextFence()).isEqualTo(1);
+  }
+
+  /** Guards against fences that do not rise, and against a slow takeover after a planned stop. */
+  @Test
+  void releasedOwnershipGoesToTheNextHostWithAHigherFence() throws Exception {
+    one.ownership.start();
+    long first = one.nextFence();
+    two.ownership.start();
+    assertThat(two.fences).isEmpty();
+    one.ownership.stop();
+    assertThat(one.losses.poll(1, TimeUnit.SECONDS)).isTrue();
+    assertThat(two.nextFence()).isGreaterThan(first);
+  }
+
+  /** Guards against two owners: a renewal after another host's claim must fail. */
+  @Test
+  void supersededOwnerStepsDown() throws Exception {
+    one.ownership.start();
+    one.nextFence();
+    // The record of another host's claim, which a conditional append has put after the newest.
+    OwnershipRecord claim = new OwnershipRecord("three", 3, 0, false);
+    AppendResult result;
+    do {
+      long end = log.records(Table.OWNERSHIP).size();
+      byte[] value = new Codec(Map.of()).encode(claim);
+      result = log.appendAt(Table.OWNERSHIP, end, new TableRecord("fleet", value));
+    } while (!(result instanceof AppendResult.Appended));
+    assertThat(one.losses.poll(5, TimeUnit.SECONDS)).isTrue();
+  }
+}
--- /dev/null
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/TableWriterTest.java
@@ -0,0 +1,63 @@
+package org.persimmonloom.runtime.workflow;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.persimmonloom.core.workflow.TableRecord;
+
+class TableWriterTest {
+  private static final TableRecord RECORD = new TableRecord("s.f1", new byte[] {1});
+
+  private final FakeKeyedLog log = new FakeKeyedLog();
+  private final AtomicLong clock = new AtomicLong();
+  private final TableWriter writer = new TableWriter(log, Table.WORKFLOWS, "host", 1, clock::get);
+
+  @AfterEach
+  void stop() {
+    writer.stop();
+  }
+
+  /** Guards against a record that is appended twice because an answer was lost. */
+  @Test
+  void lostAnswerLeavesOneRecord() throws Exception {
+    log.lostAnswers = 2;
+    writer.start();
+    assertThat(writer.append(List.of(RECORD), 0).get(5, TimeUnit.SECONDS))
+        .isEqualTo(TableWriter.Outcome.WRITTEN);
+    assertThat(log.records(Table.WORKFLOWS)).containsExactly(RECORD);
+    assertThat(log.appends).isEqualTo(3);
+  }
+
+  /** Guards against a refusal of a record that may be in the log after all. */
+  @Test
+  void unansweredAppendIsNeverReportedAsNotWritten() throws Exception {
+    log.lostAnswers = 1;
+    var outcome = writer.append(List.of(RECORD), 0);
+    writer.start();
+    assertThat(outcome.get(5, TimeUnit.SECONDS)).isEqualTo(TableWriter.Outcome.WRITTEN);
+  }
+
+  /** Guards against a submitter that waits for a log that refuses all writes. */
+  @Test
+  void refusedAppendIsGivenUpAfterItsTime() throws Exception {
+    log.refusals = 1;
+    writer.start();
+    assertThat(writer.append(List.of(RECORD), 0).get(5, TimeUnit.SECONDS))
+        .isEqualTo(TableWriter.Outcome.NOT_WRITTEN);
+    assertThat(log.records(Table.WORKFLOWS)).isEmpty();
+  }
+
+  /** Guards against a deposed owner that overwrites its successor's records. */
+  @Test
+  void olderEpochIsShutOut() throws Exception {
+    log.append(Table.WORKFLOWS, new KeyedLog.Sequence("host", 2, 1), List.of());
+    writer.start();
+    assertThat(writer.append(List.of(RECORD), 0).get(5, TimeUnit.SECONDS))
+        .isEqualTo(TableWriter.Outcome.FENCED);
+    assertThat(log.records(Table.WORKFLOWS)).isEmpty();
+  }
+}
