--- a/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
@@ -131,6 +131,20 @@
     return orders;
   }
 
+  /** Returns one line on each running service: workers, usable ones, runs and waiting tasks. */
+  public String outline(long nowMillis) {
+    StringBuilder line = new StringBuilder();
+    for (String service : runningServices.stream().sorted().toList()) {
+      List<WorkerState> pool = workers.ofService(service);
+      long usable = pool.stream().filter(worker -> worker.mayStart(nowMillis)).count();
+      int runs = pool.stream().mapToInt(worker -> worker.runs.size()).sum();
+      line.append(service).append("=workers:").append(pool.size());
+      line.append(",usable:").append(usable).append(",runs:").append(runs);
+      line.append(",waiting:").append(book.waitingTasks(service)).append(' ');
+    }
+    return line.toString().strip();
+  }
+
   private void stopUnwanted(List<Order> orders, long nowMillis) {
     for (WorkerState worker : workers.all()) {
       for (TaskRun run : worker.runs.values()) {
--- a/core/src/main/java/org/persimmonloom/core/scheduling/OccurrenceState.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/OccurrenceState.java
@@ -102,6 +102,14 @@
     return after.stream().allMatch(earlier -> missing[earlier] == 0);
   }
 
+  int waitingTasks() {
+    int waiting = 0;
+    for (TaskState task : tasks) {
+      waiting += task.isRunnable() && isReady(task.step) ? 1 : 0;
+    }
+    return waiting;
+  }
+
   boolean isComplete() {
     for (int count : missing) {
       if (count > 0) {
--- a/core/src/main/java/org/persimmonloom/core/scheduling/TaskBook.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/TaskBook.java
@@ -133,6 +133,19 @@
     return workflows.values();
   }
 
+  /** Returns how many tasks of a service could start if there was room. */
+  int waitingTasks(String service) {
+    int waiting = 0;
+    for (List<OccurrenceState> occurrences : workflows.values()) {
+      for (OccurrenceState occurrence : occurrences) {
+        if (policy(occurrence.spec).service().equals(service)) {
+          waiting += occurrence.waitingTasks();
+        }
+      }
+    }
+    return waiting;
+  }
+
   /** Returns the occurrence a task belongs to, or null if it has ended or is unknown. */
   OccurrenceState occurrence(TaskId id) {
     List<OccurrenceState> occurrences = workflows.get(id.workflow());
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
@@ -34,6 +34,8 @@
   /** Progress is recorded at most this often. */
   private static final long RECORD_MILLIS = 25;
 
+  private static final long OUTLINE_MILLIS = 1_000;
+
   private static final String PRODUCER = "fleet-owner";
 
   private final long fence;
@@ -51,6 +53,7 @@
   private boolean isPassPending;
   private boolean isRecording;
   private long lastRecordMillis;
+  private long lastOutlineMillis;
 
   OwnerSession(long fence, FleetServices services, Runnable depose, LongSupplier confirmedMillis) {
     this.fence = fence;
@@ -188,6 +191,10 @@
 
   private void tick() {
     guarded(this::pass);
+    if (now() - lastOutlineMillis >= OUTLINE_MILLIS) {
+      lastOutlineMillis = now();
+      LOG.info("event=fleet fence={} {}", fence, scheduler.outline(now()));
+    }
   }
 
   private void guarded(Runnable task) {
--- /dev/null
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/PeerLink.java
@@ -0,0 +1,98 @@
+package org.persimmonloom.runtime.workflow;
+
+import java.io.IOException;
+import java.net.ConnectException;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import org.persimmonloom.core.wire.Codec;
+import org.persimmonloom.core.workflow.TableRecord;
+import org.persimmonloom.core.workflow.WorkflowState;
+
+/**
+ * Asks another entry host to append records or to show a workflow, for a host that the platform's
+ * log turns away. Bodies are MessagePack. Safe for any thread.
+ */
+public final class PeerLink {
+  /** Path of an append. */
+  static final String APPEND_PATH = "/records";
+
+  /** Path of a state, followed by the identifier of the workflow. */
+  static final String STATE_PATH = "/workflows/";
+
+  private static final MediaType MESSAGE_PACK = MediaType.get("application/msgpack");
+  private static final int CONNECT_MILLIS = 200;
+  private static final int STATE_MILLIS = 500;
+  private static final int OK = 200;
+  private static final int NOT_FOUND = 404;
+  private static final int NOT_WRITTEN = 503;
+
+  private final Codec codec = new Codec(Map.of());
+  private final OkHttpClient client;
+
+  /** Records on their way to a peer. */
+  record Records(List<TableRecord> records) {}
+
+  /** A workflow's state as a peer knows it. */
+  record State(WorkflowState state) {}
+
+  /** How an append through a peer ended. */
+  enum AppendAnswer {
+    WRITTEN,
+    NOT_WRITTEN,
+    UNKNOWN
+  }
+
+  /** Answer to a question for a state; without a state if the peer knows the workflow as absent. */
+  record StateAnswer(boolean isAnswered, Optional<WorkflowState> state) {}
+
+  public PeerLink(OkHttpClient base) {
+    client = base.newBuilder().connectTimeout(CONNECT_MILLIS, TimeUnit.MILLISECONDS).build();
+  }
+
+  AppendAnswer append(String address, List<TableRecord> records, long limitMillis) {
+    RequestBody body = RequestBody.create(codec.encode(new Records(records)), MESSAGE_PACK);
+    Request request =
+        new Request.Builder().url("http://" + address + APPEND_PATH).post(body).build();
+    var call = client.newCall(request);
+    call.timeout().timeout(limitMillis, TimeUnit.MILLISECONDS);
+    try (Response response = call.execute()) {
+      return switch (response.code()) {
+        case OK -> AppendAnswer.WRITTEN;
+        case NOT_WRITTEN -> AppendAnswer.NOT_WRITTEN;
+        default -> AppendAnswer.UNKNOWN;
+      };
+    } catch (ConnectException e) {
+      return AppendAnswer.NOT_WRITTEN;
+    } catch (IOException e) {
+      return AppendAnswer.UNKNOWN;
+    }
+  }
+
+  StateAnswer state(String address, String workflow) {
+    Request request =
+        new Request.Builder().url("http://" + address + STATE_PATH + workflow).build();
+    var call = client.newCall(request);
+    call.timeout().timeout(STATE_MILLIS, TimeUnit.MILLISECONDS);
+    try (Response response = call.execute()) {
+      if (response.code() == NOT_FOUND) {
+        return new StateAnswer(true, Optional.empty());
+      }
+      if (response.code() != OK) {
+        return new StateAnswer(false, Optional.empty());
+      }
+      return codec
+          .decode(response.body().bytes(), State.class)
+          .map(answer -> new StateAnswer(true, Optional.of(answer.state())))
+          .getOrElse(new StateAnswer(false, Optional.empty()));
+    } catch (IOException e) {
+      return new StateAnswer(false, Optional.empty());
+    }
+  }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/PeerListener.java
@@ -0,0 +1,95 @@
+package org.persimmonloom.runtime.workflow;
+
+import io.undertow.Undertow;
+import io.undertow.server.HttpServerExchange;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.persimmonloom.core.wire.Codec;
+import org.persimmonloom.core.workflow.WorkflowState;
+
+/** Serves other entry hosts that the platform's log turns away; see {@link PeerLink}. */
+public final class PeerListener {
+  /** A peer is told within this time that its records could not be appended, in ms. */
+  private static final long APPEND_MILLIS = 500;
+
+  private final Codec codec = new Codec(Map.of());
+  private final SubmissionService submissions;
+  private final TableWriter writer;
+  private final LongSupplier clock;
+  private final Undertow server;
+
+  PeerListener(
+      SubmissionService submissions,
+      TableWriter writer,
+      LongSupplier clock,
+      InetSocketAddress address) {
+    this.submissions = submissions;
+    this.writer = writer;
+    this.clock = clock;
+    server =
+        Undertow.builder()
+            .addHttpListener(address.getPort(), address.getHostString())
+            .setIoThreads(1)
+            .setWorkerThreads(2)
+            .setHandler(this::handle)
+            .build();
+  }
+
+  void start() {
+    server.start();
+  }
+
+  void stop() {
+    server.stop();
+  }
+
+  private void handle(HttpServerExchange exchange) {
+    String path = exchange.getRequestPath();
+    if (path.equals(PeerLink.APPEND_PATH)) {
+      exchange.getRequestReceiver().receiveFullBytes(this::append);
+    } else if (path.startsWith(PeerLink.STATE_PATH)) {
+      exchange.dispatch(() -> show(exchange, path.substring(PeerLink.STATE_PATH.length())));
+    } else {
+      exchange.setStatusCode(400).endExchange();
+    }
+  }
+
+  private void append(HttpServerExchange exchange, byte[] body) {
+    var records = codec.decode(body, PeerLink.Records.class);
+    if (records.isLeft()) {
+      exchange.setStatusCode(400).endExchange();
+      return;
+    }
+    exchange.dispatch(
+        () -> {
+          writer
+              .append(records.get().records(), clock.getAsLong() + APPEND_MILLIS)
+              .completeOnTimeout(null, 2 * APPEND_MILLIS, TimeUnit.MILLISECONDS)
+              .thenAccept(outcome -> answer(exchange, outcome));
+        });
+  }
+
+  private static void answer(HttpServerExchange exchange, TableWriter.Outcome outcome) {
+    int status = 504;
+    if (outcome == TableWriter.Outcome.WRITTEN) {
+      status = 200;
+    } else if (outcome != null) {
+      status = 503;
+    }
+    exchange.setStatusCode(status).endExchange();
+  }
+
+  private void show(HttpServerExchange exchange, String workflow) {
+    Optional<WorkflowState> state = submissions.localState(workflow);
+    if (state.isPresent()) {
+      byte[] body = codec.encode(new PeerLink.State(state.get()));
+      exchange.getResponseSender().send(ByteBuffer.wrap(body));
+    } else {
+      exchange.setStatusCode(submissions.isCurrent() ? 404 : 503).endExchange();
+    }
+  }
+}
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/SubmissionService.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/SubmissionService.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -33,20 +34,35 @@
   /** A refused write is repeated for this long before the submitter is told to come back, in ms. */
   private static final long GIVE_UP_MILLIS = 700;
 
+  /** Another host is asked to append when this host's own append takes this long, in ms. */
+  private static final long PEER_AFTER_MILLIS = 350;
+
+  private static final long PEER_APPEND_MILLIS = 700;
+  private static final int MAX_PEERS_ASKED = 2;
+
   /** A replica confirmed within this time answers for unknown workflows after one more read. */
   private static final long CONFIRMED_WITHIN_MILLIS = 2_500;
 
   private final WorkflowReplica workflows;
   private final TableFollower follower;
   private final TableWriter writer;
+  private final PeerLink peers;
+  private final HostDirectory hosts;
   private final LongSupplier clock;
   private final WorkflowRecords records = new WorkflowRecords();
 
-  public SubmissionService(
-      WorkflowReplica workflows, TableFollower follower, TableWriter writer, LongSupplier clock) {
+  SubmissionService(
+      WorkflowReplica workflows,
+      TableFollower follower,
+      TableWriter writer,
+      PeerLink peers,
+      HostDirectory hosts,
+      LongSupplier clock) {
     this.workflows = workflows;
     this.follower = follower;
     this.writer = writer;
+    this.peers = peers;
+    this.hosts = hosts;
     this.clock = clock;
   }
 
@@ -82,28 +98,94 @@
     return append(id, "cancel", List.of(records.cancellation(id)));
   }
 
+  /**
+   * Appends records, through another host if this host's own append does not succeed soon. The same
+   * record in the log twice has the effect of one.
+   */
   private CompletableFuture<Result> append(String id, String operation, List<TableRecord> written) {
     long started = clock.getAsLong();
-    return writer
-        .append(written, started + GIVE_UP_MILLIS)
-        .thenApply(
-            outcome -> {
-              boolean isWritten = outcome == TableWriter.Outcome.WRITTEN;
-              LOG.info(
-                  "event={} workflow={} outcome={} millis={}",
-                  operation,
-                  id,
-                  outcome,
-                  clock.getAsLong() - started);
-              return isWritten ? Result.ACCEPTED : Result.REFUSED;
+    CompletableFuture<Result> result = new CompletableFuture<>();
+    CompletableFuture<TableWriter.Outcome> own = writer.append(written, started + GIVE_UP_MILLIS);
+    own.thenAccept(
+        outcome -> {
+          if (outcome == TableWriter.Outcome.WRITTEN) {
+            result.complete(Result.ACCEPTED);
+          }
+        });
+    long delay = writer.isFailing() ? 0 : PEER_AFTER_MILLIS;
+    CompletableFuture.delayedExecutor(delay, TimeUnit.MILLISECONDS)
+        .execute(
+            () -> {
+              if (!result.isDone()) {
+                appendThroughPeer(written, own, result);
+              }
             });
+    result.thenAccept(
+        ended ->
+            LOG.info(
+                "event={} workflow={} result={} own={} millis={}",
+                operation,
+                id,
+                ended,
+                own.getNow(null),
+                clock.getAsLong() - started));
+    return result;
+  }
+
+  private void appendThroughPeer(
+      List<TableRecord> written,
+      CompletableFuture<TableWriter.Outcome> own,
+      CompletableFuture<Result> result) {
+    boolean isUncertain = false;
+    List<String> others = hosts.others();
+    for (String address : others.subList(0, Math.min(MAX_PEERS_ASKED, others.size()))) {
+      if (result.isDone()) {
+        return;
+      }
+      PeerLink.AppendAnswer answer = peers.append(address, written, PEER_APPEND_MILLIS);
+      if (answer == PeerLink.AppendAnswer.WRITTEN) {
+        hosts.answered(address);
+        result.complete(Result.ACCEPTED);
+        return;
+      }
+      hosts.failed(address);
+      isUncertain |= answer == PeerLink.AppendAnswer.UNKNOWN;
+    }
+    if (!isUncertain) {
+      own.thenAccept(
+          outcome -> {
+            if (outcome != TableWriter.Outcome.WRITTEN) {
+              result.complete(Result.REFUSED);
+            }
+          });
+    }
+  }
+
+  /** Returns the state that this host's copy of the table has. */
+  Optional<WorkflowState> localState(String id) {
+    return workflows.state(id);
   }
 
-  /** Returns the state of a workflow, after one more read of the log if it is unknown here. */
+  /**
+   * Returns the state of a workflow. If it is unknown here, the log is read once more; if this
+   * host's copy has fallen behind, another host is asked.
+   */
   public Optional<WorkflowState> current(String id) {
     Optional<WorkflowState> state = workflows.state(id);
+    if (state.isPresent() && (state.get().isFinal() || isCurrent())) {
+      return state;
+    }
     if (state.isEmpty() && follower.refresh()) {
-      state = workflows.state(id);
+      return workflows.state(id);
+    }
+    List<String> others = hosts.others();
+    for (String address : others.subList(0, Math.min(MAX_PEERS_ASKED, others.size()))) {
+      PeerLink.StateAnswer answer = peers.state(address, id);
+      if (answer.isAnswered()) {
+        hosts.answered(address);
+        return answer.state().isPresent() ? answer.state() : state;
+      }
+      hosts.failed(address);
     }
     return state;
   }
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/Table.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/Table.java
@@ -4,6 +4,8 @@
 public enum Table {
   /** Submissions, cancellations and progress of workflows. */
   WORKFLOWS,
+  /** Addresses of the entry hosts. */
+  HOSTS,
   /** The present owner of the fleet. */
   OWNERSHIP,
   /** Progress of maintenance waves, kept for the next owner. */
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/TableWriter.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/TableWriter.java
@@ -42,6 +42,7 @@
   private final BlockingQueue<Item> queue = new LinkedBlockingQueue<>();
   private final Thread thread;
   private volatile boolean isStopped;
+  private volatile boolean isFailing;
   private long sequence;
 
   private record Item(
@@ -75,6 +76,11 @@
     thread.interrupt();
   }
 
+  /** Returns whether the last append did not succeed. */
+  boolean isFailing() {
+    return isFailing;
+  }
+
   /**
    * Appends records together.
    *
@@ -108,7 +114,8 @@
       group.forEach(item -> records.addAll(item.records()));
       AppendResult result =
           log.append(table, new KeyedLog.Sequence(producer, epoch, sequence), records);
-      if (result instanceof AppendResult.Appended) {
+      isFailing = !(result instanceof AppendResult.Appended);
+      if (!isFailing) {
         finish(group, Outcome.WRITTEN);
         return;
       }
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowHost.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowHost.java
@@ -1,12 +1,16 @@
 package org.persimmonloom.runtime.workflow;
 
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.time.InstantSource;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.persimmonloom.core.scheduling.SchedulingSettings;
+import org.persimmonloom.core.workflow.TableRecord;
 
 /**
  * The workflow part of an entry host: replicas, submissions, and the fleet's ownership when it
@@ -16,6 +20,9 @@
   private static final Logger LOG = LogManager.getLogger(WorkflowHost.class);
   private static final long FLUSH_MILLIS = 300;
 
+  /** Entry hosts seldom change. */
+  private static final int HOSTS_WAIT_MILLIS = 5_000;
+
   /** A configuration read within this time counts as current, in ms. */
   private static final long CONFIGURATION_WITHIN_MILLIS = 2_500;
 
@@ -23,7 +30,12 @@
   private final TableFollower workflowFollower;
   private final OperationsReplica operations;
   private final TableWriter writer;
+  private final TableFollower hostFollower;
+  private final TableWriter hostWriter;
+  private final PeerListener peerListener;
   private final SubmissionService submissions;
+  private final String name;
+  private final InetSocketAddress peerAddress;
   private final Ownership ownership;
   private final FleetServices services;
   private final LongSupplier clock;
@@ -45,8 +57,12 @@
       MachineService machines,
       PlatformDecoder decoder,
       SchedulingSettings scheduling,
+      PeerLink peers,
+      InetSocketAddress peerAddress,
       LongSupplier clock) {
     this.clock = clock;
+    this.name = name;
+    this.peerAddress = peerAddress;
     operations = new OperationsReplica(decoder);
     configurationFollower = new TableFollower(log, Table.OPERATIONS, operations, clock, 1_000, 0);
     WorkflowReplica workflows = new WorkflowReplica();
@@ -54,7 +70,11 @@
         new TableFollower(
             log, Table.WORKFLOWS, workflows, clock, 1_000, FleetServices.FOLLOWER_PAUSE_MILLIS);
     writer = new TableWriter(log, Table.WORKFLOWS, name + '-' + incarnation, 1, clock);
-    submissions = new SubmissionService(workflows, workflowFollower, writer, clock);
+    HostDirectory hosts = new HostDirectory(name);
+    hostFollower = new TableFollower(log, Table.HOSTS, hosts, clock, HOSTS_WAIT_MILLIS, 0);
+    hostWriter = new TableWriter(log, Table.HOSTS, name + '-' + incarnation, 1, clock);
+    submissions = new SubmissionService(workflows, workflowFollower, writer, peers, hosts, clock);
+    peerListener = new PeerListener(submissions, writer, clock, peerAddress);
     ownership = new Ownership(log, name, incarnation, clock, this);
     services =
         new FleetServices(
@@ -76,6 +96,12 @@
     configurationFollower.start();
     workflowFollower.start();
     writer.start();
+    hostFollower.start();
+    hostWriter.start();
+    peerListener.start();
+    String address = peerAddress.getHostString() + ':' + peerAddress.getPort();
+    hostWriter.append(
+        List.of(new TableRecord(name, address.getBytes(StandardCharsets.UTF_8))), Long.MAX_VALUE);
     ownership.setMayClaim(true);
     ownership.start();
   }
@@ -83,6 +109,7 @@
   /** Counts as not ready from now on and hands the ownership over; requests are still served. */
   public void prepareStop() throws InterruptedException {
     isStopping = true;
+    hostWriter.append(List.of(new TableRecord(name, null)), clock.getAsLong());
     OwnerSession current = currentSession();
     if (current != null) {
       current.flush(FLUSH_MILLIS);
@@ -95,6 +122,9 @@
     configurationFollower.stop();
     workflowFollower.stop();
     writer.stop();
+    hostFollower.stop();
+    hostWriter.stop();
+    peerListener.stop();
   }
 
   /** Returns whether this host should get new connections. */
