Keep time limits of appends through peers in step, and test them

Cause: a peer answered a refused append after up to 1.3 s, when the asking host had given up at 0.7 s and had to treat the submission as undecided; the test of a log that nobody reaches showed it. Retries now end with the first item's limit.

--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/PeerListener.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/PeerListener.java
@@ -14,7 +14,10 @@
 /** Serves other entry hosts that the platform's log turns away; see {@link PeerLink}. */
 public final class PeerListener {
   /** A peer is told within this time that its records could not be appended, in ms. */
-  private static final long APPEND_MILLIS = 500;
+  private static final long APPEND_MILLIS = 200;
+
+  /** An append that is still undecided then is reported as such, in ms. */
+  private static final long ANSWER_MILLIS = 700;
 
   private final Codec codec = new Codec(Map.of());
   private final SubmissionService submissions;
@@ -68,7 +71,7 @@
         () -> {
           writer
               .append(records.get().records(), clock.getAsLong() + APPEND_MILLIS)
-              .completeOnTimeout(null, 2 * APPEND_MILLIS, TimeUnit.MILLISECONDS)
+              .completeOnTimeout(null, ANSWER_MILLIS, TimeUnit.MILLISECONDS)
               .thenAccept(outcome -> answer(exchange, outcome));
         });
   }
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/SubmissionService.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/SubmissionService.java
@@ -31,13 +31,6 @@
 
   private static final Logger LOG = LogManager.getLogger(SubmissionService.class);
 
-  /** A refused write is repeated for this long before the submitter is told to come back, in ms. */
-  private static final long GIVE_UP_MILLIS = 700;
-
-  /** Another host is asked to append when this host's own append takes this long, in ms. */
-  private static final long PEER_AFTER_MILLIS = 350;
-
-  private static final long PEER_APPEND_MILLIS = 700;
   private static final int MAX_PEERS_ASKED = 2;
 
   /** A replica confirmed within this time answers for unknown workflows after one more read. */
@@ -48,6 +41,7 @@
   private final TableWriter writer;
   private final PeerLink peers;
   private final HostDirectory hosts;
+  private final SubmissionLimits limits;
   private final LongSupplier clock;
   private final WorkflowRecords records = new WorkflowRecords();
 
@@ -57,12 +51,14 @@
       TableWriter writer,
       PeerLink peers,
       HostDirectory hosts,
+      SubmissionLimits limits,
       LongSupplier clock) {
     this.workflows = workflows;
     this.follower = follower;
     this.writer = writer;
     this.peers = peers;
     this.hosts = hosts;
+    this.limits = limits;
     this.clock = clock;
   }
 
@@ -105,14 +101,15 @@
   private CompletableFuture<Result> append(String id, String operation, List<TableRecord> written) {
     long started = clock.getAsLong();
     CompletableFuture<Result> result = new CompletableFuture<>();
-    CompletableFuture<TableWriter.Outcome> own = writer.append(written, started + GIVE_UP_MILLIS);
+    CompletableFuture<TableWriter.Outcome> own =
+        writer.append(written, started + limits.giveUpMillis());
     own.thenAccept(
         outcome -> {
           if (outcome == TableWriter.Outcome.WRITTEN) {
             result.complete(Result.ACCEPTED);
           }
         });
-    long delay = writer.isFailing() ? 0 : PEER_AFTER_MILLIS;
+    long delay = writer.isFailing() ? 0 : limits.peerAfterMillis();
     CompletableFuture.delayedExecutor(delay, TimeUnit.MILLISECONDS)
         .execute(
             () -> {
@@ -142,7 +139,7 @@
       if (result.isDone()) {
         return;
       }
-      PeerLink.AppendAnswer answer = peers.append(address, written, PEER_APPEND_MILLIS);
+      PeerLink.AppendAnswer answer = peers.append(address, written, limits.peerAppendMillis());
       if (answer == PeerLink.AppendAnswer.WRITTEN) {
         hosts.answered(address);
         result.complete(Result.ACCEPTED);
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/TableWriter.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/TableWriter.java
@@ -128,11 +128,24 @@
       if (!isUncertain) {
         dropExpired(group, result);
       }
-      TimeUnit.MILLISECONDS.sleep(delay + ThreadLocalRandom.current().nextLong(delay));
+      TimeUnit.MILLISECONDS.sleep(pause(group, delay));
       delay = Math.min(MAX_RETRY_MILLIS, delay * 2);
     }
   }
 
+  /** Returns a jittered delay that ends no later than the first item is to be given up. */
+  private long pause(List<Item> group, long delay) {
+    long jittered = delay + ThreadLocalRandom.current().nextLong(delay);
+    long now = clock.getAsLong();
+    long untilGiveUp =
+        group.stream()
+            .mapToLong(item -> item.giveUpMillis() - now)
+            .filter(left -> left > 0)
+            .min()
+            .orElse(jittered);
+    return Math.min(jittered, untilGiveUp);
+  }
+
   private static void finish(List<Item> group, Outcome outcome) {
     group.forEach(item -> item.outcome().complete(outcome));
     group.clear();
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowHost.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowHost.java
@@ -73,7 +73,9 @@
     HostDirectory hosts = new HostDirectory(name);
     hostFollower = new TableFollower(log, Table.HOSTS, hosts, clock, HOSTS_WAIT_MILLIS, 0);
     hostWriter = new TableWriter(log, Table.HOSTS, name + '-' + incarnation, 1, clock);
-    submissions = new SubmissionService(workflows, workflowFollower, writer, peers, hosts, clock);
+    submissions =
+        new SubmissionService(
+            workflows, workflowFollower, writer, peers, hosts, SubmissionLimits.DEFAULT, clock);
     peerListener = new PeerListener(submissions, writer, clock, peerAddress);
     ownership = new Ownership(log, name, incarnation, clock, this);
     services =
--- /dev/null
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/PeerAppendTest.java
@@ -0,0 +1,147 @@
+package org.persimmonloom.runtime.workflow;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import okhttp3.OkHttpClient;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.persimmonloom.core.workflow.QueuePolicy;
+import org.persimmonloom.core.workflow.Resources;
+import org.persimmonloom.core.workflow.StepSpec;
+import org.persimmonloom.core.workflow.TableRecord;
+import org.persimmonloom.core.workflow.WorkflowSpec;
+import org.persimmonloom.core.workflow.WorkflowState;
+
+/** Two hosts of which the log turns one away. */
+class PeerAppendTest {
+  private static final LongSupplier CLOCK = WorkflowHost.steadyClock();
+
+  /** Generous, so that no test depends on the speed of the machine. */
+  private static final SubmissionLimits LIMITS = new SubmissionLimits(500, 100, 8_000);
+
+  private final FakeKeyedLog log = new FakeKeyedLog();
+  private final FakeKeyedLog unreachable = new FakeKeyedLog();
+  private final HostDirectory directory = new HostDirectory("away");
+  private final Host helper = new Host(log, new HostDirectory("helper"));
+  private final Host away = new Host(unreachable, directory);
+  private PeerListener listener;
+
+  /** The parts of an entry host that accept workflows. */
+  private static final class Host {
+    final WorkflowReplica workflows = new WorkflowReplica();
+    final TableFollower follower;
+    final TableWriter writer;
+    final SubmissionService submissions;
+
+    Host(FakeKeyedLog log, HostDirectory directory) {
+      follower = new TableFollower(log, Table.WORKFLOWS, workflows, CLOCK, 0, 20);
+      writer = new TableWriter(log, Table.WORKFLOWS, "host", 1, CLOCK);
+      submissions =
+          new SubmissionService(
+              workflows,
+              follower,
+              writer,
+              new PeerLink(new OkHttpClient()),
+              directory,
+              LIMITS,
+              CLOCK);
+    }
+  }
+
+  @BeforeEach
+  void start() throws IOException {
+    InetSocketAddress address;
+    try (ServerSocket socket = new ServerSocket(0)) {
+      address = new InetSocketAddress("127.0.0.1", socket.getLocalPort());
+    }
+    listener = new PeerListener(helper.submissions, helper.writer, CLOCK, address);
+    listener.start();
+    helper.writer.start();
+    helper.follower.start();
+    away.writer.start();
+    unreachable.isDown = true;
+    byte[] value = ("127.0.0.1:" + address.getPort()).getBytes(StandardCharsets.UTF_8);
+    directory.apply(new StoredRecord(0, new TableRecord("helper", value)), false);
+  }
+
+  @AfterEach
+  void stop() {
+    listener.stop();
+    helper.writer.stop();
+    helper.follower.stop();
+    away.writer.stop();
+  }
+
+  private static WorkflowSpec workflow() {
+    StepSpec step =
+        new StepSpec(
+            1,
+            new Resources(1, 1, 0),
+            1,
+            List.of(),
+            false,
+            false,
+            false,
+            "",
+            "",
+            0,
+            false,
+            false,
+            "",
+            0,
+            false,
+            0);
+    QueuePolicy policy = new QueuePolicy("q", "s", 0, 3, 1, 1);
+    return new WorkflowSpec("f1", policy, "", List.of(step), 0, 0, 0, 0);
+  }
+
+  /** Guards against refusals by a host that the log turns away while others reach it. */
+  @Test
+  void submissionIsAcceptedThroughAnotherHost() throws Exception {
+    assertThat(away.submissions.submit(workflow()).get(5, TimeUnit.SECONDS))
+        .isEqualTo(SubmissionService.Result.ACCEPTED);
+    assertThat(log.records(Table.WORKFLOWS)).hasSize(1);
+  }
+
+  /** Guards against a state that stays old on a host that cannot read the log. */
+  @Test
+  void stateIsAskedOfAnotherHost() throws Exception {
+    away.submissions.submit(workflow()).get(5, TimeUnit.SECONDS);
+    long until = CLOCK.getAsLong() + 5_000;
+    while (helper.workflows.state("f1").isEmpty() && CLOCK.getAsLong() < until) {
+      TimeUnit.MILLISECONDS.sleep(10);
+    }
+    assertThat(away.submissions.current("f1")).contains(WorkflowState.PENDING);
+  }
+
+  /** Guards against an untrue refusal, and against a caller who waits although nobody can write. */
+  @Test
+  void submissionIsRefusedWhenNoHostReachesTheLog() throws Exception {
+    log.isDown = true;
+    assertThat(away.submissions.submit(workflow()).get(10, TimeUnit.SECONDS))
+        .isEqualTo(SubmissionService.Result.REFUSED);
+    assertThat(log.records(Table.WORKFLOWS)).isEmpty();
+  }
+
+  /** Guards against a refusal of a submission whose own append may have taken effect. */
+  @Test
+  void submissionIsNotRefusedWhileItsOwnAppendIsUnanswered() throws Exception {
+    unreachable.isDown = false;
+    unreachable.lostAnswers = Integer.MAX_VALUE;
+    log.isDown = true;
+    assertThat(
+            away.submissions
+                .submit(workflow())
+                .completeOnTimeout(null, 3, TimeUnit.SECONDS)
+                .get(5, TimeUnit.SECONDS))
+        .isNull();
+  }
+}
