Shorten recovery: earlier lives of a host, records never sent, orders about hosts

Change: a host claims at once what an earlier life of its own held; a handed-over owner gives orders about hosts at once, another one after 2 s, and an owner that cannot renew stops such orders after 1.2 s; records behind an undecided append are refused, since they were never sent.

--- a/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
@@ -41,12 +41,14 @@
    * @param settings limits
    * @param takeoverOffset end of the workflow log when the ownership was won
    * @param nowMillis present time on the steady clock
+   * @param machinesFromMillis steady time from which orders about hosts may be given
    */
-  public FleetScheduler(SchedulingSettings settings, long takeoverOffset, long nowMillis) {
+  public FleetScheduler(
+      SchedulingSettings settings, long takeoverOffset, long nowMillis, long machinesFromMillis) {
     this.takeoverOffset = takeoverOffset;
     blockedUntilMillis = nowMillis + settings.takeoverBlockMillis();
     workers = new WorkerBook(settings.maxLeaseMillis(), book);
-    machines = new MachineDirector(workers, book, nowMillis + settings.dutyLeaseMillis());
+    machines = new MachineDirector(workers, book, machinesFromMillis);
   }
 
   /**
--- a/core/src/test/java/org/persimmonloom/core/scheduling/SchedulerFixture.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/SchedulerFixture.java
@@ -34,7 +34,7 @@
   }
 
   void takeOver() {
-    scheduler = new FleetScheduler(settings, offset, now);
+    scheduler = new FleetScheduler(settings, offset, now, now + settings.dutyLeaseMillis());
     scheduler.configure(Map.of(POLICY.queue(), POLICY), Set.of(POLICY.service()), Set.of("spare"));
     table.all().forEach(entry -> scheduler.workflowChanged(entry.copy(), now, now, true));
     scheduler.workersListed(workers.values(), now);
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
@@ -34,11 +34,19 @@
   /** Progress is recorded at most this often. */
   private static final long RECORD_MILLIS = 25;
 
+  /** An owner that could not renew for this time gives no more orders about hosts. */
+  private static final long DUTY_PATIENCE_MILLIS = 1_200;
+
+  /** So long ago the last owner's last order about a host was given, at least. */
+  private static final long DUTY_HEAD_START_MILLIS =
+      Ownership.CLAIM_AFTER_MILLIS - DUTY_PATIENCE_MILLIS;
+
   private static final long OUTLINE_MILLIS = 1_000;
 
   private static final String PRODUCER = "fleet-owner";
 
   private final long fence;
+  private final boolean isHandedOver;
   private final FleetServices services;
   private final Runnable depose;
   private final LongSupplier confirmedMillis;
@@ -55,8 +63,14 @@
   private long lastRecordMillis;
   private long lastOutlineMillis;
 
-  OwnerSession(long fence, FleetServices services, Runnable depose, LongSupplier confirmedMillis) {
+  OwnerSession(
+      long fence,
+      boolean isHandedOver,
+      FleetServices services,
+      Runnable depose,
+      LongSupplier confirmedMillis) {
     this.fence = fence;
+    this.isHandedOver = isHandedOver;
     this.services = services;
     this.depose = depose;
     this.confirmedMillis = confirmedMillis;
@@ -129,7 +143,10 @@
       return;
     }
     SchedulingSettings settings = services.scheduling();
-    scheduler = new FleetScheduler(settings, services.workflowFollower().end(), now());
+    long dutyWait = isHandedOver ? 0 : settings.dutyLeaseMillis() - DUTY_HEAD_START_MILLIS;
+    scheduler =
+        new FleetScheduler(
+            settings, services.workflowFollower().end(), now(), now() + Math.max(0, dutyWait));
     machines =
         new MachineOperations(services, fence, scheduler.machines(), calls, this::execute, depose);
     if (!machines.start()) {
@@ -216,7 +233,9 @@
     }
     long wall = services.wallClock().millis();
     List<Order> orders = scheduler.decide(now, wall, true);
-    machines.pass(now, wall, orders);
+    if (unconfirmed < DUTY_PATIENCE_MILLIS) {
+      machines.pass(now, wall, orders);
+    }
     orders.forEach(channels::send);
     for (HoldOrder hold : scheduler.dueHolds(channels.holding(), now)) {
       channels.hold(hold);
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/Ownership.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/Ownership.java
@@ -20,8 +20,12 @@
 public final class Ownership {
   /** Hears of gain and loss; called on the ownership's thread. */
   public interface Listener {
-    /** This host owns the fleet under the given fence. */
-    void gained(long fence);
+    /**
+     * This host owns the fleet under the given fence.
+     *
+     * @param isHandedOver whether the last owner has surely given its last order
+     */
+    void gained(long fence, boolean isHandedOver);
 
     /** This host no longer owns the fleet. */
     void lost();
@@ -30,7 +34,7 @@
   private static final Logger LOG = LogManager.getLogger(Ownership.class);
   private static final String KEY = "fleet";
   private static final long RENEW_MILLIS = 800;
-  private static final long CLAIM_AFTER_MILLIS = 2_200;
+  static final long CLAIM_AFTER_MILLIS = 2_200;
   private static final int READ_WAIT_MILLIS = 500;
   private static final long RETRY_MILLIS = 100;
 
@@ -176,17 +180,17 @@
     }
     if (isOwnRecord()) {
       // The answer to the claim was lost, or arrived after this host had stopped waiting.
-      gain(newest.fence(), sent);
+      gain(newest.fence(), sent, false);
       return;
     }
-    boolean isFree = newest == null || newest.isReleased();
+    boolean isFree = newest == null || newest.isReleased() || isOwnPast();
     boolean isSilent = sent - unchangedSinceMillis >= CLAIM_AFTER_MILLIS;
     if (mayClaim && (isFree || isSilent)) {
-      claim();
+      claim(isFree);
     }
   }
 
-  private void claim() throws InterruptedException {
+  private void claim(boolean isHandedOver) throws InterruptedException {
     TimeUnit.MILLISECONDS.sleep(Math.floorMod(host.hashCode(), MAX_STAGGER_MILLIS));
     long sent = clock.getAsLong();
     AppendResult result =
@@ -195,7 +199,7 @@
     if (result instanceof AppendResult.Appended appended) {
       end = appended.end();
       // An offset can be 0, and workers treat a missing fence as 0.
-      gain(appended.offset() + 1, sent);
+      gain(appended.offset() + 1, sent, isHandedOver);
     } else {
       LOG.info("event=claim_failed at={} result={}", end, result);
       unchangedSinceMillis = clock.getAsLong();
@@ -209,11 +213,16 @@
         && newest.incarnation() == incarnation;
   }
 
-  private void gain(long wonFence, long confirmed) {
+  /** An earlier life of this host cannot be alive while this one runs. */
+  private boolean isOwnPast() {
+    return newest.host().equals(host) && newest.incarnation() != incarnation;
+  }
+
+  private void gain(long wonFence, long confirmed, boolean isHandedOver) {
     confirmedMillis = confirmed;
     fence = wonFence;
     LOG.info("event=ownership_gained fence={} previous={}", fence, newest);
-    listener.gained(wonFence);
+    listener.gained(wonFence, isHandedOver);
   }
 
   private void renew() throws InterruptedException {
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/TableWriter.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/TableWriter.java
@@ -1,6 +1,7 @@
 package org.persimmonloom.runtime.workflow;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
@@ -128,6 +129,8 @@
       if (!isUncertain) {
         dropExpired(group, result);
       }
+      // Records that wait behind an undecided append were never sent.
+      dropExpired(queue, result);
       TimeUnit.MILLISECONDS.sleep(pause(group, delay));
       delay = Math.min(MAX_RETRY_MILLIS, delay * 2);
     }
@@ -151,7 +154,7 @@
     group.clear();
   }
 
-  private void dropExpired(List<Item> group, AppendResult result) {
+  private void dropExpired(Collection<Item> group, AppendResult result) {
     long now = clock.getAsLong();
     group.removeIf(
         item -> {
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowHost.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowHost.java
@@ -154,8 +154,10 @@
   }
 
   @Override
-  public synchronized void gained(long fence) {
-    session = new OwnerSession(fence, services, ownership::depose, ownership::confirmedMillis);
+  public synchronized void gained(long fence, boolean isHandedOver) {
+    session =
+        new OwnerSession(
+            fence, isHandedOver, services, ownership::depose, ownership::confirmedMillis);
     session.start();
   }
 
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/FakeKeyedLog.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/FakeKeyedLog.java
@@ -21,12 +21,16 @@
   int refusals;
 
   boolean isDown;
-  int appends;
+  private int appends;
 
   private List<StoredRecord> table(Table table) {
     return tables.computeIfAbsent(table, key -> new ArrayList<>());
   }
 
+  synchronized int appends() {
+    return appends;
+  }
+
   synchronized List<TableRecord> records(Table table) {
     return table(table).stream().map(StoredRecord::record).toList();
   }
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnershipTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnershipTest.java
@@ -31,7 +31,7 @@
     }
 
     @Override
-    public void gained(long fence) {
+    public void gained(long fence, boolean isHandedOver) {
       fences.add(fence);
     }
 
@@ -71,6 +71,20 @@
     assertThat(two.nextFence()).isGreaterThan(first);
   }
 
+  /** Guards against a fleet that waits for an owner whose host has just been restarted. */
+  @Test
+  void restartedOwnerTakesOverFromItsEarlierLife() throws Exception {
+    log.appendAt(Table.OWNERSHIP, 0, record(new OwnershipRecord("one", 0, 0, false)));
+    long before = CLOCK.getAsLong();
+    one.ownership.start();
+    assertThat(one.nextFence()).isEqualTo(2);
+    assertThat(CLOCK.getAsLong() - before).isLessThan(Ownership.CLAIM_AFTER_MILLIS);
+  }
+
+  private static TableRecord record(OwnershipRecord value) {
+    return new TableRecord("fleet", new Codec(Map.of()).encode(value));
+  }
+
   /** Guards against two owners: a renewal after another host's claim must fail. */
   @Test
   void supersededOwnerStepsDown() throws Exception {
@@ -81,8 +95,7 @@
     AppendResult result;
     do {
       long end = log.records(Table.OWNERSHIP).size();
-      byte[] value = new Codec(Map.of()).encode(claim);
-      result = log.appendAt(Table.OWNERSHIP, end, new TableRecord("fleet", value));
+      result = log.appendAt(Table.OWNERSHIP, end, record(claim));
     } while (!(result instanceof AppendResult.Appended));
     assertThat(one.losses.poll(5, TimeUnit.SECONDS)).isTrue();
   }
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/TableWriterTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/TableWriterTest.java
@@ -29,7 +29,7 @@
     assertThat(writer.append(List.of(RECORD), 0).get(5, TimeUnit.SECONDS))
         .isEqualTo(TableWriter.Outcome.WRITTEN);
     assertThat(log.records(Table.WORKFLOWS)).containsExactly(RECORD);
-    assertThat(log.appends).isEqualTo(3);
+    assertThat(log.appends()).isEqualTo(3);
   }
 
   /** Guards against a refusal of a record that may be in the log after all. */
@@ -51,6 +51,21 @@
     assertThat(log.records(Table.WORKFLOWS)).isEmpty();
   }
 
+  /** Guards against records that wait undecided although they were never sent. */
+  @Test
+  void recordBehindAnUndecidedAppendIsRefused() throws Exception {
+    log.lostAnswers = Integer.MAX_VALUE;
+    writer.start();
+    var first = writer.append(List.of(RECORD), 0);
+    while (log.appends() == 0) {
+      TimeUnit.MILLISECONDS.sleep(5);
+    }
+    var second = writer.append(List.of(new TableRecord("s.f2", new byte[] {1})), 0);
+    assertThat(second.get(5, TimeUnit.SECONDS)).isEqualTo(TableWriter.Outcome.NOT_WRITTEN);
+    assertThat(first).isNotDone();
+    assertThat(log.records(Table.WORKFLOWS)).containsExactly(RECORD);
+  }
+
   /** Guards against a deposed owner that overwrites its successor's records. */
   @Test
   void olderEpochIsShutOut() throws Exception {
