--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
@@ -35,7 +35,7 @@
   private static final long RECORD_MILLIS = 25;
 
   /** An owner that could not renew for this time gives no more orders about hosts. */
-  private static final long DUTY_PATIENCE_MILLIS = 1_200;
+  private static final long DUTY_PATIENCE_MILLIS = 900;
 
   /** So long ago the last owner's last order about a host was given, at least. */
   private static final long DUTY_HEAD_START_MILLIS =
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/Ownership.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/Ownership.java
@@ -33,8 +33,8 @@
 
   private static final Logger LOG = LogManager.getLogger(Ownership.class);
   private static final String KEY = "fleet";
-  private static final long RENEW_MILLIS = 800;
-  static final long CLAIM_AFTER_MILLIS = 2_200;
+  private static final long RENEW_MILLIS = 500;
+  static final long CLAIM_AFTER_MILLIS = 1_800;
   private static final int READ_WAIT_MILLIS = 500;
   private static final long RETRY_MILLIS = 100;
 
