--- /dev/null
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/FillerPacing.java
@@ -0,0 +1,82 @@
+package org.persimmonloom.core.scheduling;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.persimmonloom.core.workflow.StepSpec;
+
+/**
+ * Slows fillers down while they disturb a task that serves.
+ *
+ * <p>When the tail latency of a serving task is over its target, all fillers of its worker are
+ * halved, and stopped from working below {@link #LOWEST_PERCENT}. They speed up again in steps once
+ * every tail has stayed below {@link #RELAXED_SHARE} of its target for some time. The distance
+ * between the two limits keeps the pace from changing with every report. Not thread-safe.
+ */
+final class FillerPacing {
+  private static final int FULL_PERCENT = 100;
+  private static final int LOWEST_PERCENT = 20;
+  private static final int STEP_PERCENT = 20;
+  private static final double RELAXED_SHARE = 0.7;
+
+  /** A report covers half a second, so that an effect shows in the report after the next. */
+  private static final long SLOW_DOWN_MILLIS = 800;
+
+  private static final long SPEED_UP_MILLIS = 2_000;
+
+  private final TaskBook book;
+  private final Map<String, Long> changedMillis = new HashMap<>();
+
+  FillerPacing(TaskBook book) {
+    this.book = book;
+  }
+
+  /** Adds the orders that change the pace of the worker's fillers now. */
+  void decide(WorkerState worker, List<Order> orders, long nowMillis) {
+    double worst = 0;
+    boolean hasFillers = false;
+    for (TaskRun run : worker.runs.values()) {
+      StepSpec step = step(run);
+      if (step != null && step.serves() && run.phase == TaskRun.Phase.RUNNING) {
+        worst = Math.max(worst, run.load / (double) step.targetMillis());
+      }
+      hasFillers |= step != null && step.filler();
+    }
+    if (!hasFillers) {
+      return;
+    }
+    long sinceChange =
+        nowMillis - changedMillis.getOrDefault(worker.facts.id(), nowMillis - SPEED_UP_MILLIS);
+    boolean mustSlowDown = worst > 1 && sinceChange >= SLOW_DOWN_MILLIS;
+    boolean maySpeedUp = worst < RELAXED_SHARE && sinceChange >= SPEED_UP_MILLIS;
+    if (mustSlowDown || maySpeedUp) {
+      change(worker, mustSlowDown, orders, nowMillis);
+    }
+  }
+
+  private void change(WorkerState worker, boolean isSlowDown, List<Order> orders, long nowMillis) {
+    for (TaskRun run : worker.runs.values()) {
+      StepSpec step = step(run);
+      if (step == null || !step.filler() || run.phase != TaskRun.Phase.RUNNING) {
+        continue;
+      }
+      int pace = isSlowDown ? slower(run.pace) : Math.min(FULL_PERCENT, run.pace + STEP_PERCENT);
+      if (pace != run.pace) {
+        run.pace = pace;
+        changedMillis.put(worker.facts.id(), nowMillis);
+        orders.add(new Order.Pace(worker.facts, run.task, run.number, pace));
+      }
+    }
+  }
+
+  private static int slower(int pace) {
+    int half = pace / 2;
+    return half < LOWEST_PERCENT ? 0 : half;
+  }
+
+  private StepSpec step(TaskRun run) {
+    OccurrenceState occurrence = book.occurrence(run.task);
+    TaskState task = occurrence == null ? null : occurrence.task(run.task);
+    return task == null ? null : occurrence.step(task.step);
+  }
+}
--- a/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
@@ -28,6 +28,7 @@
   private static final long START_PATIENCE_MILLIS = 400;
 
   private final TaskBook book = new TaskBook();
+  private final FillerPacing pacing = new FillerPacing(book);
   private final WorkerBook workers;
   private final MachineDirector machines;
   private final List<OccurrenceState> order = new ArrayList<>();
@@ -122,6 +123,9 @@
     List<Order> orders = new ArrayList<>();
     workers.expire(nowMillis);
     stopUnwanted(orders, nowMillis);
+    for (WorkerState worker : workers.all()) {
+      pacing.decide(worker, orders, nowMillis);
+    }
     if (mayStart) {
       order.clear();
       book.all().forEach(order::addAll);
--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerBook.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerBook.java
@@ -28,6 +28,7 @@
   /** A lost answer hides the ends of a worker's runs for about this time, in ms. */
   private static final int HOLD_WAIT_MILLIS = 600;
 
+  private static final int FULL_PACE = 100;
   private static final long AVOID_FULL_MILLIS = 250;
   private static final long AVOID_UNHEALTHY_MILLIS = 1_000;
 
@@ -270,6 +271,9 @@
       startAnswered(worker, run, result, nowMillis);
     } else if (order instanceof Order.Stop) {
       stopAnswered(worker, run, result, nowMillis);
+    } else if (order instanceof Order.Pace && result != CallResult.ACCEPTED) {
+      // Unknown whether it took effect; the next decision sets the pace anew.
+      run.pace = FULL_PACE;
     }
   }
 
--- a/core/src/main/java/org/persimmonloom/core/workflow/WorkflowTable.java
+++ b/core/src/main/java/org/persimmonloom/core/workflow/WorkflowTable.java
@@ -1,7 +1,9 @@
 package org.persimmonloom.core.workflow;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
@@ -89,6 +91,36 @@
     return waiting;
   }
 
+  /**
+   * Returns the records that remove workflows which ended a long time ago.
+   *
+   * @param wallMillis present Unix time
+   * @param keptMillis how long an ended workflow is kept
+   */
+  public List<TableRecord> removals(long wallMillis, long keptMillis) {
+    List<TableRecord> removals = new ArrayList<>();
+    for (WorkflowEntry entry : entries.values()) {
+      if (entry.spec().isPresent() || entry.progress().isEmpty() || !entry.state().isFinal()) {
+        continue;
+      }
+      long newest =
+          entry.progress().values().stream()
+              .mapToLong(OccurrenceProgress::updatedMillis)
+              .max()
+              .orElseThrow();
+      if (wallMillis - newest > keptMillis) {
+        entry
+            .progress()
+            .keySet()
+            .forEach(number -> removals.add(records.progressRemoval(entry.id(), number)));
+        if (entry.isCancelled()) {
+          removals.add(records.cancellationRemoval(entry.id()));
+        }
+      }
+    }
+    return removals;
+  }
+
   /** Returns how many records could not be read. */
   public long unreadable() {
     return unreadable;
--- /dev/null
+++ b/core/src/test/java/org/persimmonloom/core/workflow/WorkflowTableTest.java
@@ -0,0 +1,112 @@
+package org.persimmonloom.core.workflow;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+class WorkflowTableTest {
+  private static final QueuePolicy POLICY = new QueuePolicy("q", "s", 0, 3, 1.5, 600);
+
+  private final WorkflowRecords records = new WorkflowRecords();
+  private final WorkflowTable table = new WorkflowTable();
+  private long offset;
+
+  private record StampedRecord(long offset, TableRecord record) {}
+
+  private void apply(TableRecord record) {
+    table.apply(record, offset++);
+  }
+
+  private static WorkflowSpec spec(String id) {
+    StepSpec step =
+        new StepSpec(
+            2,
+            new Resources(1, 1, 0),
+            1,
+            List.of(),
+            false,
+            false,
+            false,
+            "",
+            "",
+            0,
+            false,
+            false,
+            "",
+            0,
+            false,
+            0);
+    return new WorkflowSpec(id, POLICY, "", List.of(step), 0, 0, 0, 0);
+  }
+
+  private TableRecord progress(String id, WorkflowState state) {
+    return records.progress(
+        id, 0, new OccurrenceProgress("q", state, new byte[0], new int[0], new int[0], 1_000));
+  }
+
+  private WorkflowState state(String id) {
+    return table.find(id).orElseThrow().state();
+  }
+
+  /** Guards against a cancellation that turns a complete workflow into a cancelled one. */
+  @Test
+  void theEarlierOfCompletionAndCancellationCounts() {
+    apply(records.submission(spec("a")));
+    apply(progress("a", WorkflowState.COMPLETE));
+    apply(records.cancellation("a"));
+    assertThat(state("a")).isEqualTo(WorkflowState.COMPLETE);
+
+    apply(records.submission(spec("b")));
+    apply(records.cancellation("b"));
+    apply(progress("b", WorkflowState.COMPLETE));
+    assertThat(state("b")).isEqualTo(WorkflowState.CANCELLED);
+  }
+
+  /** Guards against a table that depends on the order in which the newest records are loaded. */
+  @Test
+  void newestRecordsInAnyOrderGiveTheSameStates() {
+    List<StampedRecord> newest = new ArrayList<>();
+    newest.add(new StampedRecord(0, records.submission(spec("a"))));
+    newest.add(new StampedRecord(1, progress("a", WorkflowState.ACTIVE)));
+    newest.add(new StampedRecord(2, records.submission(spec("b"))));
+    newest.add(new StampedRecord(3, records.cancellation("b")));
+    newest.add(new StampedRecord(4, progress("b", WorkflowState.CANCELLED)));
+    newest.add(new StampedRecord(5, progress("c", WorkflowState.COMPLETE)));
+    newest.add(new StampedRecord(6, records.cancellation("c")));
+    for (int seed = 0; seed < 50; seed++) {
+      Collections.shuffle(newest, new Random(seed));
+      WorkflowTable loaded = new WorkflowTable();
+      newest.forEach(each -> loaded.apply(each.record(), each.offset()));
+      assertThat(loaded.find("a").orElseThrow().state()).isEqualTo(WorkflowState.ACTIVE);
+      assertThat(loaded.find("b").orElseThrow().state()).isEqualTo(WorkflowState.CANCELLED);
+      assertThat(loaded.find("c").orElseThrow().state()).isEqualTo(WorkflowState.COMPLETE);
+    }
+  }
+
+  /** Guards against a table that grows for ever, and against states that vanish too soon. */
+  @Test
+  void endedWorkflowsAreRemovedAfterTheirTime() {
+    apply(records.submission(spec("a")));
+    apply(progress("a", WorkflowState.COMPLETE));
+    apply(records.submissionRemoval("a"));
+    apply(records.submission(spec("b")));
+    assertThat(table.removals(1_500, 1_000)).isEmpty();
+    table.removals(2_500, 1_000).forEach(this::apply);
+    assertThat(table.find("a")).isEmpty();
+    assertThat(table.find("b")).isPresent();
+  }
+
+  /** Guards against a follower that stops at a record of another writer. */
+  @Test
+  void unreadableRecordsAreCountedAndPassedOver() {
+    apply(new TableRecord("x.a", new byte[] {1}));
+    apply(new TableRecord("s.a", new byte[] {1}));
+    apply(new TableRecord("p.a", new byte[] {1}));
+    assertThat(table.unreadable()).isEqualTo(3);
+    assertThat(table.find("a")).isEmpty();
+  }
+}
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/FleetServices.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/FleetServices.java
@@ -16,6 +16,7 @@
  * @param workflowFollower follower of the workflow table
  * @param operations configuration and waves
  * @param scheduling limits of the scheduler
+ * @param metrics counters and histograms
  * @param clock steady clock in milliseconds
  * @param wallClock time of day
  */
@@ -29,6 +30,7 @@
     TableFollower workflowFollower,
     OperationsReplica operations,
     SchedulingSettings scheduling,
+    WorkflowMetrics metrics,
     LongSupplier clock,
     InstantSource wallClock) {
   /** Lets records gather between two reads of a host that only answers for states, in ms. */
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/MachineOperations.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/MachineOperations.java
@@ -58,9 +58,13 @@
     this.calls = calls;
     this.loop = loop;
     this.depose = depose;
-    progressWriter =
-        new TableWriter(services.log(), Table.MAINTENANCE, PRODUCER, fence, services.clock());
-    statusWriter = new TableWriter(services.log(), Table.STATUS, PRODUCER, fence, services.clock());
+    progressWriter = writer(Table.MAINTENANCE);
+    statusWriter = writer(Table.STATUS);
+  }
+
+  private TableWriter writer(Table table) {
+    return new TableWriter(
+        services.log(), table, PRODUCER, fence, services.metrics(), services.clock());
   }
 
   /** Takes over what earlier owners recorded; returns false if it could not be read. */
@@ -124,6 +128,11 @@
 
   private void answered(MachineOrder order, MachineOrder.Result result) {
     LOG.info("event=machine_order order={} fence={} result={}", order, fence, result);
+    services
+        .metrics()
+        .machineOrders
+        .labelValues(order.getClass().getSimpleName(), result.name())
+        .inc();
     if (result == MachineOrder.Result.FENCED) {
       depose.run();
       return;
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
@@ -15,6 +15,7 @@
 import org.persimmonloom.core.scheduling.Order;
 import org.persimmonloom.core.scheduling.ProgressBatch;
 import org.persimmonloom.core.scheduling.SchedulingSettings;
+import org.persimmonloom.core.workflow.TableRecord;
 import org.persimmonloom.core.workflow.WorkflowEntry;
 
 /**
@@ -43,6 +44,11 @@
 
   private static final long OUTLINE_MILLIS = 1_000;
 
+  private static final long REMOVAL_MILLIS = 10_000;
+
+  /** Ended workflows are kept this much longer, since clocks of hosts differ and may jump. */
+  private static final long CLOCK_MARGIN_MILLIS = 60_000;
+
   private static final String PRODUCER = "fleet-owner";
 
   private final long fence;
@@ -62,6 +68,7 @@
   private boolean isRecording;
   private long lastRecordMillis;
   private long lastOutlineMillis;
+  private long lastRemovalMillis;
 
   OwnerSession(
       long fence,
@@ -76,7 +83,9 @@
     this.confirmedMillis = confirmedMillis;
     loop = Executors.newSingleThreadScheduledExecutor(task -> daemon(task, "owner-loop"));
     calls = Executors.newCachedThreadPool(task -> daemon(task, "owner-call"));
-    writer = new TableWriter(services.log(), Table.WORKFLOWS, PRODUCER, fence, services.clock());
+    writer =
+        new TableWriter(
+            services.log(), Table.WORKFLOWS, PRODUCER, fence, services.metrics(), services.clock());
     workers =
         new WorkerReplica(
             services.decoder(), listed -> post(() -> scheduler.workersListed(listed, now())));
@@ -226,6 +235,7 @@
     isPassPending = false;
     long now = now();
     workers.publishOnce(workerFollower.isLoaded());
+    removeEnded(now);
     long unconfirmed = now - confirmedMillis.getAsLong();
     boolean mayOrder = unconfirmed < services.scheduling().ownerPatienceMillis();
     if (!mayOrder) {
@@ -243,6 +253,19 @@
     record();
   }
 
+  private void removeEnded(long now) {
+    if (now - lastRemovalMillis < REMOVAL_MILLIS) {
+      return;
+    }
+    lastRemovalMillis = now;
+    long kept = services.scheduling().statusKeptMillis() + CLOCK_MARGIN_MILLIS;
+    List<TableRecord> removals = services.workflows().removals(services.wallClock().millis(), kept);
+    if (!removals.isEmpty()) {
+      LOG.info("event=ended_removed records={}", removals.size());
+      writer.append(removals, Long.MAX_VALUE);
+    }
+  }
+
   private void record() {
     long now = now();
     if (scheduler == null || isRecording || now - lastRecordMillis < RECORD_MILLIS) {
@@ -273,6 +296,7 @@
   }
 
   private void orderAnswered(Order order, CallResult result) {
+    services.metrics().orders.labelValues(order.getClass().getSimpleName(), result.name()).inc();
     if (result != CallResult.ACCEPTED) {
       LOG.info(
           "event=order_not_accepted order={} task={} run={} worker={} result={}",
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/PeerListener.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/PeerListener.java
@@ -1,7 +1,12 @@
 package org.persimmonloom.runtime.workflow;
 
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.undertow.Undertow;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.Map;
@@ -11,7 +16,9 @@
 import org.persimmonloom.core.wire.Codec;
 import org.persimmonloom.core.workflow.WorkflowState;
 
-/** Serves other entry hosts that the platform's log turns away; see {@link PeerLink}. */
+/**
+ * Serves metrics, and other entry hosts that the platform's log turns away; see {@link PeerLink}.
+ */
 public final class PeerListener {
   /** A peer is told within this time that its records could not be appended, in ms. */
   private static final long APPEND_MILLIS = 200;
@@ -19,19 +26,24 @@
   /** An append that is still undecided then is reported as such, in ms. */
   private static final long ANSWER_MILLIS = 700;
 
+  private static final String METRICS_PATH = "/metrics";
+
   private final Codec codec = new Codec(Map.of());
   private final SubmissionService submissions;
   private final TableWriter writer;
+  private final WorkflowMetrics metrics;
   private final LongSupplier clock;
   private final Undertow server;
 
   PeerListener(
       SubmissionService submissions,
       TableWriter writer,
+      WorkflowMetrics metrics,
       LongSupplier clock,
       InetSocketAddress address) {
     this.submissions = submissions;
     this.writer = writer;
+    this.metrics = metrics;
     this.clock = clock;
     server =
         Undertow.builder()
@@ -56,11 +68,26 @@
       exchange.getRequestReceiver().receiveFullBytes(this::append);
     } else if (path.startsWith(PeerLink.STATE_PATH)) {
       exchange.dispatch(() -> show(exchange, path.substring(PeerLink.STATE_PATH.length())));
+    } else if (path.equals(METRICS_PATH)) {
+      exchange.dispatch(() -> expose(exchange));
     } else {
       exchange.setStatusCode(400).endExchange();
     }
   }
 
+  private void expose(HttpServerExchange exchange) {
+    ByteArrayOutputStream text = new ByteArrayOutputStream();
+    try {
+      PrometheusTextFormatWriter.create().write(text, metrics.registry().scrape());
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    exchange
+        .getResponseHeaders()
+        .put(Headers.CONTENT_TYPE, PrometheusTextFormatWriter.CONTENT_TYPE);
+    exchange.getResponseSender().send(ByteBuffer.wrap(text.toByteArray()));
+  }
+
   private void append(HttpServerExchange exchange, byte[] body) {
     var records = codec.decode(body, PeerLink.Records.class);
     if (records.isLeft()) {
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/SubmissionService.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/SubmissionService.java
@@ -42,6 +42,7 @@
   private final PeerLink peers;
   private final HostDirectory hosts;
   private final SubmissionLimits limits;
+  private final WorkflowMetrics metrics;
   private final LongSupplier clock;
   private final WorkflowRecords records = new WorkflowRecords();
 
@@ -52,7 +53,9 @@
       PeerLink peers,
       HostDirectory hosts,
       SubmissionLimits limits,
+      WorkflowMetrics metrics,
       LongSupplier clock) {
+    this.metrics = metrics;
     this.workflows = workflows;
     this.follower = follower;
     this.writer = writer;
@@ -118,14 +121,19 @@
               }
             });
     result.thenAccept(
-        ended ->
-            LOG.info(
-                "event={} workflow={} result={} own={} millis={}",
-                operation,
-                id,
-                ended,
-                own.getNow(null),
-                clock.getAsLong() - started));
+        ended -> {
+          metrics
+              .submissionSeconds
+              .labelValues(operation, ended.name())
+              .observe(WorkflowMetrics.seconds(clock.getAsLong() - started));
+          LOG.info(
+              "event={} workflow={} result={} own={} millis={}",
+              operation,
+              id,
+              ended,
+              own.getNow(null),
+              clock.getAsLong() - started);
+        });
     return result;
   }
 
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/TableWriter.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/TableWriter.java
@@ -39,6 +39,7 @@
   private final Table table;
   private final String producer;
   private final long epoch;
+  private final WorkflowMetrics metrics;
   private final LongSupplier clock;
   private final BlockingQueue<Item> queue = new LinkedBlockingQueue<>();
   private final Thread thread;
@@ -56,7 +57,14 @@
    * @param epoch epoch of the writer; a higher one shuts out this one
    * @param clock steady clock in milliseconds
    */
-  public TableWriter(KeyedLog log, Table table, String producer, long epoch, LongSupplier clock) {
+  public TableWriter(
+      KeyedLog log,
+      Table table,
+      String producer,
+      long epoch,
+      WorkflowMetrics metrics,
+      LongSupplier clock) {
+    this.metrics = metrics;
     this.log = log;
     this.table = table;
     this.producer = producer;
@@ -113,8 +121,13 @@
     while (!group.isEmpty()) {
       List<TableRecord> records = new ArrayList<>();
       group.forEach(item -> records.addAll(item.records()));
+      long sent = clock.getAsLong();
       AppendResult result =
           log.append(table, new KeyedLog.Sequence(producer, epoch, sequence), records);
+      metrics
+          .appendSeconds
+          .labelValues(table.name(), result.getClass().getSimpleName())
+          .observe(WorkflowMetrics.seconds(clock.getAsLong() - sent));
       isFailing = !(result instanceof AppendResult.Appended);
       if (!isFailing) {
         finish(group, Outcome.WRITTEN);
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowHost.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowHost.java
@@ -38,6 +38,7 @@
   private final InetSocketAddress peerAddress;
   private final Ownership ownership;
   private final FleetServices services;
+  private final WorkflowMetrics metrics = new WorkflowMetrics();
   private final LongSupplier clock;
   private volatile boolean isStopping;
   private OwnerSession session;
@@ -69,14 +70,21 @@
     workflowFollower =
         new TableFollower(
             log, Table.WORKFLOWS, workflows, clock, 1_000, FleetServices.FOLLOWER_PAUSE_MILLIS);
-    writer = new TableWriter(log, Table.WORKFLOWS, name + '-' + incarnation, 1, clock);
+    writer = new TableWriter(log, Table.WORKFLOWS, name + '-' + incarnation, 1, metrics, clock);
     HostDirectory hosts = new HostDirectory(name);
     hostFollower = new TableFollower(log, Table.HOSTS, hosts, clock, HOSTS_WAIT_MILLIS, 0);
-    hostWriter = new TableWriter(log, Table.HOSTS, name + '-' + incarnation, 1, clock);
+    hostWriter = new TableWriter(log, Table.HOSTS, name + '-' + incarnation, 1, metrics, clock);
     submissions =
         new SubmissionService(
-            workflows, workflowFollower, writer, peers, hosts, SubmissionLimits.DEFAULT, clock);
-    peerListener = new PeerListener(submissions, writer, clock, peerAddress);
+            workflows,
+            workflowFollower,
+            writer,
+            peers,
+            hosts,
+            SubmissionLimits.DEFAULT,
+            metrics,
+            clock);
+    peerListener = new PeerListener(submissions, writer, metrics, clock, peerAddress);
     ownership = new Ownership(log, name, incarnation, clock, this);
     services =
         new FleetServices(
@@ -89,6 +97,7 @@
             workflowFollower,
             operations,
             scheduling,
+            metrics,
             clock,
             InstantSource.system());
   }
@@ -159,11 +168,13 @@
         new OwnerSession(
             fence, isHandedOver, services, ownership::depose, ownership::confirmedMillis);
     session.start();
+    metrics.fence.set(fence);
   }
 
   @Override
   public synchronized void lost() {
     if (session != null) {
+      metrics.fence.set(0);
       session.stop();
       session = null;
       LOG.info("event=term_ended host_is_stopping={}", isStopping);
--- /dev/null
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowMetrics.java
@@ -0,0 +1,53 @@
+package org.persimmonloom.runtime.workflow;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+
+/** Metrics of the workflow services. Safe for any thread. */
+public final class WorkflowMetrics {
+  private static final double[] SECONDS = {0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5};
+
+  private final PrometheusRegistry registry = new PrometheusRegistry();
+  final Histogram submissionSeconds =
+      Histogram.builder()
+          .name("persimmonloom_submission_seconds")
+          .help("time until a submission or cancellation was decided")
+          .labelNames("operation", "result")
+          .classicUpperBounds(SECONDS)
+          .register(registry);
+  final Histogram appendSeconds =
+      Histogram.builder()
+          .name("persimmonloom_append_seconds")
+          .help("time of one append to the platform's log, by its result")
+          .labelNames("table", "result")
+          .classicUpperBounds(SECONDS)
+          .register(registry);
+  final Counter orders =
+      Counter.builder()
+          .name("persimmonloom_orders_total")
+          .help("answers of workers to orders")
+          .labelNames("order", "result")
+          .register(registry);
+  final Counter machineOrders =
+      Counter.builder()
+          .name("persimmonloom_machine_orders_total")
+          .help("answers of the platform to orders about hosts")
+          .labelNames("order", "result")
+          .register(registry);
+  final Gauge fence =
+      Gauge.builder()
+          .name("persimmonloom_owner_fence")
+          .help("fence of this host's ownership; 0 without ownership")
+          .register(registry);
+
+  /** Returns the registry to expose. */
+  public PrometheusRegistry registry() {
+    return registry;
+  }
+
+  static double seconds(long millis) {
+    return millis / 1_000.0;
+  }
+}
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowReplica.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowReplica.java
@@ -1,6 +1,8 @@
 package org.persimmonloom.runtime.workflow;
 
+import java.util.List;
 import java.util.Optional;
+import org.persimmonloom.core.workflow.TableRecord;
 import org.persimmonloom.core.workflow.WorkflowEntry;
 import org.persimmonloom.core.workflow.WorkflowState;
 import org.persimmonloom.core.workflow.WorkflowTable;
@@ -45,6 +47,11 @@
     return table.find(id).map(WorkflowEntry::state);
   }
 
+  /** Returns the records that remove workflows which ended longer ago than {@code keptMillis}. */
+  public synchronized List<TableRecord> removals(long wallMillis, long keptMillis) {
+    return table.removals(wallMillis, keptMillis);
+  }
+
   /** Returns how many workflows of a queue have no started task. */
   public synchronized int waiting(String queue) {
     return table.waiting(queue);
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/PeerAppendTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/PeerAppendTest.java
@@ -27,6 +27,8 @@
   /** Generous, so that no test depends on the speed of the machine. */
   private static final SubmissionLimits LIMITS = new SubmissionLimits(500, 100, 8_000);
 
+  private static final WorkflowMetrics METRICS = new WorkflowMetrics();
+
   private final FakeKeyedLog log = new FakeKeyedLog();
   private final FakeKeyedLog unreachable = new FakeKeyedLog();
   private final HostDirectory directory = new HostDirectory("away");
@@ -43,7 +45,7 @@
 
     Host(FakeKeyedLog log, HostDirectory directory) {
       follower = new TableFollower(log, Table.WORKFLOWS, workflows, CLOCK, 0, 20);
-      writer = new TableWriter(log, Table.WORKFLOWS, "host", 1, CLOCK);
+      writer = new TableWriter(log, Table.WORKFLOWS, "host", 1, METRICS, CLOCK);
       submissions =
           new SubmissionService(
               workflows,
@@ -52,6 +54,7 @@
               new PeerLink(new OkHttpClient()),
               directory,
               LIMITS,
+              METRICS,
               CLOCK);
     }
   }
@@ -62,7 +65,7 @@
     try (ServerSocket socket = new ServerSocket(0)) {
       address = new InetSocketAddress("127.0.0.1", socket.getLocalPort());
     }
-    listener = new PeerListener(helper.submissions, helper.writer, CLOCK, address);
+    listener = new PeerListener(helper.submissions, helper.writer, METRICS, CLOCK, address);
     listener.start();
     helper.writer.start();
     helper.follower.start();
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/TableWriterTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/TableWriterTest.java
@@ -14,7 +14,8 @@
 
   private final FakeKeyedLog log = new FakeKeyedLog();
   private final AtomicLong clock = new AtomicLong();
-  private final TableWriter writer = new TableWriter(log, Table.WORKFLOWS, "host", 1, clock::get);
+  private final TableWriter writer =
+      new TableWriter(log, Table.WORKFLOWS, "host", 1, new WorkflowMetrics(), clock::get);
 
   @AfterEach
   void stop() {
