Count hosts that an earlier owner took down against the wave's limit

Ruled out: late answers (all orders were answered DONE). Change: hosts of the wave that the platform lists as in maintenance count too. The new test fails without it.

--- a/core/src/main/java/org/persimmonloom/core/scheduling/MaintenanceWaves.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/MaintenanceWaves.java
@@ -91,8 +91,7 @@
       drain(wave, machines.get(machine), machine, machineOrders, taskOrders, nowMillis);
     }
     for (MachineFacts next : candidates(wave, machines)) {
-      int busy = wave.cordoned.size() + wave.down.size();
-      if (busy >= wave.order.maxAtOnce()) {
+      if (busy(wave, machines) >= wave.order.maxAtOnce()) {
         break;
       }
       if (poolHasSpareRoom(next.pool(), machines)) {
@@ -109,6 +108,22 @@
     }
   }
 
+  /**
+   * Returns how many hosts of the wave are down or about to go down, also those that an earlier
+   * owner took down and that only the platform's list shows.
+   */
+  private static int busy(Wave wave, Map<String, MachineFacts> machines) {
+    Set<String> busy = new HashSet<>(wave.cordoned.keySet());
+    busy.addAll(wave.down.keySet());
+    for (String machine : wave.order.machines()) {
+      MachineFacts facts = machines.get(machine);
+      if (facts != null && facts.state() == MachineFacts.State.IN_MAINTENANCE) {
+        busy.add(machine);
+      }
+    }
+    return busy.size();
+  }
+
   private static void noteReturns(Wave wave, Map<String, MachineFacts> machines) {
     wave.down
         .entrySet()
--- a/core/src/test/java/org/persimmonloom/core/scheduling/MachineDirectorTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/MachineDirectorTest.java
@@ -103,6 +103,25 @@
     assertThat(begun).isEqualTo(due.size());
   }
 
+  /**
+   * Guards against a new owner that takes hosts down beside those of the last owner (pos-loom,
+   * hunt-92cb-7: an eighth host beside seven).
+   */
+  @Test
+  void newOwnerCountsHostsThatTheLastOwnerTookDown() {
+    for (int i = 0; i < 9; i++) {
+      addMachine("m" + i, SERVICE);
+    }
+    put("m0", SERVICE, MachineFacts.State.IN_MAINTENANCE, "");
+    put("m1", SERVICE, MachineFacts.State.IN_MAINTENANCE, "");
+    passDutyLease();
+    Set<String> due = Set.of("m0", "m1", "m2", "m3");
+    fleet.scheduler.machines().waveOrdered(new WaveOrder(1, due, 20_000, 2), null);
+    for (int round = 0; round < 5; round++) {
+      assertThat(decide()).noneMatch(order -> order instanceof MachineOrder.Maintain);
+    }
+  }
+
   /** Guards against planned work that takes more tasks of a step than it may miss. */
   @Test
   void lastingTasksAreMovedOneAtATime() {
