Refuse no request because an endpoint never answered

The silent run was cut off at its deadline of 1,000 ms and learned as the route's typical time; when the timer fired some ms late, the next request with the same deadline was refused. Ruled out: the ejection, which would have given another code. Change: runs that were cut off give no typical time by themselves; the class is still learned from them.

--- a/core/src/main/java/org/persimmonloom/core/routing/RunTimeEstimate.java
+++ b/core/src/main/java/org/persimmonloom/core/routing/RunTimeEstimate.java
@@ -17,6 +17,7 @@
   private static final double SHORT_BELOW_SHARE = 0.15;
 
   private int runs;
+  private boolean hasCompleteRun;
   private double meanMillis;
   private double logMean;
   private double longShare;
@@ -48,8 +49,19 @@
     learnedMillis = nowMillis;
   }
 
+  /** Returns whether any run was complete; otherwise all known times are only lower bounds. */
+  boolean hasCompleteRun() {
+    return hasCompleteRun;
+  }
+
   /** Learns a complete run. */
   void learn(long runMillis, long shortLimitMillis, long nowMillis) {
+    hasCompleteRun = true;
+    learnAtLeast(runMillis, shortLimitMillis, nowMillis);
+  }
+
+  /** Learns a run that took at least the given time. */
+  void learnAtLeast(long runMillis, long shortLimitMillis, long nowMillis) {
     runs++;
     double gain = Math.max(MIN_GAIN, 1.0 / runs);
     double run = Math.max(0, runMillis);
--- a/core/src/main/java/org/persimmonloom/core/routing/RunTimeEstimates.java
+++ b/core/src/main/java/org/persimmonloom/core/routing/RunTimeEstimates.java
@@ -49,10 +49,16 @@
     return hint == null ? WorkClass.SHORT : hint;
   }
 
-  /** Returns the typical run time of a route, or 0 if nothing recent is known about it. */
+  /**
+   * Returns the typical run time of a route, or 0 if nothing recent is known about it. Runs that
+   * were cut off, for instance at an endpoint that never answers, do not make a time known by
+   * themselves.
+   */
   double typicalMillis(String route, long nowMillis) {
     RunTimeEstimate estimate = routes.get(route);
-    if (estimate == null || nowMillis - estimate.learnedMillis() > STALE_MILLIS) {
+    if (estimate == null
+        || !estimate.hasCompleteRun()
+        || nowMillis - estimate.learnedMillis() > STALE_MILLIS) {
       return 0;
     }
     return estimate.typicalMillis();
@@ -89,7 +95,9 @@
     RunTimeEstimate estimate = routes.get(route);
     double known = estimate == null ? shortLimitMillis : estimate.meanMillis();
     if (runMillis > known) {
-      learn(route, runMillis, nowMillis);
+      RunTimeEstimate learned = routes.computeIfAbsent(route, name -> new RunTimeEstimate());
+      learned.learnAtLeast(runMillis, shortLimitMillis, nowMillis);
+      classes.get(learned.workClass()).learnAtLeast(runMillis, shortLimitMillis, nowMillis);
     }
   }
 
