Remove dead parts of the scheduler and place gangs on one rack

The flush at a planned stop was not needed: ends that are not recorded stay listed by their workers. A comment promised one rack for gangs that ask for it; now it holds, with tests.

--- a/core/src/main/java/org/persimmonloom/core/scheduling/MaintenanceWaves.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/MaintenanceWaves.java
@@ -59,15 +59,6 @@
         .anyMatch(wave -> wave.cordoned.containsKey(machine) || wave.down.containsKey(machine));
   }
 
-  /** Returns whether an unfinished wave still has to maintain the host. */
-  boolean isDue(String machine) {
-    return waves.values().stream()
-        .anyMatch(
-            wave ->
-                wave.order.machines().contains(machine)
-                    && !wave.progress.begun().contains(machine));
-  }
-
   void decide(
       Map<String, MachineFacts> machines,
       List<MachineOrder> machineOrders,
--- a/core/src/main/java/org/persimmonloom/core/scheduling/OccurrenceState.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/OccurrenceState.java
@@ -21,7 +21,6 @@
 
   final long objectiveMillis;
   WorkflowState state = WorkflowState.PENDING;
-  boolean isDirty;
 
   OccurrenceState(WorkflowSpec spec, int number, long submittedOffset, long submittedMillis) {
     this.spec = spec;
--- a/core/src/main/java/org/persimmonloom/core/scheduling/Placement.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/Placement.java
@@ -1,8 +1,12 @@
 package org.persimmonloom.core.scheduling;
 
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import org.persimmonloom.core.workflow.Resources;
 import org.persimmonloom.core.workflow.StepSpec;
 
@@ -39,14 +43,44 @@
   }
 
   /**
-   * Returns a worker for every task of a gang, or null if they don't all fit at once. The gang
-   * prefers one rack where its step asks for it.
+   * Returns a worker for every task of a gang, or null if they don't all fit at once. A gang that
+   * runs faster on one rack gets the workers of the smallest group with a common label that has
+   * room, since racks are labels like any other.
    */
   static Map<TaskState, WorkerState> chooseAll(
       Collection<WorkerState> workers,
       OccurrenceState occurrence,
       Collection<TaskState> tasks,
       long nowMillis) {
+    int step = tasks.iterator().next().step;
+    if (occurrence.step(step).sameRack()) {
+      for (List<WorkerState> group : groupsByLabel(workers)) {
+        Map<TaskState, WorkerState> chosen = chooseFrom(group, occurrence, tasks, nowMillis);
+        if (chosen != null) {
+          return chosen;
+        }
+      }
+    }
+    return chooseFrom(workers, occurrence, tasks, nowMillis);
+  }
+
+  private static List<List<WorkerState>> groupsByLabel(Collection<WorkerState> workers) {
+    Map<String, List<WorkerState>> groups = new TreeMap<>();
+    for (WorkerState worker : workers) {
+      for (String label : worker.facts.labels()) {
+        groups.computeIfAbsent(label, key -> new ArrayList<>()).add(worker);
+      }
+    }
+    List<List<WorkerState>> smallestFirst = new ArrayList<>(groups.values());
+    smallestFirst.sort(Comparator.comparingInt(List::size));
+    return smallestFirst;
+  }
+
+  private static Map<TaskState, WorkerState> chooseFrom(
+      Collection<WorkerState> workers,
+      OccurrenceState occurrence,
+      Collection<TaskState> tasks,
+      long nowMillis) {
     Map<TaskState, WorkerState> chosen = new HashMap<>();
     Map<WorkerState, Resources> free = new HashMap<>();
     Map<WorkerState, Integer> added = new HashMap<>();
--- a/core/src/main/java/org/persimmonloom/core/scheduling/PoolBalancer.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/PoolBalancer.java
@@ -43,10 +43,6 @@
     this.waves = waves;
   }
 
-  boolean isMoving(String machine) {
-    return moves.containsKey(machine);
-  }
-
   List<MachineOrder> decide(
       Map<String, MachineFacts> machines,
       Set<String> services,
--- a/core/src/main/java/org/persimmonloom/core/scheduling/PoolDemand.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/PoolDemand.java
@@ -1,6 +1,5 @@
 package org.persimmonloom.core.scheduling;
 
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -63,8 +62,4 @@
   Need of(String service) {
     return needs.getOrDefault(service, new Need());
   }
-
-  Collection<String> services() {
-    return needs.keySet();
-  }
 }
--- a/core/src/main/java/org/persimmonloom/core/scheduling/TaskBook.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/TaskBook.java
@@ -110,7 +110,6 @@
   }
 
   void markDirty(OccurrenceState occurrence) {
-    occurrence.isDirty = true;
     dirty.add(occurrence);
   }
 
@@ -118,7 +117,6 @@
   List<TableRecord> takeRecords(long wallMillis) {
     List<TableRecord> taken = new ArrayList<>();
     for (OccurrenceState occurrence : dirty) {
-      occurrence.isDirty = false;
       String id = occurrence.spec.id();
       taken.add(records.progress(id, occurrence.number, occurrence.progress(wallMillis)));
       if (occurrence.state.isFinal() && !workflows.containsKey(id)) {
--- a/core/src/main/java/org/persimmonloom/core/scheduling/TaskRun.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/TaskRun.java
@@ -16,7 +16,6 @@
   final int number;
   final WorkerState worker;
   final Resources reserved;
-  final long orderedAtMillis;
   Phase phase = Phase.STARTING;
 
   /** When the last order about this run was answered; a later report that lacks the run ends it. */
@@ -34,7 +33,6 @@
     this.number = number;
     this.worker = worker;
     this.reserved = reserved;
-    orderedAtMillis = nowMillis;
     lastOrderMillis = nowMillis;
   }
 
--- a/core/src/main/java/org/persimmonloom/core/scheduling/TaskState.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/TaskState.java
@@ -17,9 +17,6 @@
   int failures;
   String checkpoint = "";
 
-  /** Since when the task has had no run at work, for tasks that last. */
-  long awaySinceMillis;
-
   TaskState(int position, int step, int index) {
     this.position = position;
     this.step = step;
--- a/core/src/test/java/org/persimmonloom/core/scheduling/FleetSchedulerTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/FleetSchedulerTest.java
@@ -3,7 +3,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.persimmonloom.core.workflow.Resources;
+import org.persimmonloom.core.workflow.StepSpec;
 import org.persimmonloom.core.workflow.TableRecord;
 import org.persimmonloom.core.workflow.TaskId;
 import org.persimmonloom.core.workflow.WorkflowState;
@@ -146,7 +149,53 @@
   }
 
   private long acknowledged() {
-    return fleet.scheduler.dueHolds(java.util.Set.of(), fleet.now).get(0).acknowledgedEnd();
+    return fleet.scheduler.dueHolds(Set.of(), fleet.now).get(0).acknowledgedEnd();
+  }
+
+  private static StepSpec gang(int tasks, boolean sameRack) {
+    return new StepSpec(
+        tasks,
+        new Resources(3_000, 100, 0),
+        500,
+        List.of(),
+        false,
+        true,
+        sameRack,
+        "",
+        "",
+        0,
+        false,
+        false,
+        "",
+        0,
+        false,
+        0);
+  }
+
+  /** Guards against half a gang that waits for room while it holds workers. */
+  @Test
+  void gangStartsWholeOrNotAtAll() {
+    fleet.addWorker("w1");
+    fleet.addWorker("w2");
+    fleet.submit("f1", gang(3, false));
+    fleet.report();
+    assertThat(fleet.obey()).isEmpty();
+    fleet.addWorker("w3");
+    fleet.report();
+    assertThat(fleet.obey()).hasSize(3).allMatch(order -> order.run() == 1);
+  }
+
+  /** Guards against a gang that is spread over racks although one of them has room. */
+  @Test
+  void gangThatRunsFasterOnOneRackIsPlacedThere() {
+    fleet.addWorker("w1", "rack-1");
+    fleet.addWorker("w2", "rack-2");
+    fleet.addWorker("w3", "rack-2");
+    fleet.submit("f1", gang(2, true));
+    fleet.report();
+    assertThat(fleet.obey())
+        .extracting(order -> order.worker().id())
+        .containsExactlyInAnyOrder("w2", "w3");
   }
 
   /** Guards against tasks that work on after their workflow was cancelled. */
--- a/core/src/test/java/org/persimmonloom/core/scheduling/SchedulerFixture.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/SchedulerFixture.java
@@ -41,6 +41,10 @@
   }
 
   WorkerFacts addWorker(String id) {
+    return addWorker(id, "rack-1");
+  }
+
+  WorkerFacts addWorker(String id, String rack) {
     WorkerFacts facts =
         new WorkerFacts(
             id,
@@ -49,7 +53,7 @@
             "a",
             false,
             new Resources(4_000, 8_000, 0),
-            Set.of("kind-a", "rack-1"),
+            Set.of("kind-a", rack),
             BORN);
     workers.put(id, facts);
     running.put(id, new HashMap<>());
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
@@ -137,15 +137,6 @@
     writer.stop();
   }
 
-  /** Waits until recorded progress is durable, for at most the given time. */
-  void flush(long millis) throws InterruptedException {
-    execute(this::record);
-    long until = now() + millis;
-    while (now() < until && isRecording) {
-      TimeUnit.MILLISECONDS.sleep(10);
-    }
-  }
-
   private void takeOver() {
     if (!services.workflowFollower().refresh() || services.operations().configuration().isEmpty()) {
       loop.schedule(this::takeOver, 50, TimeUnit.MILLISECONDS);
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowHost.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowHost.java
@@ -18,7 +18,6 @@
  */
 public final class WorkflowHost implements Ownership.Listener {
   private static final Logger LOG = LogManager.getLogger(WorkflowHost.class);
-  private static final long FLUSH_MILLIS = 300;
 
   /** Entry hosts seldom change. */
   private static final int HOSTS_WAIT_MILLIS = 5_000;
@@ -117,14 +116,13 @@
     ownership.start();
   }
 
-  /** Counts as not ready from now on and hands the ownership over; requests are still served. */
+  /**
+   * Counts as not ready from now on and hands the ownership over; requests are still served. Ends
+   * that are not recorded yet stay listed by their workers, so that the next owner gets them.
+   */
   public void prepareStop() throws InterruptedException {
     isStopping = true;
     hostWriter.append(List.of(new TableRecord(name, null)), clock.getAsLong());
-    OwnerSession current = currentSession();
-    if (current != null) {
-      current.flush(FLUSH_MILLIS);
-    }
     ownership.stop();
   }
 
@@ -158,10 +156,6 @@
     return submissions;
   }
 
-  private synchronized OwnerSession currentSession() {
-    return session;
-  }
-
   @Override
   public synchronized void gained(long fence, boolean isHandedOver) {
     session =
