Repeat a stop whose answer was lost

Cause, found by reading: a stop of an accepted run left the time at which its start was settled, so an unanswered stop counted as answered and was not sent again; the twin in Evacuation reset it. Both now use TaskRun.stop. The new test fails without the change.

--- a/core/src/main/java/org/persimmonloom/core/scheduling/Evacuation.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/Evacuation.java
@@ -26,10 +26,7 @@
   void evacuate(WorkerState worker, List<Order> orders, long nowMillis) {
     for (TaskRun run : worker.runs.values()) {
       if (run.phase == TaskRun.Phase.RUNNING && mayStop(run, nowMillis)) {
-        run.phase = TaskRun.Phase.STOPPING;
-        run.settledAtMillis = Long.MAX_VALUE;
-        run.lastOrderMillis = nowMillis;
-        orders.add(new Order.Stop(worker.facts, run.task, run.number));
+        orders.add(run.stop(nowMillis));
       }
     }
   }
--- a/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
@@ -155,9 +155,7 @@
     for (WorkerState worker : workers.all()) {
       for (TaskRun run : worker.runs.values()) {
         if (needsStop(run, nowMillis)) {
-          run.phase = TaskRun.Phase.STOPPING;
-          run.lastOrderMillis = nowMillis;
-          orders.add(new Order.Stop(worker.facts, run.task, run.number));
+          orders.add(run.stop(nowMillis));
         }
       }
     }
--- a/core/src/main/java/org/persimmonloom/core/scheduling/TaskRun.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/TaskRun.java
@@ -36,6 +36,16 @@
     lastOrderMillis = nowMillis;
   }
 
+  /**
+   * Marks the run as being stopped and returns the order, which is repeated until it is answered.
+   */
+  Order.Stop stop(long nowMillis) {
+    phase = Phase.STOPPING;
+    settledAtMillis = Long.MAX_VALUE;
+    lastOrderMillis = nowMillis;
+    return new Order.Stop(worker.facts, task, number);
+  }
+
   /** Returns whether the run works at full speed. */
   boolean isAtWork() {
     return phase == Phase.RUNNING && percent >= 100;
--- a/core/src/test/java/org/persimmonloom/core/scheduling/FleetSchedulerTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/FleetSchedulerTest.java
@@ -152,6 +152,21 @@
     return fleet.scheduler.dueHolds(Set.of(), fleet.now).get(0).acknowledgedEnd();
   }
 
+  /** Guards against a cancelled task that works on because the answer to its stop was lost. */
+  @Test
+  void unansweredStopIsRepeated() {
+    fleet.addWorker("w1");
+    fleet.submit("f1", SchedulerFixture.step(1, 500, List.of()));
+    fleet.report();
+    fleet.obey();
+    fleet.apply(fleet.records.cancellation("f1"));
+    Order stop = fleet.decide().get(0);
+    fleet.scheduler.answered(stop, CallResult.UNKNOWN, fleet.now);
+    fleet.report();
+    fleet.now += 500;
+    assertThat(fleet.decide()).containsExactly(stop);
+  }
+
   private static StepSpec gang(int tasks, boolean sameRack) {
     return new StepSpec(
         tasks,
