Log how busy the owner's loop is

The logs could not tell an owner that is behind from one that waits for workers: the line owner_load gives once a second the passes and their time, the longest wait of an event for the loop and the calls in progress; the same as metrics.

--- /dev/null
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/EndedRemoval.java
@@ -0,0 +1,41 @@
+package org.persimmonloom.runtime.workflow;
+
+import java.util.List;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.persimmonloom.core.workflow.TableRecord;
+
+/**
+ * Removes the records of workflows that ended long ago, for one term of ownership. Confined to the
+ * owner's loop.
+ */
+final class EndedRemoval {
+  private static final Logger LOG = LogManager.getLogger(EndedRemoval.class);
+  private static final long REMOVAL_MILLIS = 10_000;
+
+  /** Ended workflows are kept this much longer, since clocks of hosts differ and may jump. */
+  private static final long CLOCK_MARGIN_MILLIS = 60_000;
+
+  private final FleetServices services;
+  private final TableWriter writer;
+  private long lastRemovalMillis;
+
+  EndedRemoval(FleetServices services, TableWriter writer) {
+    this.services = services;
+    this.writer = writer;
+  }
+
+  /** Removes what is due, at most once in {@link #REMOVAL_MILLIS}. */
+  void pass(long nowMillis) {
+    if (nowMillis - lastRemovalMillis < REMOVAL_MILLIS) {
+      return;
+    }
+    lastRemovalMillis = nowMillis;
+    long kept = services.scheduling().statusKeptMillis() + CLOCK_MARGIN_MILLIS;
+    List<TableRecord> removals = services.workflows().removals(services.wallClock().millis(), kept);
+    if (!removals.isEmpty()) {
+      LOG.info("event=ended_removed records={}", removals.size());
+      writer.append(removals, Long.MAX_VALUE);
+    }
+  }
+}
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
@@ -3,10 +3,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
@@ -18,7 +18,6 @@
 import org.persimmonloom.core.scheduling.PermitRequest;
 import org.persimmonloom.core.scheduling.ProgressBatch;
 import org.persimmonloom.core.scheduling.SchedulingSettings;
-import org.persimmonloom.core.workflow.TableRecord;
 import org.persimmonloom.core.workflow.WorkflowEntry;
 import org.persimmonloom.core.workflow.WorkflowRecords;
 
@@ -53,11 +52,6 @@
 
   private static final long OUTLINE_MILLIS = 1_000;
 
-  private static final long REMOVAL_MILLIS = 10_000;
-
-  /** Ended workflows are kept this much longer, since clocks of hosts differ and may jump. */
-  private static final long CLOCK_MARGIN_MILLIS = 60_000;
-
   private static final String PRODUCER = "fleet-owner";
 
   private final long fence;
@@ -66,11 +60,13 @@
   private final Runnable depose;
   private final LongSupplier confirmedMillis;
   private final ScheduledExecutorService loop;
-  private final ExecutorService calls;
+  private final ThreadPoolExecutor calls;
   private final TableWriter writer;
   private final TableFollower workerFollower;
   private final WorkerReplica workers;
   private final WorkerChannels channels;
+  private final OwnerLoad load;
+  private final EndedRemoval endedRemoval;
   private FleetScheduler scheduler;
   private volatile MachineOperations machines;
   private boolean isPassPending;
@@ -78,7 +74,6 @@
   private boolean isRecording;
   private long lastRecordMillis;
   private long lastOutlineMillis;
-  private long lastRemovalMillis;
 
   OwnerSession(
       long fence,
@@ -92,10 +87,12 @@
     this.depose = depose;
     this.confirmedMillis = confirmedMillis;
     loop = Executors.newSingleThreadScheduledExecutor(task -> daemon(task, "owner-loop"));
-    calls = Executors.newCachedThreadPool(task -> daemon(task, "owner-call"));
+    load = new OwnerLoad(services.metrics());
+    calls = (ThreadPoolExecutor) Executors.newCachedThreadPool(task -> daemon(task, "owner-call"));
     writer =
         new TableWriter(
             services.log(), Table.WORKFLOWS, PRODUCER, fence, services.metrics(), services.clock());
+    endedRemoval = new EndedRemoval(services, writer);
     workers =
         new WorkerReplica(
             services.decoder(), listed -> post(() -> scheduler.workersListed(listed, now())));
@@ -228,7 +225,12 @@
 
   private void execute(Runnable task) {
     try {
-      loop.execute(() -> guarded(task));
+      long posted = System.nanoTime();
+      loop.execute(
+          () -> {
+            load.waited(System.nanoTime() - posted);
+            guarded(task);
+          });
     } catch (RejectedExecutionException e) {
       LOG.debug("event=term_over fence={}", fence);
     }
@@ -255,6 +257,7 @@
     if (now() - lastOutlineMillis >= OUTLINE_MILLIS) {
       lastOutlineMillis = now();
       LOG.info("event=fleet fence={} {}", fence, scheduler.outline(now()));
+      LOG.info("event=owner_load fence={} {}", fence, load.takeOutline(calls.getActiveCount()));
       String waves = scheduler.machines().outline(now());
       if (!waves.isEmpty()) {
         LOG.info("event=waves fence={} {}", fence, waves);
@@ -271,10 +274,15 @@
   }
 
   private void pass() {
+    long started = System.nanoTime();
     isPassPending = false;
-    long now = now();
+    decideAndSend(now());
+    load.passed(System.nanoTime() - started);
+  }
+
+  private void decideAndSend(long now) {
     workers.publishOnce(workerFollower.isLoaded());
-    removeEnded(now);
+    endedRemoval.pass(now);
     long unconfirmed = now - confirmedMillis.getAsLong();
     boolean mayOrder = !isSuperseded && unconfirmed < services.scheduling().ownerPatienceMillis();
     if (!mayOrder) {
@@ -308,19 +316,6 @@
         });
   }
 
-  private void removeEnded(long now) {
-    if (now - lastRemovalMillis < REMOVAL_MILLIS) {
-      return;
-    }
-    lastRemovalMillis = now;
-    long kept = services.scheduling().statusKeptMillis() + CLOCK_MARGIN_MILLIS;
-    List<TableRecord> removals = services.workflows().removals(services.wallClock().millis(), kept);
-    if (!removals.isEmpty()) {
-      LOG.info("event=ended_removed records={}", removals.size());
-      writer.append(removals, Long.MAX_VALUE);
-    }
-  }
-
   private void record() {
     long now = now();
     if (scheduler == null || isRecording || now - lastRecordMillis < RECORD_MILLIS) {
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowMetrics.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowMetrics.java
@@ -9,6 +9,8 @@
 public final class WorkflowMetrics {
   private static final double[] SECONDS = {0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5};
 
+  private static final double[] OWNER_SECONDS = {0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.5};
+
   private final PrometheusRegistry registry = new PrometheusRegistry();
   final Histogram submissionSeconds =
       Histogram.builder()
@@ -42,6 +44,24 @@
           .help("fence of this host's ownership; 0 without ownership")
           .register(registry);
 
+  final Histogram passSeconds =
+      Histogram.builder()
+          .name("persimmonloom_owner_pass_seconds")
+          .help("time of one pass of the owner over workers and workflows")
+          .classicUpperBounds(OWNER_SECONDS)
+          .register(registry);
+  final Histogram loopWaitSeconds =
+      Histogram.builder()
+          .name("persimmonloom_owner_wait_seconds")
+          .help("time that an event waits for the owner's loop")
+          .classicUpperBounds(OWNER_SECONDS)
+          .register(registry);
+  final Gauge calls =
+      Gauge.builder()
+          .name("persimmonloom_owner_calls")
+          .help("calls of the owner in progress")
+          .register(registry);
+
   /** Returns the registry to expose. */
   public PrometheusRegistry registry() {
     return registry;
@@ -50,4 +70,8 @@
   static double seconds(long millis) {
     return millis / 1_000.0;
   }
+
+  static double secondsOfNanos(long nanos) {
+    return nanos / 1e9;
+  }
 }
