Let only silent workers of the last term hold earlier workflows back

Cause: a new owner starts nothing of earlier workflows of a service while any listed worker of it is unheard, since the last owner may have started their tasks there. It also counted workers that joined after the takeover, of which there is nearly always one while hosts move, and workers whose host had moved before, which stay listed for some seconds. The class of fault: a belief that nothing ends, because new reasons for it come faster than old ones go.

Change: only workers of the first list of the term count, and of those not the ones that do not answer and that no host in the platform's list runs. The hosts' list is asked for after the workers were listed, so that it is the newer of the two; while a lost host hides its worker, nothing is concluded from it.

--- a/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
@@ -96,6 +96,9 @@
   /** Notes that a worker did not answer, or that another process answers at its address. */
   public void holdFailed(WorkerFacts asked, CallResult result) {
     workers.holdFailed(asked, result);
+    if (workers.isSilentFromLastTerm(asked)) {
+      machines.noteSilent(asked.id());
+    }
   }
 
   /** Returns the requests for lists that are due, one for each worker that has none in flight. */
@@ -225,7 +228,7 @@
     }
   }
 
-  /** Returns whether a worker that is not heard yet may run tasks of the occurrence. */
+  /** Returns whether a worker of the last term that is not heard yet may run its tasks. */
   private boolean isBlocked(OccurrenceState occurrence, String service, long nowMillis) {
     return occurrence.submittedOffset < takeoverOffset
         && nowMillis < blockedUntilMillis
--- a/core/src/main/java/org/persimmonloom/core/scheduling/MachineDirector.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/MachineDirector.java
@@ -25,6 +25,13 @@
   private final Map<String, String> lastWorkers = new HashMap<>();
 
   private final Map<String, MachineFacts> machines = new HashMap<>();
+
+  /** The workers that the platform's list names. */
+  private final Set<String> namedWorkers = new HashSet<>();
+
+  /** Whether every worker that may be alive is named; a lost host may hide its worker. */
+  private boolean areAllNamed;
+
   private final Set<MachineOrder> inFlight = new HashSet<>();
   private final long notBeforeMillis;
   private Set<String> services = Set.of();
@@ -44,12 +51,20 @@
     spareServices = Set.copyOf(spare);
   }
 
+  /** Returns whether the list of hosts may be asked for: only after the workers were listed. */
+  public boolean mayList() {
+    return workers.isListKnown();
+  }
+
   /**
    * Takes over the platform's list of hosts. A worker whose host is shown on its way, or with
-   * another worker, has ended.
+   * another worker, has ended. So has a silent worker of the last term that no host is shown with,
+   * since it was listed before the hosts were.
    */
   public void listed(Collection<MachineFacts> listed) {
     machines.clear();
+    namedWorkers.clear();
+    areAllNamed = true;
     for (MachineFacts facts : listed) {
       machines.put(facts.id(), facts);
       boolean isUp = facts.state() == MachineFacts.State.UP;
@@ -61,6 +76,16 @@
       if (isUp && !facts.worker().isEmpty()) {
         lastWorkers.put(facts.id(), facts.worker());
       }
+      namedWorkers.add(facts.worker());
+      areAllNamed &= facts.state() != MachineFacts.State.DOWN || !facts.worker().isEmpty();
+    }
+    workers.silentFromLastTerm().forEach(this::noteSilent);
+  }
+
+  /** Notes that a worker of the last term does not answer. */
+  void noteSilent(String worker) {
+    if (!machines.isEmpty() && areAllNamed && !namedWorkers.contains(worker)) {
+      workers.gone(worker);
     }
   }
 
--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerBook.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerBook.java
@@ -73,8 +73,31 @@
     return byService.getOrDefault(service, List.of());
   }
 
+  /** Returns whether a worker of the service may run what an earlier owner has started there. */
   boolean hasUnheard(String service) {
-    return ofService(service).stream().anyMatch(worker -> !worker.isHeard);
+    return ofService(service).stream().anyMatch(WorkerBook::mayRunEarlierOrders);
+  }
+
+  private static boolean mayRunEarlierOrders(WorkerState worker) {
+    return worker.isFromLastTerm && !worker.isHeard && !worker.isGone;
+  }
+
+  /** Returns the workers that may run what an earlier owner has started, but do not answer. */
+  List<String> silentFromLastTerm() {
+    return byId.values().stream()
+        .filter(WorkerBook::isSilentFromLastTerm)
+        .map(worker -> worker.facts.id())
+        .toList();
+  }
+
+  /** Returns whether a worker may run what an earlier owner has started, but does not answer. */
+  boolean isSilentFromLastTerm(WorkerFacts facts) {
+    WorkerState worker = current(facts);
+    return worker != null && isSilentFromLastTerm(worker);
+  }
+
+  private static boolean isSilentFromLastTerm(WorkerState worker) {
+    return mayRunEarlierOrders(worker) && !worker.isReachable;
   }
 
   /** Returns whether the workers' list was read. */
@@ -83,16 +106,17 @@
   }
 
   void listed(Collection<WorkerFacts> listed, long nowMillis) {
+    boolean isFirstList = !isListKnown;
     isListKnown = true;
     Set<String> present = new HashSet<>();
     for (WorkerFacts facts : listed) {
       present.add(facts.id());
       WorkerState known = byId.get(facts.id());
       if (known == null) {
-        byId.put(facts.id(), new WorkerState(facts, maxLeaseMillis));
+        byId.put(facts.id(), new WorkerState(facts, maxLeaseMillis, isFirstList));
       } else if (isReborn(known, facts.bornMillis())) {
         lose(known);
-        byId.put(facts.id(), new WorkerState(facts, maxLeaseMillis));
+        byId.put(facts.id(), new WorkerState(facts, maxLeaseMillis, false));
       } else {
         Resources used = known.facts.capacity().minus(known.free);
         known.facts = facts;
@@ -226,6 +250,7 @@
   private void gone(WorkerState worker) {
     lose(worker);
     worker.isListed = false;
+    worker.isGone = true;
   }
 
   /** Drops the runs of a worker whose life is over; its tasks may start elsewhere. */
--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerState.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerState.java
@@ -17,6 +17,12 @@
   /** Whether it answered under the present owner's fence, so that all that runs there is known. */
   boolean isHeard;
 
+  /** Whether it was listed when the term began, so that an earlier owner may have used it. */
+  final boolean isFromLastTerm;
+
+  /** Whether its life is over, although its entry may be listed for some time more. */
+  boolean isGone;
+
   boolean isReachable = true;
   long bornMillis;
 
@@ -39,8 +45,9 @@
 
   Resources free;
 
-  WorkerState(WorkerFacts facts, long maxLeaseMillis) {
+  WorkerState(WorkerFacts facts, long maxLeaseMillis, boolean isFromLastTerm) {
     this.facts = facts;
+    this.isFromLastTerm = isFromLastTerm;
     bornMillis = facts.bornMillis();
     lease = new LeaseClock(maxLeaseMillis);
     free = facts.capacity();
--- a/core/src/test/java/org/persimmonloom/core/scheduling/TakeoverTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/TakeoverTest.java
@@ -49,7 +49,6 @@
    * can't run them (pos-loom-grown scale-1: up to 170 tasks waited for 5 s beside idle workers).
    */
   @Test
-  @Tag("known-red")
   void workerThatJoinsAfterTheTakeoverHoldsNothingBack() {
     fleet.addWorker("w1");
     submitBeforeTakeover();
@@ -64,7 +63,6 @@
    * worker before the takeover, since its entry is listed for some seconds more.
    */
   @Test
-  @Tag("known-red")
   void silentWorkerThatNoHostRunsHoldsNothingBack() {
     fleet.addWorker("w1");
     WorkerFacts moved = fleet.addWorker("w2");
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/MachineOperations.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/MachineOperations.java
@@ -97,7 +97,7 @@
 
   /** Reads the list and decides when each is due; orders about tasks go to {@code tasks}. */
   void pass(long nowMillis, long wallMillis, List<Order> tasks) {
-    if (!isListing && nowMillis >= nextListMillis) {
+    if (!isListing && nowMillis >= nextListMillis && director.mayList()) {
       isListing = true;
       calls.execute(
           () -> {
