Ask no worker for its lists whose life is over

Cause: a worker that is known to be gone was marked as not listed, and the next change of the workers' list marked it as listed again, since its entry stays for up to three heartbeats.

Change: that a worker is gone is kept until its entry goes, it starts a new life, or the platform's list of hosts shows it with a host. The test failed before (w1 and w2 were asked in place of w2).

--- a/core/src/main/java/org/persimmonloom/core/scheduling/MachineDirector.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/MachineDirector.java
@@ -75,6 +75,7 @@
       }
       if (isUp && !facts.worker().isEmpty()) {
         lastWorkers.put(facts.id(), facts.worker());
+        workers.alive(facts.worker());
       }
       namedWorkers.add(facts.worker());
       areAllNamed &= facts.state() != MachineFacts.State.DOWN || !facts.worker().isEmpty();
--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerBook.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerBook.java
@@ -121,7 +121,7 @@
         Resources used = known.facts.capacity().minus(known.free);
         known.facts = facts;
         known.free = facts.capacity().minus(used);
-        known.isListed = true;
+        known.isListed = !known.isGone;
       }
     }
     for (WorkerState worker : List.copyOf(byId.values())) {
@@ -247,6 +247,15 @@
     }
   }
 
+  /** Notes that the platform shows a worker alive that was taken to be gone. */
+  void alive(String id) {
+    WorkerState worker = byId.get(id);
+    if (worker != null && worker.isGone) {
+      worker.isGone = false;
+      worker.isListed = true;
+    }
+  }
+
   private void gone(WorkerState worker) {
     lose(worker);
     worker.isListed = false;
--- a/core/src/test/java/org/persimmonloom/core/scheduling/TakeoverTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/TakeoverTest.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Set;
 import java.util.stream.Stream;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.persimmonloom.core.workflow.Resources;
 
@@ -96,7 +95,6 @@
    * (pos-loom-grown scale-1: up to 800 a second).
    */
   @Test
-  @Tag("known-red")
   void workerThatIsGoneIsNotAskedAgain() {
     fleet.addWorker("w1");
     fleet.report();
@@ -107,4 +105,15 @@
 
     assertThat(asked()).containsExactly("w2");
   }
+
+  /** Guards against a worker that is never used again because it was taken to be gone once. */
+  @Test
+  void workerThatItsHostIsShownWithIsAskedAgain() {
+    WorkerFacts worker = fleet.addWorker("w1");
+    fleet.scheduler.holdFailed(worker, CallResult.GONE);
+    listMachines(machine("m1", MachineFacts.State.UP, "w1"));
+    fleet.now += 1_000;
+
+    assertThat(asked()).containsExactly("w1");
+  }
 }
