Keep the ownership of the fleet on the hosts with the most processor time

Cause: any entry host claims the ownership, in an order given by a hash of its name, and 27 of the 35 hosts may use 0.36 cores. An owner there falls behind: its passes take more than a second of each second, answers of workers wait up to 0.8 s and are taken for lost, which leads to stops, repeats and changes of the owner.

Change: hosts register their processor time, a host claims later the less it has, and an owner hands over to a host with twice as much that says it would claim. The release ends the term also if its record is lost. A registration in the earlier form is reported and left out.

--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/HostDirectory.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/HostDirectory.java
@@ -1,45 +1,68 @@
 package org.persimmonloom.runtime.workflow;
 
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.TreeMap;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.persimmonloom.core.wire.Codec;
+import org.persimmonloom.core.workflow.TableRecord;
 
 /**
  * The entry hosts that have registered in the platform's log, with the addresses at which they
- * serve each other. Safe for any thread.
+ * serve each other and their processor time. A host that was killed stays registered. Safe for any
+ * thread.
  */
 final class HostDirectory implements TableFollower.Listener {
+  private static final Logger LOG = LogManager.getLogger(HostDirectory.class);
+
   private final String ownName;
-  private final TreeMap<String, String> addresses = new TreeMap<>();
+  private final Codec codec = new Codec(Map.of());
+  private final TreeMap<String, HostRecord> hosts = new TreeMap<>();
   private String preferred = "";
 
   HostDirectory(String ownName) {
     this.ownName = ownName;
   }
 
+  /** Returns the record with which this host registers. */
+  TableRecord registration(HostRecord own) {
+    return new TableRecord(ownName, codec.encode(own));
+  }
+
+  /** Returns the record with which this host withdraws its registration. */
+  TableRecord removal() {
+    return new TableRecord(ownName, null);
+  }
+
   @Override
   public synchronized void apply(StoredRecord stored, boolean isBacklog) {
+    String name = stored.record().key();
     byte[] value = stored.record().value();
     if (value == null) {
-      addresses.remove(stored.record().key());
-    } else {
-      addresses.put(stored.record().key(), new String(value, StandardCharsets.UTF_8));
+      hosts.remove(name);
+      return;
     }
+    codec
+        .decode(value, HostRecord.class)
+        .peek(host -> hosts.put(name, host))
+        .peekLeft(failure -> LOG.warn("event=host_unreadable name={} cause={}", name, failure));
   }
 
   @Override
   public synchronized void restart() {
-    addresses.clear();
+    hosts.clear();
   }
 
   /** Returns the other hosts' addresses, the one that answered last at the front. */
   synchronized List<String> others() {
     List<String> others = new ArrayList<>();
-    addresses.forEach(
-        (name, address) -> {
+    hosts.forEach(
+        (name, host) -> {
           if (!name.equals(ownName)) {
-            others.add(address);
+            others.add(host.address());
           }
         });
     if (others.remove(preferred)) {
@@ -48,6 +71,22 @@
     return others;
   }
 
+  /** Returns the most processor time that a registered host has, in cores; 0 if there is none. */
+  synchronized double mostProcessors() {
+    return hosts.values().stream().mapToDouble(HostRecord::processors).max().orElse(0);
+  }
+
+  /** Returns the addresses of the other hosts with at least so many cores, the largest first. */
+  synchronized List<String> othersWith(double processors) {
+    return hosts.entrySet().stream()
+        .filter(entry -> !entry.getKey().equals(ownName))
+        .map(Map.Entry::getValue)
+        .filter(host -> host.processors() >= processors)
+        .sorted(Comparator.comparingDouble((HostRecord host) -> -host.processors()))
+        .map(HostRecord::address)
+        .toList();
+  }
+
   /** Notes that a host answered. */
   synchronized void answered(String address) {
     preferred = address;
@@ -56,7 +95,7 @@
   /** Notes that a host could not help, so that another one is asked first next time. */
   synchronized void failed(String address) {
     if (preferred.equals(address) || preferred.isEmpty()) {
-      List<String> all = new ArrayList<>(addresses.values());
+      List<String> all = hosts.values().stream().map(HostRecord::address).toList();
       int index = all.indexOf(address);
       preferred = all.isEmpty() ? "" : all.get(Math.floorMod(index + 1, all.size()));
     }
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/Ownership.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/Ownership.java
@@ -45,13 +45,19 @@
   private final String host;
   private final long incarnation;
   private final LongSupplier clock;
+  private final LongSupplier claimDelayMillis;
   private final Listener listener;
   private final Codec codec = new Codec(Map.of());
   private final Thread thread;
   private volatile boolean isStopping;
   private volatile boolean mayClaim;
+  private volatile boolean isHandoverWanted;
   private volatile long fence = -1;
   private volatile long confirmedMillis;
+
+  /** The last fence that this host has released, although the record of that may be missing. */
+  private long releasedFence;
+
   private long end;
   private boolean isLoaded;
   private OwnershipRecord newest;
@@ -63,9 +69,16 @@
    *
    * @param incarnation start of this process
    * @param clock steady clock in milliseconds
+   * @param claimDelayMillis how much later this host claims than others do
    */
   public Ownership(
-      KeyedLog log, String host, long incarnation, LongSupplier clock, Listener listener) {
+      KeyedLog log,
+      String host,
+      long incarnation,
+      LongSupplier clock,
+      LongSupplier claimDelayMillis,
+      Listener listener) {
+    this.claimDelayMillis = claimDelayMillis;
     this.log = log;
     this.host = host;
     this.incarnation = incarnation;
@@ -87,6 +100,11 @@
     thread.join(TimeUnit.SECONDS.toMillis(2));
   }
 
+  /** Gives up the ownership, if this host has it, with its next renewal. */
+  public void handOver() {
+    isHandoverWanted = fence >= 0;
+  }
+
   /** Lets this host claim the ownership, or keeps it from doing so. */
   public void setMayClaim(boolean allowed) {
     mayClaim = allowed;
@@ -204,7 +222,8 @@
   }
 
   private void claim(boolean isHandedOver) throws InterruptedException {
-    TimeUnit.MILLISECONDS.sleep(Math.floorMod(host.hashCode(), MAX_STAGGER_MILLIS));
+    int stagger = Math.floorMod(host.hashCode(), MAX_STAGGER_MILLIS);
+    TimeUnit.MILLISECONDS.sleep(stagger + claimDelayMillis.getAsLong());
     long sent = clock.getAsLong();
     AppendResult result =
         log.appendAt(
@@ -225,6 +244,7 @@
   private boolean isOwnRecord() {
     return newest != null
         && !newest.isReleased()
+        && newest.fence() != releasedFence
         && newest.host().equals(host)
         && newest.incarnation() == incarnation;
   }
@@ -236,6 +256,7 @@
 
   private void gain(long wonFence, long confirmed, boolean isHandedOver) {
     confirmedMillis = confirmed;
+    isHandoverWanted = false;
     fence = wonFence;
     LOG.info("event=ownership_gained fence={} previous={}", fence, newest);
     listener.gained(wonFence, isHandedOver);
@@ -246,6 +267,13 @@
     if (fence < 0) {
       return;
     }
+    if (isHandoverWanted) {
+      isHandoverWanted = false;
+      release();
+      // The table is read anew, since the answer to the release may have been lost.
+      isLoaded = false;
+      return;
+    }
     long sent = clock.getAsLong();
     AppendResult result =
         log.appendAt(
@@ -300,6 +328,7 @@
       result = log.appendAt(Table.OWNERSHIP, end, released);
     }
     LOG.info("event=ownership_released fence={} result={}", fence, result);
+    releasedFence = fence;
     fence = -1;
   }
 
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/PeerLink.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/PeerLink.java
@@ -26,6 +26,9 @@
   /** Path of a state, followed by the identifier of the workflow. */
   static final String STATE_PATH = "/workflows/";
 
+  /** Path of the question whether a host would claim the ownership. */
+  static final String CANDIDATE_PATH = "/candidate";
+
   private static final MediaType MESSAGE_PACK = MediaType.get("application/msgpack");
   private static final int CONNECT_MILLIS = 200;
   private static final int STATE_MILLIS = 500;
@@ -95,4 +98,16 @@
       return new StateAnswer(false, Optional.empty());
     }
   }
+
+  /** Returns whether the host at the address would claim the ownership if it was free. */
+  boolean mayClaim(String address) {
+    Request request = new Request.Builder().url("http://" + address + CANDIDATE_PATH).build();
+    var call = client.newCall(request);
+    call.timeout().timeout(STATE_MILLIS, TimeUnit.MILLISECONDS);
+    try (Response response = call.execute()) {
+      return response.code() == OK;
+    } catch (IOException e) {
+      return false;
+    }
+  }
 }
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/PeerListener.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/PeerListener.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import org.persimmonloom.core.wire.Codec;
 import org.persimmonloom.core.workflow.WorkflowState;
@@ -32,6 +33,7 @@
   private final SubmissionService submissions;
   private final TableWriter writer;
   private final WorkflowMetrics metrics;
+  private final BooleanSupplier mayClaim;
   private final LongSupplier clock;
   private final Undertow server;
 
@@ -39,8 +41,10 @@
       SubmissionService submissions,
       TableWriter writer,
       WorkflowMetrics metrics,
+      BooleanSupplier mayClaim,
       LongSupplier clock,
       InetSocketAddress address) {
+    this.mayClaim = mayClaim;
     this.submissions = submissions;
     this.writer = writer;
     this.metrics = metrics;
@@ -68,6 +72,8 @@
       exchange.getRequestReceiver().receiveFullBytes(this::append);
     } else if (path.startsWith(PeerLink.STATE_PATH)) {
       exchange.dispatch(() -> show(exchange, path.substring(PeerLink.STATE_PATH.length())));
+    } else if (path.equals(PeerLink.CANDIDATE_PATH)) {
+      exchange.setStatusCode(mayClaim.getAsBoolean() ? 200 : 503).endExchange();
     } else if (path.equals(METRICS_PATH)) {
       exchange.dispatch(() -> expose(exchange));
     } else {
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowHost.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowHost.java
@@ -1,16 +1,16 @@
 package org.persimmonloom.runtime.workflow;
 
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.time.InstantSource;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.persimmonloom.core.scheduling.SchedulingSettings;
-import org.persimmonloom.core.workflow.TableRecord;
 
 /**
  * The workflow part of an entry host: replicas, submissions, and the fleet's ownership when it
@@ -25,6 +25,8 @@
   /** A configuration read within this time counts as current, in ms. */
   private static final long CONFIGURATION_WITHIN_MILLIS = 2_500;
 
+  private static final long PLACEMENT_CHECK_MILLIS = 1_000;
+
   private final TableFollower configurationFollower;
   private final TableFollower workflowFollower;
   private final OperationsReplica operations;
@@ -33,8 +35,10 @@
   private final TableWriter hostWriter;
   private final PeerListener peerListener;
   private final SubmissionService submissions;
-  private final String name;
-  private final InetSocketAddress peerAddress;
+  private final HostDirectory hosts;
+  private final HostRecord registration;
+  private final OwnershipPlacement placement;
+  private final ScheduledExecutorService placementLoop;
   private final Ownership ownership;
   private final FleetServices services;
   private final WorkflowMetrics metrics = new WorkflowMetrics();
@@ -47,6 +51,7 @@
    *
    * @param name name of this host
    * @param incarnation start of this process, which tells its lives apart
+   * @param processors processor time that this host may use, in cores
    * @param clock steady clock in milliseconds
    */
   public WorkflowHost(
@@ -60,10 +65,11 @@
       SchedulingSettings scheduling,
       PeerLink peers,
       InetSocketAddress peerAddress,
+      double processors,
       LongSupplier clock) {
     this.clock = clock;
-    this.name = name;
-    this.peerAddress = peerAddress;
+    registration =
+        new HostRecord(peerAddress.getHostString() + ':' + peerAddress.getPort(), processors);
     operations = new OperationsReplica(decoder);
     configurationFollower = new TableFollower(log, Table.OPERATIONS, operations, clock, 1_000, 0);
     WorkflowReplica workflows = new WorkflowReplica();
@@ -71,7 +77,15 @@
         new TableFollower(
             log, Table.WORKFLOWS, workflows, clock, 1_000, FleetServices.FOLLOWER_PAUSE_MILLIS);
     writer = new TableWriter(log, Table.WORKFLOWS, name + '-' + incarnation, 1, metrics, clock);
-    HostDirectory hosts = new HostDirectory(name);
+    hosts = new HostDirectory(name);
+    placement = new OwnershipPlacement(hosts, processors, peers::mayClaim);
+    placementLoop =
+        Executors.newSingleThreadScheduledExecutor(
+            task -> {
+              Thread thread = new Thread(task, "ownership-placement");
+              thread.setDaemon(true);
+              return thread;
+            });
     hostFollower = new TableFollower(log, Table.HOSTS, hosts, clock, HOSTS_WAIT_MILLIS, 0);
     hostWriter = new TableWriter(log, Table.HOSTS, name + '-' + incarnation, 1, metrics, clock);
     submissions =
@@ -84,8 +98,9 @@
             SubmissionLimits.DEFAULT,
             metrics,
             clock);
-    peerListener = new PeerListener(submissions, writer, metrics, clock, peerAddress);
-    ownership = new Ownership(log, name, incarnation, clock, this);
+    peerListener =
+        new PeerListener(submissions, writer, metrics, this::mayClaim, clock, peerAddress);
+    ownership = new Ownership(log, name, incarnation, clock, placement::claimDelayMillis, this);
     services =
         new FleetServices(
             name,
@@ -111,11 +126,29 @@
     hostFollower.start();
     hostWriter.start();
     peerListener.start();
-    String address = peerAddress.getHostString() + ':' + peerAddress.getPort();
-    hostWriter.append(
-        List.of(new TableRecord(name, address.getBytes(StandardCharsets.UTF_8))), Long.MAX_VALUE);
+    hostWriter.append(List.of(hosts.registration(registration)), Long.MAX_VALUE);
     ownership.setMayClaim(true);
     ownership.start();
+    placementLoop.scheduleWithFixedDelay(
+        this::checkPlacement,
+        PLACEMENT_CHECK_MILLIS,
+        PLACEMENT_CHECK_MILLIS,
+        TimeUnit.MILLISECONDS);
+  }
+
+  private void checkPlacement() {
+    try {
+      if (metrics.fence.get() > 0 && placement.isHandoverDue(clock.getAsLong())) {
+        LOG.info("event=ownership_handed_over processors={}", registration.processors());
+        ownership.handOver();
+      }
+    } catch (RuntimeException e) {
+      LOG.error("event=placement_failed", e);
+    }
+  }
+
+  private boolean mayClaim() {
+    return !isStopping && submissions.isCurrent();
   }
 
   /**
@@ -124,7 +157,8 @@
    */
   public void prepareStop() throws InterruptedException {
     isStopping = true;
-    hostWriter.append(List.of(new TableRecord(name, null)), clock.getAsLong());
+    placementLoop.shutdownNow();
+    hostWriter.append(List.of(hosts.removal()), clock.getAsLong());
     ownership.stop();
   }
 
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnershipTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnershipTest.java
@@ -26,8 +26,10 @@
     private volatile int appendsAtLoss;
     private final Ownership ownership;
 
+    private volatile long claimDelayMillis;
+
     Candidate(String name, long incarnation) {
-      ownership = new Ownership(log, name, incarnation, CLOCK, this);
+      ownership = new Ownership(log, name, incarnation, CLOCK, () -> claimDelayMillis, this);
       ownership.setMayClaim(true);
     }
 
@@ -108,6 +110,49 @@
     return new TableRecord("fleet", new Codec(Map.of()).encode(value));
   }
 
+  /** Guards against an owner on a small host while a larger one could be the owner. */
+  @Test
+  void hostWithAClaimDelayLeavesTheOwnershipToAnother() throws Exception {
+    one.claimDelayMillis = 3_000;
+    one.ownership.start();
+    two.ownership.start();
+    assertThat(two.nextFence()).isEqualTo(1);
+    assertThat(one.fences).isEmpty();
+  }
+
+  /**
+   * Guards against a handover that nobody follows, and against one that ends the claims of a host.
+   */
+  @Test
+  void ownershipThatIsHandedOverGoesToTheOtherHostAndMayComeBack() throws Exception {
+    one.ownership.start();
+    long first = one.nextFence();
+    two.ownership.start();
+    one.claimDelayMillis = 3_000;
+    one.ownership.handOver();
+    assertThat(one.losses.poll(5, TimeUnit.SECONDS)).isTrue();
+    long second = two.nextFence();
+    assertThat(second).isGreaterThan(first);
+
+    one.claimDelayMillis = 0;
+    two.ownership.stop();
+    assertThat(one.nextFence()).isGreaterThan(second);
+  }
+
+  /**
+   * Guards against a second term under one fence: a host whose release was not written finds its
+   * own last record and must not take it for a claim.
+   */
+  @Test
+  void releaseThatWasNotWrittenEndsTheTermAllTheSame() throws Exception {
+    one.ownership.start();
+    long first = one.nextFence();
+    log.refusals = 1;
+    one.ownership.handOver();
+    assertThat(one.losses.poll(5, TimeUnit.SECONDS)).isTrue();
+    assertThat(one.nextFence()).isGreaterThan(first);
+  }
+
   /** Guards against two owners: a renewal after another host's claim must fail. */
   @Test
   void supersededOwnerStepsDown() throws Exception {
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/PeerAppendTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/PeerAppendTest.java
@@ -5,7 +5,6 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -35,6 +34,8 @@
   private final Host helper = new Host(log, new HostDirectory("helper"));
   private final Host away = new Host(unreachable, directory);
   private PeerListener listener;
+  private String helperAddress;
+  private volatile boolean mayClaim = true;
 
   /** The parts of an entry host that accept workflows. */
   private static final class Host {
@@ -65,14 +66,18 @@
     try (ServerSocket socket = new ServerSocket(0)) {
       address = new InetSocketAddress("127.0.0.1", socket.getLocalPort());
     }
-    listener = new PeerListener(helper.submissions, helper.writer, METRICS, CLOCK, address);
+    listener =
+        new PeerListener(
+            helper.submissions, helper.writer, METRICS, () -> mayClaim, CLOCK, address);
     listener.start();
     helper.writer.start();
     helper.follower.start();
     away.writer.start();
     unreachable.isDown = true;
-    byte[] value = ("127.0.0.1:" + address.getPort()).getBytes(StandardCharsets.UTF_8);
-    directory.apply(new StoredRecord(0, new TableRecord("helper", value)), false);
+    helperAddress = "127.0.0.1:" + address.getPort();
+    TableRecord registration =
+        new HostDirectory("helper").registration(new HostRecord(helperAddress, 1));
+    directory.apply(new StoredRecord(0, registration), false);
   }
 
   @AfterEach
@@ -147,4 +152,15 @@
                 .get(5, TimeUnit.SECONDS))
         .isNull();
   }
+
+  /** Guards against an ownership that is handed over to a host which would not claim it. */
+  @Test
+  void hostTellsWhetherItWouldClaimTheOwnership() {
+    PeerLink link = new PeerLink(new OkHttpClient());
+    assertThat(link.mayClaim(helperAddress)).isTrue();
+    mayClaim = false;
+    assertThat(link.mayClaim(helperAddress)).isFalse();
+    listener.stop();
+    assertThat(link.mayClaim(helperAddress)).isFalse();
+  }
 }
