Log why tasks that are ready have no run at work

In an incident a lasting task was not restarted for 24 s, and the logs did not tell whether the owner took it for running, was blocked after its take-over or saw no room. Once a second the owner now logs event=not_started when such tasks exist, with one entry for each service and reason: their number, the longest wait and the task that waits so long. For lasting tasks that the owner counts as running at a silent worker, or whose start or stop is open, the entry also names run, worker, phase and the age of the worker's last report.

The report reads the scheduler's books and decides nothing. The lines that are logged once a second are now guarded like a pass, since an exception in one of them would have ended the ticks of the term.

--- a/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
@@ -32,6 +32,7 @@
   private final FillerPacing pacing = new FillerPacing(book);
   private final PermitBook permits = new PermitBook(book);
   private final WorkerBook workers;
+  private final NotStartedReport notStarted;
   private final MachineDirector machines;
   private final List<OccurrenceState> order = new ArrayList<>();
 
@@ -55,6 +56,7 @@
     this.takeoverOffset = takeoverOffset;
     blockedUntilMillis = nowMillis + settings.takeoverBlockMillis();
     workers = new WorkerBook(settings.maxLeaseMillis(), book);
+    notStarted = new NotStartedReport(book, workers, permits);
     machines = new MachineDirector(workers, book, machinesFromMillis);
   }
 
@@ -178,6 +180,15 @@
     return line.toString().strip();
   }
 
+  /** Returns one line on why tasks of ready steps have no run at work; empty if all have one. */
+  public String outlineNotStarted(long nowMillis, long wallMillis) {
+    return notStarted.outline(
+        runningServices,
+        (occurrence, service) -> isBlocked(occurrence, service, nowMillis),
+        nowMillis,
+        wallMillis);
+  }
+
   private void stopUnwanted(List<Order> orders, long nowMillis) {
     for (WorkerState worker : workers.all()) {
       for (TaskRun run : worker.runs.values()) {
--- /dev/null
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/NotStartedReport.java
@@ -0,0 +1,205 @@
+package org.persimmonloom.core.scheduling;
+
+import java.util.EnumMap;
+import java.util.IdentityHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.BiPredicate;
+
+/**
+ * Explains for logs why tasks are not started.
+ *
+ * <p>Tasks that are not done, whose step is ready and that have no run at work are grouped by
+ * service and reason, so that the length of a line does not depend on the number of tasks. Waiting
+ * times count from the first report that finds the task without a run, since a task keeps no time
+ * of its last end. Reads the books and changes nothing in them. Not thread-safe.
+ */
+final class NotStartedReport {
+  /** A worker with runs answers more often than this, in ms, unless it is silent. */
+  private static final long SILENT_MILLIS = 2_000;
+
+  private final TaskBook book;
+  private final WorkerBook workers;
+  private final PermitBook permits;
+
+  /** Tasks that the last report found, by identity. */
+  private Map<TaskState, Waiting> waiting = new IdentityHashMap<>();
+
+  /** Since when a task waits after its run with this number. */
+  private record Waiting(int runs, long sinceMillis) {}
+
+  /** What is known of the fleet at the time of one report. */
+  private record Moment(
+      Set<String> services,
+      BiPredicate<OccurrenceState, String> isBlocked,
+      long nowMillis,
+      long wallMillis) {}
+
+  /** The tasks of one service that wait for one reason, with the one that waits the longest. */
+  private static final class Group {
+    int tasks;
+    long oldestMillis = -1;
+    OccurrenceState occurrence;
+    TaskState task;
+
+    void add(OccurrenceState owner, TaskState added, long waitedMillis) {
+      tasks++;
+      if (waitedMillis > oldestMillis) {
+        oldestMillis = waitedMillis;
+        occurrence = owner;
+        task = added;
+      }
+    }
+  }
+
+  NotStartedReport(TaskBook book, WorkerBook workers, PermitBook permits) {
+    this.book = book;
+    this.workers = workers;
+    this.permits = permits;
+  }
+
+  /**
+   * Returns one line with an entry for each service and reason; empty if no task waits.
+   *
+   * @param services services whose workers run
+   * @param isBlocked whether an occurrence may start nothing on a service after a take-over
+   */
+  String outline(
+      Set<String> services,
+      BiPredicate<OccurrenceState, String> isBlocked,
+      long nowMillis,
+      long wallMillis) {
+    Moment moment = new Moment(services, isBlocked, nowMillis, wallMillis);
+    Map<String, Map<NotStartedReason, Group>> groups = new TreeMap<>();
+    Map<TaskState, Waiting> found = new IdentityHashMap<>();
+    for (List<OccurrenceState> occurrences : book.all()) {
+      for (OccurrenceState occurrence : occurrences) {
+        add(occurrence, moment, groups, found);
+      }
+    }
+    waiting = found;
+    return line(groups, nowMillis);
+  }
+
+  private void add(
+      OccurrenceState occurrence,
+      Moment moment,
+      Map<String, Map<NotStartedReason, Group>> groups,
+      Map<TaskState, Waiting> found) {
+    String service = book.policy(occurrence.spec).service();
+    for (int step = 0; step < occurrence.missing.length; step++) {
+      if (occurrence.missing[step] == 0 || !occurrence.isReady(step)) {
+        continue;
+      }
+      boolean isLasting = occurrence.step(step).longRunning();
+      NotStartedReason stepReason = null;
+      for (TaskState task : occurrence.tasksOf(step)) {
+        NotStartedReason reason;
+        if (task.isRunnable()) {
+          // What keeps one task of a step from starting keeps all of them.
+          stepReason = stepReason == null ? reason(occurrence, step, service, moment) : stepReason;
+          reason = stepReason;
+        } else if (isLasting && isBelievedRunning(task, moment.nowMillis())) {
+          reason = NotStartedReason.BELIEVED_RUNNING;
+        } else {
+          continue;
+        }
+        groups
+            .computeIfAbsent(service, key -> new EnumMap<>(NotStartedReason.class))
+            .computeIfAbsent(reason, key -> new Group())
+            .add(occurrence, task, waited(task, reason, moment.nowMillis(), found));
+      }
+    }
+  }
+
+  private long waited(
+      TaskState task, NotStartedReason reason, long nowMillis, Map<TaskState, Waiting> found) {
+    if (reason == NotStartedReason.NOT_DUE) {
+      return 0;
+    }
+    Waiting known = waiting.get(task);
+    if (known == null || known.runs() != task.runs) {
+      known = new Waiting(task.runs, nowMillis);
+    }
+    found.put(task, known);
+    return nowMillis - known.sinceMillis();
+  }
+
+  /** Returns what keeps the runnable tasks of a ready step from starting. */
+  private NotStartedReason reason(
+      OccurrenceState occurrence, int step, String service, Moment moment) {
+    if (moment.wallMillis() < occurrence.spec.dueMillis(occurrence.number)) {
+      return NotStartedReason.NOT_DUE;
+    }
+    if (!moment.services().contains(service)) {
+      return NotStartedReason.SERVICE_NOT_RUNNING;
+    }
+    if (moment.isBlocked().test(occurrence, service)) {
+      return NotStartedReason.BLOCKED_AFTER_TAKEOVER;
+    }
+    boolean isGang = occurrence.step(step).gang();
+    List<TaskState> tasks = occurrence.tasksOf(step);
+    if (isGang && !tasks.stream().allMatch(TaskState::isRunnable)) {
+      return NotStartedReason.GANG_MEMBER_ACTIVE;
+    }
+    long now = moment.nowMillis();
+    List<WorkerState> pool = workers.ofService(service);
+    if (pool.stream().noneMatch(worker -> worker.mayStart(now))) {
+      return NotStartedReason.NO_WORKER_USABLE;
+    }
+    if (!hasPossible(pool, occurrence, step, now)) {
+      return NotStartedReason.NO_ROOM;
+    }
+    List<WorkerState> permitted = permits.permitted(occurrence, step, pool, now);
+    if (!hasPossible(permitted, occurrence, step, now)) {
+      return NotStartedReason.NO_PERMIT;
+    }
+    if (isGang && Placement.chooseAll(permitted, occurrence, tasks, now) == null) {
+      return NotStartedReason.GANG_INCOMPLETE_ROOM;
+    }
+    return NotStartedReason.STARTABLE;
+  }
+
+  private static boolean hasPossible(
+      List<WorkerState> pool, OccurrenceState occurrence, int step, long nowMillis) {
+    return pool.stream()
+        .anyMatch(worker -> Placement.isPossible(worker, occurrence, step, nowMillis));
+  }
+
+  private static boolean isBelievedRunning(TaskState task, long nowMillis) {
+    return !task.active.isEmpty()
+        && task.active.stream()
+            .allMatch(run -> run.phase != TaskRun.Phase.RUNNING || isSilent(run.worker, nowMillis));
+  }
+
+  private static boolean isSilent(WorkerState worker, long nowMillis) {
+    return !worker.isReachable || nowMillis - worker.lastReportMillis >= SILENT_MILLIS;
+  }
+
+  private static String line(Map<String, Map<NotStartedReason, Group>> groups, long nowMillis) {
+    StringBuilder line = new StringBuilder();
+    groups.forEach(
+        (service, reasons) ->
+            reasons.forEach(
+                (reason, group) -> {
+                  line.append(service).append('.').append(reason);
+                  line.append("=tasks:").append(group.tasks);
+                  line.append(",oldest:").append(group.oldestMillis);
+                  line.append(",task:").append(group.occurrence.taskId(group.task));
+                  if (reason == NotStartedReason.BELIEVED_RUNNING) {
+                    appendRun(line, group.task.active.get(0), nowMillis);
+                  }
+                  line.append(' ');
+                }));
+    return line.toString().strip();
+  }
+
+  private static void appendRun(StringBuilder line, TaskRun run, long nowMillis) {
+    line.append(",run:").append(run.number);
+    line.append(",worker:").append(run.worker.facts.id());
+    line.append(",phase:").append(run.phase);
+    line.append(",reported:").append(nowMillis - run.worker.lastReportMillis);
+  }
+}
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
@@ -256,12 +256,21 @@
     guarded(this::pass);
     if (now() - lastOutlineMillis >= OUTLINE_MILLIS) {
       lastOutlineMillis = now();
-      LOG.info("event=fleet fence={} {}", fence, scheduler.outline(now()));
-      LOG.info("event=owner_load fence={} {}", fence, load.takeOutline(calls.getActiveCount()));
-      String waves = scheduler.machines().outline(now());
-      if (!waves.isEmpty()) {
-        LOG.info("event=waves fence={} {}", fence, waves);
-      }
+      // An exception would end the ticks for the rest of the term.
+      guarded(this::logOutlines);
+    }
+  }
+
+  private void logOutlines() {
+    LOG.info("event=fleet fence={} {}", fence, scheduler.outline(now()));
+    LOG.info("event=owner_load fence={} {}", fence, load.takeOutline(calls.getActiveCount()));
+    String notStarted = scheduler.outlineNotStarted(now(), services.wallClock().millis());
+    if (!notStarted.isEmpty()) {
+      LOG.info("event=not_started fence={} {}", fence, notStarted);
+    }
+    String waves = scheduler.machines().outline(now());
+    if (!waves.isEmpty()) {
+      LOG.info("event=waves fence={} {}", fence, waves);
     }
   }
 
