Test that the owner logs why tasks are not started

A session with a workflow and no worker must log event=not_started with its fence, service, reason and task. The workflow of PeerAppendTest is shared for it; no existing check changes.

--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/PeerAppendTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/PeerAppendTest.java
@@ -83,7 +83,8 @@
     away.writer.stop();
   }
 
-  private static WorkflowSpec workflow() {
+  /** Returns a workflow of one task, which service s runs. */
+  static WorkflowSpec workflow() {
     StepSpec step =
         new StepSpec(
             1,
