Let a host back to work whose maintenance was already done

Seen by callers: a host that is up and counts as capacity of its pool, but gets no task for the rest of the owner's term, while tasks wait.

Cause: an order for maintenance is also answered as done if it was carried out before, either for an earlier owner or by an order of this owner whose answer was lost. The host then stays up with the worker that was cordoned for the wave. After 10 s the wave took the host for returned, and nothing removed the cordon: it was expected to end with the worker.

Evidence: both new tests failed without the change, "hostThatWasMaintainedBeforeGetsWorkAgain:83" and "hostWhoseOrderWasNotAnsweredGetsWorkAgain:100", each "Expecting actual not to be empty": the other hosts got new tasks, the maintained one none.

Change: a host that the wave takes for returned is released like one whose order was refused. The cordon of a worker that is gone has no effect, so the release is safe for a list of hosts that is out of date, too.

--- a/core/src/main/java/org/persimmonloom/core/scheduling/MaintenanceWaves.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/MaintenanceWaves.java
@@ -57,7 +57,10 @@
       long nowMillis) {
     runningPools = Set.copyOf(neededHosts.keySet());
     for (WaveInProgress wave : waves.values()) {
-      wave.noteReturns(machines, nowMillis);
+      for (String machine : wave.takeReturned(machines, nowMillis)) {
+        // Its worker is still the cordoned one if the host had been maintained before.
+        release(wave, machines.get(machine), machine);
+      }
       if (!wave.progress().isComplete()) {
         advance(wave, machines, neededHosts, machineOrders, taskOrders, nowMillis);
       }
--- a/core/src/main/java/org/persimmonloom/core/scheduling/WaveInProgress.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WaveInProgress.java
@@ -88,14 +88,17 @@
     return busy.size();
   }
 
-  /** Forgets hosts that are back. */
-  void noteReturns(Map<String, MachineFacts> machines, long nowMillis) {
-    down.entrySet()
-        .removeIf(
-            entry -> {
-              MachineFacts facts = machines.get(entry.getKey());
-              return facts == null || entry.getValue().hasReturned(facts, nowMillis);
-            });
+  /** Forgets hosts that are back, and returns them. */
+  Set<String> takeReturned(Map<String, MachineFacts> machines, long nowMillis) {
+    Set<String> returned = new HashSet<>();
+    for (Map.Entry<String, Down> entry : down.entrySet()) {
+      MachineFacts facts = machines.get(entry.getKey());
+      if (facts == null || entry.getValue().hasReturned(facts, nowMillis)) {
+        returned.add(entry.getKey());
+      }
+    }
+    down.keySet().removeAll(returned);
+    return returned;
   }
 
   /** Notes that a host goes down. */
--- /dev/null
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/MaintenanceWavesTest.java
@@ -0,0 +1,102 @@
+package org.persimmonloom.core.scheduling;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.persimmonloom.core.workflow.Resources;
+
+/** Hosts that a maintenance wave holds, and gives back. */
+class MaintenanceWavesTest {
+  private static final int HOSTS = 3;
+
+  private final SchedulerFixture fleet = new SchedulerFixture();
+  private final List<MachineFacts> machines = new ArrayList<>();
+
+  private List<MachineOrder> decide() {
+    fleet.now += 100;
+    fleet.report();
+    fleet.scheduler.machines().listed(machines);
+    List<MachineOrder> orders =
+        fleet.scheduler.machines().decide(new ArrayList<>(), fleet.now, fleet.now);
+    fleet.obey();
+    return orders;
+  }
+
+  private void put(int host, MachineFacts.State state, String worker) {
+    machines.removeIf(facts -> facts.id().equals("m" + host));
+    machines.add(
+        new MachineFacts(
+            "m" + host,
+            SchedulerFixture.POLICY.service(),
+            state,
+            Set.of("kind-a"),
+            new Resources(4_000, 8_000, 0),
+            worker));
+  }
+
+  /** Orders a wave for the first host of a full pool, whose other hosts all stay in use. */
+  private void startWave() {
+    for (int i = 0; i < HOSTS; i++) {
+      fleet.addWorker("w-m" + i);
+      put(i, MachineFacts.State.UP, "w-m" + i);
+    }
+    // More tasks than there is room for, so that no host is retired meanwhile.
+    fleet.submit("f1", SchedulerFixture.step(80, 1_000, List.of()));
+    fleet.report();
+    fleet.obey();
+    fleet.now += fleet.settings.dutyLeaseMillis();
+    fleet.scheduler.machines().waveOrdered(new WaveOrder(1, Set.of("m0"), 20_000, 1), null);
+  }
+
+  private void answerMaintenance(MachineOrder.Result result) {
+    MachineOrder maintain = new MachineOrder.Maintain("m0", 1);
+    List<MachineOrder> orders = new ArrayList<>();
+    for (int round = 0; round < 80 && !orders.contains(maintain); round++) {
+      orders = decide();
+    }
+    assertThat(orders).contains(maintain);
+    fleet.scheduler.machines().answered(maintain, result, fleet.now);
+  }
+
+  private void endTasksAfterPatience() {
+    for (int round = 0; round < 200; round++) {
+      decide();
+    }
+    fleet.endAll(EndCause.DONE);
+    decide();
+    decide();
+  }
+
+  /**
+   * Guards against a host that gets no work for ever, because an earlier owner had it maintained
+   * already, so that its worker stays when the order is answered as done.
+   */
+  @Test
+  void hostThatWasMaintainedBeforeGetsWorkAgain() {
+    startWave();
+    answerMaintenance(MachineOrder.Result.DONE);
+    endTasksAfterPatience();
+    assertThat(fleet.running.get("w-m1")).isNotEmpty();
+    assertThat(fleet.running.get("w-m0")).isNotEmpty();
+  }
+
+  /** Guards against the same after an order that was carried out without an answer. */
+  @Test
+  void hostWhoseOrderWasNotAnsweredGetsWorkAgain() {
+    startWave();
+    answerMaintenance(MachineOrder.Result.UNKNOWN);
+    fleet.workers.remove("w-m0");
+    fleet.running.remove("w-m0");
+    put(0, MachineFacts.State.IN_MAINTENANCE, "");
+    decide();
+    fleet.addWorker("w2-m0");
+    put(0, MachineFacts.State.UP, "w2-m0");
+    answerMaintenance(MachineOrder.Result.DONE);
+    endTasksAfterPatience();
+    assertThat(fleet.running.get("w-m1")).isNotEmpty();
+    assertThat(fleet.running.get("w2-m0")).isNotEmpty();
+  }
+}
