Hear the answer to a start at a worker that was listed anew

Seen by callers: a task that counts as starting for the rest of the owner's term and runs nowhere, although its worker answers and others have room.

Cause: a worker that restarts under its id may show its new start in its own lists before the table of workers does. A start that is sent in between names the earlier life. Once the table shows the new one, the answer to the start was dropped as one of an earlier life. A rejected or unanswered start then stayed in the phase STARTING, which neither a report without the run nor an order to stop ends.

Evidence: the new test failed without the change, "rejectedStartCountsAlthoughTheWorkerWasListedAnew:45 Expected size: 1 but was: 0": 20 s after the rejection the task had not started again.

Change: an answer is matched by its task and the number of its run. Runs of an earlier life are dropped when the restart is noted, and numbers rise, so no answer of an earlier life meets a run of the next. That another process answers at the worker's address still counts only for the life that was asked.

--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerBook.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerBook.java
@@ -284,14 +284,15 @@
   }
 
   void answered(Order order, CallResult result, long nowMillis) {
-    WorkerState worker = current(order.worker());
-    if (worker == null) {
-      return;
-    }
     if (result == CallResult.GONE) {
       holdFailed(order.worker(), result);
       return;
     }
+    // The run tells lives apart: a worker that restarts loses its runs, whose numbers don't recur.
+    WorkerState worker = byId.get(order.worker().id());
+    if (worker == null) {
+      return;
+    }
     TaskRun run = worker.runs.get(order.task());
     if (run == null || run.number != order.run()) {
       return;
--- /dev/null
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/WorkerBookTest.java
@@ -0,0 +1,47 @@
+package org.persimmonloom.core.scheduling;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** What the owner believes of runs whose answers and reports arrive in an unusual order. */
+class WorkerBookTest {
+  private final SchedulerFixture fleet = new SchedulerFixture();
+
+  private static WorkerFacts reborn(WorkerFacts facts) {
+    return new WorkerFacts(
+        facts.id(),
+        facts.address(),
+        facts.service(),
+        facts.dataCentre(),
+        facts.draining(),
+        facts.capacity(),
+        facts.labels(),
+        facts.bornMillis() + 500);
+  }
+
+  private void reportNothing(WorkerFacts asked, long bornMillis) {
+    fleet.now += 10;
+    WorkerReport report = new WorkerReport(fleet.now, bornMillis, List.of(), List.of());
+    fleet.scheduler.reported(asked, fleet.now - 1, report, fleet.now);
+  }
+
+  /**
+   * Guards against a task that never starts again, because its start was rejected by a worker that
+   * had restarted under its id and was listed anew in the meantime.
+   */
+  @Test
+  void rejectedStartCountsAlthoughTheWorkerWasListedAnew() {
+    WorkerFacts first = fleet.addWorker("w1");
+    WorkerFacts second = reborn(first);
+    fleet.submit("f1", SchedulerFixture.step(1, 500, List.of()));
+    reportNothing(first, second.bornMillis());
+    Order start = fleet.decide().get(0);
+    fleet.scheduler.workersListed(List.of(second), fleet.now);
+    fleet.scheduler.answered(start, CallResult.REJECTED, fleet.now);
+    fleet.now += 20_000;
+    reportNothing(second, second.bornMillis());
+    assertThat(fleet.decide()).singleElement().extracting(Order::run).isEqualTo(2);
+  }
+}
