Repeat a stop although the start is answered after it

Seen by callers: a cancelled task that works on, or a task that counts as being stopped for the rest of the owner's term, so that its step's other tasks are not moved and the host of a wave is never drained.

Cause: a worker's lists can show a run before the start's own answer arrives. If the run is stopped by then, the late answer marked the run as settled, which is the mark of an answered stop. A stop whose own answer is lost was then never repeated, while the worker went on listing the run.

Evidence: the new test failed without the change, "stopIsRepeatedAlthoughTheStartIsAnsweredLate:70 Expecting actual: [] to contain exactly: [Stop[...run=1]]": no second stop 5 s after the first one was lost.

Change: the answer to a start no longer settles a run that is being stopped. Its stop is answered or repeated, and only a later report ends it.

--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerBook.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerBook.java
@@ -310,8 +310,9 @@
   private void startAnswered(WorkerState worker, TaskRun run, CallResult result, long nowMillis) {
     switch (result) {
       case ACCEPTED, RUN_SUPERSEDED -> {
-        run.settledAtMillis = nowMillis;
-        if (run.phase == TaskRun.Phase.STARTING) {
+        // The order to stop is the last one about the run, and is repeated until it is answered.
+        if (run.phase != TaskRun.Phase.STOPPING) {
+          run.settledAtMillis = nowMillis;
           run.phase = TaskRun.Phase.RUNNING;
         }
       }
--- a/core/src/test/java/org/persimmonloom/core/scheduling/WorkerBookTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/WorkerBookTest.java
@@ -44,4 +44,29 @@
     reportNothing(second, second.bornMillis());
     assertThat(fleet.decide()).singleElement().extracting(Order::run).isEqualTo(2);
   }
+
+  /**
+   * Guards against a cancelled task that works on, and counts as being stopped for ever, because
+   * the answer to its start arrives after the order to stop it, whose own answer is lost.
+   */
+  @Test
+  void stopIsRepeatedAlthoughTheStartIsAnsweredLate() {
+    WorkerFacts worker = fleet.addWorker("w1");
+    fleet.submit("f1", SchedulerFixture.step(1, 500, List.of()));
+    fleet.report();
+    Order start = fleet.decide().get(0);
+    fleet.running.get(worker.id()).put(start.task(), start.run());
+    fleet.report();
+    fleet.apply(fleet.records.cancellation("f1"));
+    Order stop = fleet.decide().get(0);
+    assertThat(stop).isInstanceOf(Order.Stop.class);
+
+    fleet.scheduler.answered(start, CallResult.ACCEPTED, fleet.now);
+    fleet.scheduler.answered(stop, CallResult.UNKNOWN, fleet.now);
+    for (int round = 0; round < 10; round++) {
+      fleet.now += 500;
+      fleet.report();
+    }
+    assertThat(fleet.decide()).containsExactly(stop);
+  }
 }
