--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerBook.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerBook.java
@@ -318,14 +318,15 @@
   }
 
   void answered(Order order, CallResult result, long nowMillis) {
-    WorkerState worker = current(order.worker());
-    if (worker == null) {
-      return;
-    }
     if (result == CallResult.GONE) {
       holdFailed(order.worker(), result);
       return;
     }
+    // The run tells lives apart: a worker that restarts loses its runs, whose numbers don't recur.
+    WorkerState worker = byId.get(order.worker().id());
+    if (worker == null) {
+      return;
+    }
     TaskRun run = worker.runs.get(order.task());
     if (run == null || run.number != order.run()) {
       return;
@@ -343,8 +344,9 @@
   private void startAnswered(WorkerState worker, TaskRun run, CallResult result, long nowMillis) {
     switch (result) {
       case ACCEPTED, RUN_SUPERSEDED -> {
-        run.settledAtMillis = nowMillis;
-        if (run.phase == TaskRun.Phase.STARTING) {
+        // The order to stop is the last one about the run, and is repeated until it is answered.
+        if (run.phase != TaskRun.Phase.STOPPING) {
+          run.settledAtMillis = nowMillis;
           run.phase = TaskRun.Phase.RUNNING;
         }
       }
