Count a task as at work only once stops of earlier owners have ended

A worker lists a run whose stop it has accepted as running at 100 % until the run has ended.

A worker refuses orders of earlier owners from the moment it sees the new fence, so what it still carries out was accepted before its first answer to the new owner. Evacuation now counts a worker's lists only if they were asked for at least the longest stop (new setting task_stop_ms, on the slowest clock) after that answer. The bound is per worker and needs no call limit, so it holds for a hand-over, for a lost owner and for a worker that is heard late. Waves and surplus hosts share the check.

EvacuationTest without the check in WorkerState.showsEarlierStops (what the code before decides), 3 of 3 failed: listsFromBeforeTheEndOfStopsDoNotCount: [stops by old lists] Expecting empty but was: [Stop[worker=w-m1.., task=f1.0.0.4, run=1]] newOwnerStopsNoTaskWhileTheLastOwnersStopIsCarriedOut: [stops at 100040, before the end at 100920] Expecting empty but was: [Stop[worker=w-m1.., task=f1.0.0.4, run=1]] workerThatIsHeardLateMayStillCarryOutAStop: [stops at 105530, before the end at 106420] Expecting empty but was: [Stop[worker=w-m1.., task=f1.0.0.4, run=1]]

--- a/core/src/main/java/org/persimmonloom/core/scheduling/Evacuation.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/Evacuation.java
@@ -7,8 +7,10 @@
  * Moves tasks that last off workers that are to go down.
  *
  * <p>One task of a step is stopped at a time, only while all others are at work by a recent report
- * and another worker has room, so that planned work never takes more tasks than the step allows.
- * Short tasks are left to end. Not thread-safe.
+ * and another worker has room, so that planned work never takes more tasks than the step allows. A
+ * report from a time in which the worker may carry out a stop of an earlier owner does not count,
+ * since a run that is being stopped is listed as running at 100 %. Short tasks are left to end. Not
+ * thread-safe.
  */
 final class Evacuation {
   /** An older report does not show that a task is at work now, in ms. */
@@ -16,10 +18,17 @@
 
   private final TaskBook book;
   private final WorkerBook workers;
+  private final long earlierStopMillis;
 
-  Evacuation(TaskBook book, WorkerBook workers) {
+  /**
+   * Creates the evacuation of a new owner.
+   *
+   * @param earlierStopMillis how long a worker may still carry out a stop of an earlier owner
+   */
+  Evacuation(TaskBook book, WorkerBook workers, long earlierStopMillis) {
     this.book = book;
     this.workers = workers;
+    this.earlierStopMillis = earlierStopMillis;
   }
 
   /** Returns the orders that move tasks off the worker now. */
@@ -46,8 +55,7 @@
             != null;
   }
 
-  private static boolean areOthersAtWork(
-      OccurrenceState occurrence, TaskState task, long nowMillis) {
+  private boolean areOthersAtWork(OccurrenceState occurrence, TaskState task, long nowMillis) {
     for (TaskState other : occurrence.tasksOf(task.step)) {
       boolean isAtWork =
           other.active.stream()
@@ -55,6 +63,7 @@
                   run ->
                       run.isAtWork()
                           && run.worker.isReachable
+                          && run.worker.showsEarlierStops(earlierStopMillis)
                           && nowMillis - run.worker.lastReportMillis < REPORT_WITHIN_MILLIS);
       if (other != task && !isAtWork) {
         return false;
--- a/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
@@ -55,7 +55,7 @@
     this.takeoverOffset = takeoverOffset;
     blockedUntilMillis = nowMillis + settings.takeoverBlockMillis();
     workers = new WorkerBook(settings.maxLeaseMillis(), book);
-    machines = new MachineDirector(workers, book, machinesFromMillis);
+    machines = new MachineDirector(workers, book, settings.earlierStopMillis(), machinesFromMillis);
   }
 
   /**
--- a/core/src/main/java/org/persimmonloom/core/scheduling/MachineDirector.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/MachineDirector.java
@@ -30,11 +30,11 @@
   private Set<String> services = Set.of();
   private Set<String> spareServices = Set.of();
 
-  MachineDirector(WorkerBook workers, TaskBook book, long notBeforeMillis) {
+  MachineDirector(WorkerBook workers, TaskBook book, long earlierStopMillis, long notBeforeMillis) {
     this.book = book;
     this.workers = workers;
     this.notBeforeMillis = notBeforeMillis;
-    Evacuation evacuation = new Evacuation(book, workers);
+    Evacuation evacuation = new Evacuation(book, workers, earlierStopMillis);
     waves = new MaintenanceWaves(workers, evacuation);
     balancer = new PoolBalancer(workers, waves, evacuation);
   }
--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerBook.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerBook.java
@@ -142,7 +142,11 @@
     }
     worker.lease.observe(report.clockMillis(), nowMillis);
     worker.lastReportMillis = nowMillis;
-    worker.isHeard = true;
+    worker.lastReportSentMillis = sentMillis;
+    if (!worker.isHeard) {
+      worker.isHeard = true;
+      worker.heardMillis = nowMillis;
+    }
     worker.isReachable = true;
     for (EndedTask ended : report.ended()) {
       if (ended.number() > worker.processedEnd) {
--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerState.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerState.java
@@ -17,6 +17,9 @@
   /** Whether it answered under the present owner's fence, so that all that runs there is known. */
   boolean isHeard;
 
+  /** When the first answer under the present owner's fence came. */
+  long heardMillis;
+
   boolean isReachable = true;
   long bornMillis;
 
@@ -34,6 +37,9 @@
   long avoidUntilMillis;
   long lastReportMillis;
 
+  /** When the last report was asked for. */
+  long lastReportSentMillis;
+
   /** Whether planned work will take the host down, so that nothing more starts there. */
   boolean isCordoned;
 
@@ -55,6 +61,17 @@
         && nowMillis >= avoidUntilMillis;
   }
 
+  /**
+   * Returns whether the last report shows the effect of every stop that earlier owners ordered. The
+   * worker has refused their orders since it saw the present fence, but it lists a run whose stop
+   * it accepted before as running until the run has ended.
+   *
+   * @param earlierStopMillis how long such a stop takes at most
+   */
+  boolean showsEarlierStops(long earlierStopMillis) {
+    return isHeard && lastReportSentMillis - heardMillis >= earlierStopMillis;
+  }
+
   void add(TaskRun run) {
     runs.put(run.task, run);
     free = free.minus(run.reserved);
--- a/core/src/test/java/org/persimmonloom/core/scheduling/SchedulerFixture.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/SchedulerFixture.java
@@ -24,7 +24,7 @@
   static final QueuePolicy POLICY = new QueuePolicy("orders", "laundry", 0, 3, 1.5, 600, 0);
   static final long BORN = 1_000;
 
-  final SchedulingSettings settings = new SchedulingSettings(6_000, 8_000, 3_000, 120_000);
+  final SchedulingSettings settings = new SchedulingSettings(6_000, 8_000, 3_000, 900, 120_000);
   final WorkflowTable table = new WorkflowTable();
   final WorkflowRecords records = new WorkflowRecords();
   final Map<String, WorkerFacts> workers = new HashMap<>();
@@ -43,9 +43,19 @@
     scheduler.workersListed(workers.values(), now);
   }
 
+  /** Starts the term of a new owner after a planned stop of the last one. */
+  void handOver() {
+    takeOverUnlisted(now);
+    scheduler.workersListed(workers.values(), now);
+  }
+
   /** Starts the term of a new owner that has not read the list of workers yet. */
   void takeOverUnlisted() {
-    scheduler = new FleetScheduler(settings, offset, now, now + settings.dutyLeaseMillis());
+    takeOverUnlisted(now + settings.dutyLeaseMillis());
+  }
+
+  private void takeOverUnlisted(long machinesFromMillis) {
+    scheduler = new FleetScheduler(settings, offset, now, machinesFromMillis);
     scheduler.configure(
         Map.of(POLICY.queue(), POLICY, PERMIT_POLICY.queue(), PERMIT_POLICY),
         Set.of(POLICY.service()),
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnerSessionTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnerSessionTest.java
@@ -48,7 +48,7 @@
               workflows,
               follower,
               operations,
-              new SchedulingSettings(6_000, 8_000, 3_000, 120_000),
+              new SchedulingSettings(6_000, 8_000, 3_000, 900, 120_000),
               new WorkflowMetrics(),
               CLOCK,
               InstantSource.system()),
