--- a/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
@@ -57,7 +57,7 @@
     blockedUntilMillis = nowMillis + settings.takeoverBlockMillis();
     workers = new WorkerBook(settings.maxLeaseMillis(), book);
     notStarted = new NotStartedReport(book, workers, permits);
-    machines = new MachineDirector(workers, book, machinesFromMillis);
+    machines = new MachineDirector(workers, book, settings.earlierStopMillis(), machinesFromMillis);
   }
 
   /**
