Take a call to a worker that fails for an unanswered one

Seen by callers: a worker that gets no work for the rest of the owner's term, also after its entry in the table of workers was put right; a start that was on its way keeps its task from starting elsewhere.

Cause: an entry of the table can name a worker that can't be called. The client then throws before it sends, which ended the call's thread without an answer to the owner's loop: the worker's request for lists counted as on its way for ever, and so did each order.

Evidence: the client's exceptions, from calls made for this commit: IllegalArgumentException "Invalid URL host" for an address that is text but none, "Invalid URL port" for port 99999, "Unexpected char 0xe9" for an id outside ASCII.

Change: an exception counts as a call without an answer, the most careful result: the worker is asked again, and a start is stopped before its task starts elsewhere.

--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkerChannels.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkerChannels.java
@@ -8,6 +8,8 @@
 import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.function.LongSupplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.persimmonloom.core.scheduling.CallResult;
 import org.persimmonloom.core.scheduling.HoldOrder;
 import org.persimmonloom.core.scheduling.Order;
@@ -20,6 +22,8 @@
  * except for the calls themselves.
  */
 final class WorkerChannels {
+  private static final Logger LOG = LogManager.getLogger(WorkerChannels.class);
+
   /** Hears of answers, on the owner's loop. */
   interface Listener {
     void answered(Order order, CallResult result);
@@ -73,7 +77,7 @@
     Order order = queue.remove();
     calls.execute(
         () -> {
-          CallResult result = gateway.send(order, fence);
+          CallResult result = callSend(order);
           loop.execute(() -> answered(order, result));
         });
   }
@@ -91,7 +95,7 @@
     calls.execute(
         () -> {
           long sent = clock.getAsLong();
-          WorkerGateway.HoldAnswer answer = gateway.hold(order, fence);
+          WorkerGateway.HoldAnswer answer = callHold(order);
           loop.execute(
               () -> {
                 holding.remove(worker);
@@ -99,4 +103,29 @@
               });
         });
   }
+
+  /**
+   * A call that ends with an exception counts as unanswered, since it may have been carried out.
+   */
+  private CallResult callSend(Order order) {
+    try {
+      return gateway.send(order, fence);
+    } catch (RuntimeException e) {
+      LOG.warn(
+          "event=order_failed worker={} task={} cause={}",
+          order.worker().id(),
+          order.task(),
+          e.toString());
+      return CallResult.UNKNOWN;
+    }
+  }
+
+  private WorkerGateway.HoldAnswer callHold(HoldOrder order) {
+    try {
+      return gateway.hold(order, fence);
+    } catch (RuntimeException e) {
+      LOG.warn("event=hold_failed worker={} cause={}", order.worker().id(), e.toString());
+      return new WorkerGateway.HoldAnswer(CallResult.UNKNOWN, null);
+    }
+  }
 }
