Let an ended term take nothing from the next one of its host

Seen by callers: workflows that are accepted and never start while one host stays the owner, after it lost the ownership and got it again.

Cause: a term that ends while its take-over waits for an answer of the store went on afterwards. It registered itself for the changes of workflows and configurations, over the registration of the next term of the same host, and dropped them, since its own loop had ended. A read from a socket is not ended by the interruption of its thread, so the take-over can outlast its term by the time limit of a call.

Evidence: the new test failed without the change, "endedTermTakesNoChangesFromTheNextOne:175 Expecting AtomicInteger(0) to have value: 1", and the ended term logged a RejectedExecutionException from takeOver.

Change: the end of a term and the registrations of its take-over exclude each other, and a take-over whose term has ended registers nothing.

--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
@@ -69,6 +69,7 @@
   private final EndedRemoval endedRemoval;
   private FleetScheduler scheduler;
   private volatile MachineOperations machines;
+  private boolean isStopped;
   private boolean isPassPending;
   private boolean isSuperseded;
   private boolean isRecording;
@@ -151,7 +152,8 @@
   }
 
   /** Ends the term; orders that are on their way are refused by their fence. */
-  void stop() {
+  synchronized void stop() {
+    isStopped = true;
     services.workflows().ignore();
     services.workflowFollower().setPauseMillis(FleetServices.FOLLOWER_PAUSE_MILLIS);
     services.operations().observe(() -> {});
@@ -181,6 +183,15 @@
       loop.schedule(this::takeOver, 50, TimeUnit.MILLISECONDS);
       return;
     }
+    attach();
+  }
+
+  /** Begins to decide, unless the term has ended and the next one may hear the changes already. */
+  private synchronized void attach() {
+    if (isStopped) {
+      machines.stop();
+      return;
+    }
     configure();
     services.operations().observe(() -> post(this::configure));
     services
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/FakeKeyedLog.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/FakeKeyedLog.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.persimmonloom.core.workflow.TableRecord;
 
 /** The platform's log in memory, with answers that get lost and refusals. Safe for any thread. */
@@ -21,6 +22,10 @@
   int refusals;
 
   boolean isDown;
+
+  /** Runs on the calling thread before the newest records of a table are read. */
+  volatile Consumer<Table> beforeNewest = table -> {};
+
   private int appends;
 
   private List<StoredRecord> table(Table table) {
@@ -46,7 +51,12 @@
   }
 
   @Override
-  public synchronized LogReadResult newest(Table table) {
+  public LogReadResult newest(Table table) {
+    beforeNewest.accept(table);
+    return readNewest(table);
+  }
+
+  private synchronized LogReadResult readNewest(Table table) {
     if (isDown) {
       return new LogReadResult.Unavailable("down");
     }
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnerSessionTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnerSessionTest.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.LongSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -143,4 +144,49 @@
     log.append(Table.WORKFLOWS, successor, List.of(new WorkflowRecords().takeover(9)));
     assertThat(deposed.await(5, TimeUnit.SECONDS)).isTrue();
   }
+
+  /**
+   * Guards against a term that ends while it still reads, and then takes the changes of workflows
+   * from the next term of the same host, which starts nothing that is submitted.
+   */
+  @Test
+  void endedTermTakesNoChangesFromTheNextOne() throws Exception {
+    CountDownLatch reading = new CountDownLatch(1);
+    CountDownLatch answer = new CountDownLatch(1);
+    log.beforeNewest =
+        table -> {
+          if (table == Table.MAINTENANCE) {
+            reading.countDown();
+            awaitUninterruptibly(answer);
+          }
+        };
+    operations.apply(new StoredRecord(0, RECORD), true);
+    follower.start();
+    session.start();
+    assertThat(reading.await(5, TimeUnit.SECONDS)).isTrue();
+    session.stop();
+    AtomicInteger changes = new AtomicInteger();
+    workflows.observe((entry, isBacklog) -> changes.incrementAndGet());
+    answer.countDown();
+    TimeUnit.MILLISECONDS.sleep(300);
+
+    TableRecord cancellation = new WorkflowRecords().cancellation("f1");
+    workflows.apply(new StoredRecord(7, cancellation), false);
+    assertThat(changes).hasValue(1);
+  }
+
+  /** Waits like a read from a socket, which an interruption does not end. */
+  private static void awaitUninterruptibly(CountDownLatch latch) {
+    boolean isInterrupted = false;
+    while (latch.getCount() > 0) {
+      try {
+        latch.await();
+      } catch (InterruptedException e) {
+        isInterrupted = true;
+      }
+    }
+    if (isInterrupted) {
+      Thread.currentThread().interrupt();
+    }
+  }
 }
