--- a/tool/src/main/java/org/persimmonloom/tool/command/Main.java
+++ b/tool/src/main/java/org/persimmonloom/tool/command/Main.java
@@ -10,6 +10,7 @@
 import org.persimmonloom.core.result.Failure;
 import org.persimmonloom.core.result.ResultCode;
 import org.persimmonloom.tool.measure.MeasureRoutingCommand;
+import org.persimmonloom.tool.measure.PassesCommand;
 import org.persimmonloom.tool.measure.PolicyMeasureCommand;
 import org.persimmonloom.tool.measure.SlopesCommand;
 
@@ -44,6 +45,7 @@
     commands.put("explain", new ExplainCommand());
     commands.put("measure jobs", new MeasureJobsCommand());
     commands.put("standin", new StandInCommand());
+    commands.put("measure passes", new PassesCommand());
     commands.put("measure slopes", new SlopesCommand());
     return commands;
   }
