--- /dev/null
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/ReferenceScheduler.java
@@ -0,0 +1,172 @@
+package org.persimmonloom.core.scheduling;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.persimmonloom.core.workflow.QueuePolicy;
+import org.persimmonloom.core.workflow.StepSpec;
+import org.persimmonloom.core.workflow.WorkflowState;
+
+/**
+ * The rules of {@link FleetScheduler#decide} written as plain scans over everything, on books of
+ * its own. Not thread-safe.
+ */
+final class ReferenceScheduler {
+  final TaskBook book = new TaskBook();
+  final PermitBook permits = new PermitBook(book);
+  final WorkerBook workers;
+  final List<OccurrenceState> startable = new ArrayList<>();
+  private final FillerPacing pacing = new FillerPacing(book);
+  private final long takeoverOffset;
+  private final long blockedUntilMillis;
+  private final Set<String> services;
+
+  ReferenceScheduler(
+      SchedulingSettings settings,
+      long takeoverOffset,
+      long nowMillis,
+      Map<String, QueuePolicy> queues,
+      Set<String> services) {
+    this.takeoverOffset = takeoverOffset;
+    this.services = services;
+    blockedUntilMillis = nowMillis + settings.takeoverBlockMillis();
+    workers = new WorkerBook(settings.maxLeaseMillis(), book);
+    book.configure(queues);
+  }
+
+  List<Order> decide(long nowMillis, long wallMillis) {
+    List<Order> orders = new ArrayList<>();
+    workers.expire(nowMillis);
+    for (WorkerState worker : workers.all()) {
+      for (TaskRun run : worker.runs.values()) {
+        if (needsStop(run, nowMillis)) {
+          orders.add(run.stop(nowMillis));
+        }
+      }
+    }
+    workers.all().forEach(worker -> pacing.decide(worker, orders, nowMillis));
+    startable.clear();
+    List<OccurrenceState> order = new ArrayList<>();
+    book.all().forEach(order::addAll);
+    order.sort(
+        Comparator.comparingInt((OccurrenceState it) -> it.spec.isLongRunning() ? 0 : 1)
+            .thenComparingInt(it -> book.policy(it.spec).priority())
+            .thenComparingInt(it -> lateness(it, nowMillis))
+            .thenComparingLong(it -> it.submittedMillis + it.spec.objectiveMillis()));
+    order.forEach(it -> place(it, orders, nowMillis, wallMillis));
+    return orders;
+  }
+
+  private static int lateness(OccurrenceState occurrence, long nowMillis) {
+    long age = nowMillis - occurrence.submittedMillis;
+    if (age > 3 * occurrence.spec.objectiveMillis()) {
+      return 2;
+    }
+    return age > occurrence.spec.objectiveMillis() ? 1 : 0;
+  }
+
+  private boolean needsStop(TaskRun run, long nowMillis) {
+    long sinceOrder = nowMillis - run.lastOrderMillis;
+    if (run.phase == TaskRun.Phase.STOPPING) {
+      return run.settledAtMillis == Long.MAX_VALUE && sinceOrder >= 300;
+    }
+    if (run.phase == TaskRun.Phase.STARTING) {
+      return run.isUnanswered && run.worker.isReachable && sinceOrder >= 400;
+    }
+    TaskState task = book.task(run.task);
+    return task == null || task.isDone || !task.active.contains(run);
+  }
+
+  private void place(
+      OccurrenceState occurrence, List<Order> orders, long nowMillis, long wallMillis) {
+    String service = book.policy(occurrence.spec).service();
+    boolean isBlocked =
+        occurrence.submittedOffset < takeoverOffset
+            && nowMillis < blockedUntilMillis
+            && workers.hasUnheard(service);
+    if (wallMillis < occurrence.spec.dueMillis(occurrence.number)
+        || !services.contains(service)
+        || isBlocked) {
+      return;
+    }
+    startable.add(occurrence);
+    for (int step = 0; step < occurrence.missing.length; step++) {
+      boolean isReady =
+          occurrence.step(step).after().stream().allMatch(it -> occurrence.missing[it] == 0);
+      if (occurrence.missing[step] > 0 && isReady) {
+        List<WorkerState> pool =
+            permits.permitted(occurrence, step, workers.ofService(service), nowMillis);
+        if (occurrence.step(step).gang()) {
+          placeGang(occurrence, step, pool, orders, nowMillis);
+        } else {
+          placeTasks(occurrence, step, pool, orders, nowMillis);
+        }
+      }
+    }
+  }
+
+  private void placeTasks(
+      OccurrenceState occurrence, int step, List<WorkerState> pool, List<Order> orders, long now) {
+    for (TaskState task : occurrence.tasksOf(step)) {
+      if (isRunnable(task)) {
+        WorkerState worker = Placement.choose(pool, occurrence, task, now);
+        if (worker == null) {
+          return;
+        }
+        start(occurrence, task, task.runs + 1, worker, orders, now);
+      }
+    }
+  }
+
+  private void placeGang(
+      OccurrenceState occurrence, int step, List<WorkerState> pool, List<Order> orders, long now) {
+    List<TaskState> members = occurrence.tasksOf(step);
+    if (!members.stream().allMatch(ReferenceScheduler::isRunnable)) {
+      return;
+    }
+    int run = members.stream().mapToInt(task -> task.runs).max().orElseThrow();
+    Map<TaskState, WorkerState> chosen = Placement.chooseAll(pool, occurrence, members, now);
+    if (chosen != null) {
+      String checkpoint = members.get(0).checkpoint;
+      for (TaskState task : members) {
+        task.checkpoint = checkpoint;
+        start(occurrence, task, run + 1, chosen.get(task), orders, now);
+      }
+    }
+  }
+
+  private static boolean isRunnable(TaskState task) {
+    return !task.isDone && task.active.isEmpty();
+  }
+
+  private void start(
+      OccurrenceState occurrence,
+      TaskState task,
+      int run,
+      WorkerState worker,
+      List<Order> orders,
+      long nowMillis) {
+    StepSpec step = occurrence.step(task.step);
+    TaskRun started = new TaskRun(occurrence.taskId(task), run, worker, step.reserved(), nowMillis);
+    task.runs = run;
+    task.active.add(started);
+    worker.add(started);
+    long until = worker.lease.grant(nowMillis);
+    String permit = permits.permit(occurrence, task.step, worker, nowMillis);
+    orders.add(
+        new Order.Start(
+            worker.facts,
+            started.task,
+            run,
+            occurrence.spec.payload(),
+            until,
+            task.checkpoint,
+            permit));
+    if (occurrence.state == WorkflowState.PENDING) {
+      occurrence.state = WorkflowState.ACTIVE;
+      book.markDirty(occurrence);
+    }
+  }
+}
