--- a/tool/src/main/java/org/persimmonloom/tool/measure/PassesCommand.java
+++ b/tool/src/main/java/org/persimmonloom/tool/measure/PassesCommand.java
@@ -54,7 +54,8 @@
 
   @Override
   public Either<Failure, String> run() {
-    measure(workers.get(0), workflows.get(0), WARM_UP_ROUNDS);
+    // The first size would else be measured before its code is compiled.
+    measure(workers.get(workers.size() / 2), workflows.get(workflows.size() / 2), WARM_UP_ROUNDS);
     StringBuilder text = new StringBuilder("median microseconds\n");
     text.append(
         String.format(
