--- a/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
@@ -33,7 +33,6 @@
   private final PermitBook permits = new PermitBook(book);
   private final WorkerBook workers;
   private final MachineDirector machines;
-  private final List<OccurrenceState> order = new ArrayList<>();
 
   /** Occurrences that may start tasks, the most urgent first. */
   private final List<OccurrenceState> startable = new ArrayList<>();
@@ -154,11 +153,10 @@
     for (WorkerState worker : workers.all()) {
       pacing.decide(worker, orders, nowMillis);
     }
-    order.clear();
     startable.clear();
-    book.all().forEach(order::addAll);
-    order.sort(QueueOrder.at(nowMillis, book));
-    for (OccurrenceState occurrence : order) {
+    List<OccurrenceState> waiting = new ArrayList<>();
+    book.all().forEach(waiting::addAll);
+    for (OccurrenceState occurrence : QueueOrder.sorted(waiting, nowMillis, book)) {
       place(occurrence, orders, nowMillis, wallMillis);
     }
     return orders;
--- a/core/src/main/java/org/persimmonloom/core/scheduling/OccurrenceState.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/OccurrenceState.java
@@ -21,6 +21,7 @@
   final long submittedMillis;
 
   final long objectiveMillis;
+  final boolean isLongRunning;
   WorkflowState state = WorkflowState.PENDING;
 
   OccurrenceState(WorkflowSpec spec, int number, long submittedOffset, long submittedMillis) {
@@ -29,6 +30,7 @@
     this.submittedOffset = submittedOffset;
     this.submittedMillis = submittedMillis;
     objectiveMillis = spec.objectiveMillis();
+    isLongRunning = spec.isLongRunning();
     tasks = new TaskState[spec.taskCount()];
     missing = new int[spec.steps().size()];
     int position = 0;
--- a/core/src/main/java/org/persimmonloom/core/scheduling/QueueOrder.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/QueueOrder.java
@@ -1,7 +1,8 @@
 package org.persimmonloom.core.scheduling;
 
+import java.util.ArrayList;
 import java.util.Comparator;
-import org.persimmonloom.core.workflow.QueuePolicy;
+import java.util.List;
 
 /**
  * The order in which waiting occurrences get workers.
@@ -16,19 +17,31 @@
   private QueueOrder() {}
 
   /** Rank of an occurrence at one moment. */
-  private record Rank(int group, int priority, int lateness, long dueMillis) {}
+  private record Ranked(
+      OccurrenceState occurrence, int group, int priority, int lateness, long dueMillis) {}
 
-  static Comparator<OccurrenceState> at(long nowMillis, TaskBook book) {
-    return Comparator.comparing(
-        (OccurrenceState occurrence) -> rank(occurrence, nowMillis, book),
-        Comparator.comparingInt(Rank::group)
-            .thenComparingInt(Rank::priority)
-            .thenComparingInt(Rank::lateness)
-            .thenComparingLong(Rank::dueMillis));
+  private static final Comparator<Ranked> MOST_URGENT_FIRST =
+      Comparator.comparingInt(Ranked::group)
+          .thenComparingInt(Ranked::priority)
+          .thenComparingInt(Ranked::lateness)
+          .thenComparingLong(Ranked::dueMillis);
+
+  /** Returns the occurrences, the most urgent first; equally urgent ones keep their order. */
+  static List<OccurrenceState> sorted(
+      List<OccurrenceState> occurrences, long nowMillis, TaskBook book) {
+    List<Ranked> ranked = new ArrayList<>(occurrences.size());
+    for (OccurrenceState occurrence : occurrences) {
+      ranked.add(rank(occurrence, nowMillis, book));
+    }
+    ranked.sort(MOST_URGENT_FIRST);
+    List<OccurrenceState> sorted = new ArrayList<>(ranked.size());
+    for (Ranked each : ranked) {
+      sorted.add(each.occurrence());
+    }
+    return sorted;
   }
 
-  private static Rank rank(OccurrenceState occurrence, long nowMillis, TaskBook book) {
-    QueuePolicy policy = book.policy(occurrence.spec);
+  private static Ranked rank(OccurrenceState occurrence, long nowMillis, TaskBook book) {
     long age = nowMillis - occurrence.submittedMillis;
     int lateness = 0;
     if (age > LATE_FACTOR * occurrence.objectiveMillis) {
@@ -36,8 +49,8 @@
     } else if (age > occurrence.objectiveMillis) {
       lateness = 1;
     }
-    int group = occurrence.spec.isLongRunning() ? 0 : 1;
+    int group = occurrence.isLongRunning ? 0 : 1;
     long due = occurrence.submittedMillis + occurrence.objectiveMillis;
-    return new Rank(group, policy.priority(), lateness, due);
+    return new Ranked(occurrence, group, book.policy(occurrence.spec).priority(), lateness, due);
   }
 }
