--- a/core/src/main/java/org/persimmonloom/core/scheduling/EndHandler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/EndHandler.java
@@ -76,9 +76,10 @@
   /** Forgets a run; its task may start again if no other run is active. */
   void remove(TaskRun run) {
     run.worker.remove(run);
-    TaskState task = book.task(run.task);
+    OccurrenceState occurrence = book.occurrence(run.task);
+    TaskState task = occurrence == null ? null : occurrence.task(run.task);
     if (task != null) {
-      task.active.remove(run);
+      occurrence.removeRun(task, run);
     }
   }
 }
--- a/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
@@ -155,7 +155,13 @@
     }
     startable.clear();
     List<OccurrenceState> waiting = new ArrayList<>();
-    book.all().forEach(waiting::addAll);
+    for (List<OccurrenceState> occurrences : book.all()) {
+      for (OccurrenceState occurrence : occurrences) {
+        if (occurrence.isWaiting()) {
+          waiting.add(occurrence);
+        }
+      }
+    }
     for (OccurrenceState occurrence : QueueOrder.sorted(waiting, nowMillis, book)) {
       place(occurrence, orders, nowMillis, wallMillis);
     }
@@ -211,7 +217,7 @@
     startable.add(occurrence);
     List<WorkerState> pool = workers.ofService(service);
     for (int step = 0; step < occurrence.missing.length; step++) {
-      if (occurrence.missing[step] == 0 || !occurrence.isReady(step)) {
+      if (!occurrence.isWaiting(step)) {
         continue;
       }
       List<WorkerState> permitted = permits.permitted(occurrence, step, pool, nowMillis);
@@ -284,7 +290,7 @@
     TaskId id = occurrence.taskId(task);
     TaskRun started = new TaskRun(id, run, worker, step.reserved(), nowMillis);
     task.runs = run;
-    task.active.add(started);
+    occurrence.addRun(task, started);
     worker.add(started);
     long until = worker.lease.grant(nowMillis);
     String permit = permits.permit(occurrence, task.step, worker, nowMillis);
--- a/core/src/main/java/org/persimmonloom/core/scheduling/OccurrenceState.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/OccurrenceState.java
@@ -17,6 +17,9 @@
   final TaskState[] tasks;
   final int[] missing;
 
+  /** How many tasks of each step are neither done nor running. */
+  private final int[] waiting;
+
   /** When the workflow was submitted, on the owner's steady clock. */
   final long submittedMillis;
 
@@ -33,9 +36,11 @@
     isLongRunning = spec.isLongRunning();
     tasks = new TaskState[spec.taskCount()];
     missing = new int[spec.steps().size()];
+    waiting = new int[missing.length];
     int position = 0;
     for (int step = 0; step < missing.length; step++) {
       missing[step] = spec.steps().get(step).tasks();
+      waiting[step] = missing[step];
       for (int index = 0; index < missing[step]; index++) {
         tasks[position] = new TaskState(position, step, index);
         position++;
@@ -102,32 +107,61 @@
 
   void markDone(TaskState task) {
     if (!task.isDone) {
+      waiting[task.step] -= task.isRunnable() ? 1 : 0;
       task.isDone = true;
       missing[task.step]--;
     }
   }
 
+  /** Notes a run of one of the tasks. */
+  void addRun(TaskState task, TaskRun run) {
+    waiting[task.step] -= task.isRunnable() ? 1 : 0;
+    task.active.add(run);
+  }
+
+  /** Forgets a run of one of the tasks, if it is known. */
+  void removeRun(TaskState task, TaskRun run) {
+    if (task.active.remove(run)) {
+      waiting[task.step] += task.isRunnable() ? 1 : 0;
+    }
+  }
+
   boolean isReady(int step) {
-    List<Integer> after = step(step).after();
-    return after.stream().allMatch(earlier -> missing[earlier] == 0);
+    for (int earlier : step(step).after()) {
+      if (missing[earlier] > 0) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** Returns whether a task of the step could start if there was room. */
+  boolean isWaiting(int step) {
+    return waiting[step] > 0 && isReady(step);
+  }
+
+  /** Returns whether any task could start if there was room. */
+  boolean isWaiting() {
+    for (int step = 0; step < waiting.length; step++) {
+      if (isWaiting(step)) {
+        return true;
+      }
+    }
+    return false;
   }
 
   /** Returns how many tasks could start if there was room. */
   int waitingTasks() {
-    int waiting = 0;
-    for (int step = 0; step < missing.length; step++) {
-      waiting += missing[step] > 0 && isReady(step) ? waitingTasks(step) : 0;
+    int sum = 0;
+    for (int step = 0; step < waiting.length; step++) {
+      sum += isWaiting(step) ? waiting[step] : 0;
     }
-    return waiting;
+    return sum;
   }
 
   /** Returns how many tasks of a step are neither done nor running. */
   int waitingTasks(int step) {
-    int waiting = 0;
-    for (TaskState task : tasksOf(step)) {
-      waiting += task.isRunnable() ? 1 : 0;
-    }
-    return waiting;
+    return waiting[step];
   }
 
   boolean isComplete() {
--- a/core/src/main/java/org/persimmonloom/core/scheduling/TaskState.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/TaskState.java
@@ -12,9 +12,15 @@
   final int position;
   final int step;
   final int index;
+
+  /** Changed only through {@link OccurrenceState}, which counts the waiting tasks. */
   final List<TaskRun> active = new ArrayList<>();
+
   final Set<String> failedOn = new HashSet<>();
+
+  /** Set only through {@link OccurrenceState#markDone}. */
   boolean isDone;
+
   int runs;
 
   /** Runs whose failure was counted; a worker lists an end until it is acknowledged. */
--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerBook.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerBook.java
@@ -187,8 +187,9 @@
     if (previous != null) {
       ends.remove(previous);
     }
-    TaskState task = book.task(running.task());
-    StepSpec step = book.step(running.task());
+    OccurrenceState occurrence = book.occurrence(running.task());
+    TaskState task = occurrence == null ? null : occurrence.task(running.task());
+    StepSpec step = task == null ? null : occurrence.step(task.step);
     Resources reserved = step == null ? Resources.NONE : step.reserved();
     TaskRun run = new TaskRun(running.task(), running.run(), worker, reserved, nowMillis);
     run.phase = TaskRun.Phase.RUNNING;
@@ -197,7 +198,7 @@
     if (task != null) {
       task.runs = Math.max(task.runs, running.run());
       if (task.isRunnable() || step.speculative()) {
-        task.active.add(run);
+        occurrence.addRun(task, run);
       }
     }
     return run;
--- a/core/src/test/java/org/persimmonloom/core/scheduling/ReferenceScheduler.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/ReferenceScheduler.java
@@ -151,7 +151,7 @@
     StepSpec step = occurrence.step(task.step);
     TaskRun started = new TaskRun(occurrence.taskId(task), run, worker, step.reserved(), nowMillis);
     task.runs = run;
-    task.active.add(started);
+    occurrence.addRun(task, started);
     worker.add(started);
     long until = worker.lease.grant(nowMillis);
     String permit = permits.permit(occurrence, task.step, worker, nowMillis);
