Remember within a pass which needs fit on no worker

Every waiting step scanned all workers of its service, also after an equal need was found not to fit.

--- a/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
@@ -162,8 +162,9 @@
         }
       }
     }
+    ExhaustedRoom exhausted = new ExhaustedRoom();
     for (OccurrenceState occurrence : QueueOrder.sorted(waiting, nowMillis, book)) {
-      place(occurrence, orders, nowMillis, wallMillis);
+      place(occurrence, exhausted, orders, nowMillis, wallMillis);
     }
     return orders;
   }
@@ -206,7 +207,11 @@
   }
 
   private void place(
-      OccurrenceState occurrence, List<Order> orders, long nowMillis, long wallMillis) {
+      OccurrenceState occurrence,
+      ExhaustedRoom exhausted,
+      List<Order> orders,
+      long nowMillis,
+      long wallMillis) {
     if (wallMillis < occurrence.spec.dueMillis(occurrence.number)) {
       return;
     }
@@ -217,14 +222,15 @@
     startable.add(occurrence);
     List<WorkerState> pool = workers.ofService(service);
     for (int step = 0; step < occurrence.missing.length; step++) {
-      if (!occurrence.isWaiting(step)) {
+      if (!occurrence.isWaiting(step) || exhausted.covers(service, occurrence.step(step))) {
         continue;
       }
       List<WorkerState> permitted = permits.permitted(occurrence, step, pool, nowMillis);
       if (occurrence.step(step).gang()) {
         placeGang(occurrence, step, permitted, orders, nowMillis);
-      } else {
-        placeTasks(occurrence, step, permitted, orders, nowMillis);
+      } else if (!placeTasks(occurrence, step, permitted, orders, nowMillis)
+          && permitted.size() == pool.size()) {
+        exhausted.add(service, occurrence.step(step));
       }
     }
   }
@@ -236,7 +242,8 @@
         && workers.hasUnheard(service);
   }
 
-  private void placeTasks(
+  /** Starts waiting tasks of a step and returns false if one fits nowhere. */
+  private boolean placeTasks(
       OccurrenceState occurrence,
       int step,
       List<WorkerState> pool,
@@ -248,10 +255,11 @@
       }
       WorkerState worker = Placement.choose(pool, occurrence, task, nowMillis);
       if (worker == null) {
-        return;
+        return false;
       }
       start(occurrence, task, task.runs + 1, worker, orders, nowMillis);
     }
+    return true;
   }
 
   private void placeGang(
