--- a/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
@@ -154,19 +154,29 @@
       pacing.decide(worker, orders, nowMillis);
     }
     startable.clear();
+    ExhaustedRoom exhausted = new ExhaustedRoom(workers, nowMillis);
+    List<OccurrenceState> waiting = waiting(exhausted);
+    for (OccurrenceState occurrence : QueueOrder.sorted(waiting, nowMillis, book)) {
+      place(occurrence, exhausted, orders, nowMillis, wallMillis);
+    }
+    return orders;
+  }
+
+  /** Returns the occurrences for which tasks may start or permits be asked. */
+  private List<OccurrenceState> waiting(ExhaustedRoom exhausted) {
     List<OccurrenceState> waiting = new ArrayList<>();
     for (List<OccurrenceState> occurrences : book.all()) {
       for (OccurrenceState occurrence : occurrences) {
         if (occurrence.isWaiting()) {
-          waiting.add(occurrence);
+          QueuePolicy policy = book.policy(occurrence.spec);
+          if (policy.permitValidMillis() > 0
+              || !exhausted.coversAll(policy.service(), occurrence)) {
+            waiting.add(occurrence);
+          }
         }
       }
     }
-    ExhaustedRoom exhausted = new ExhaustedRoom();
-    for (OccurrenceState occurrence : QueueOrder.sorted(waiting, nowMillis, book)) {
-      place(occurrence, exhausted, orders, nowMillis, wallMillis);
-    }
-    return orders;
+    return waiting;
   }
 
   /** Returns one line on each running service: workers, usable ones, runs and waiting tasks. */
