--- a/core/src/main/java/org/persimmonloom/core/scheduling/FillerPacing.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/FillerPacing.java
@@ -33,6 +33,9 @@
 
   /** Adds the orders that change the pace of the worker's fillers now. */
   void decide(WorkerState worker, List<Order> orders, long nowMillis) {
+    if (worker.fillers == 0) {
+      return;
+    }
     double worst = 0;
     boolean hasFillers = false;
     for (TaskRun run : worker.runs.values()) {
--- a/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
@@ -7,7 +7,6 @@
 import java.util.Optional;
 import java.util.Set;
 import org.persimmonloom.core.workflow.QueuePolicy;
-import org.persimmonloom.core.workflow.StepSpec;
 import org.persimmonloom.core.workflow.TaskId;
 import org.persimmonloom.core.workflow.WorkflowEntry;
 import org.persimmonloom.core.workflow.WorkflowState;
@@ -212,8 +211,7 @@
       // A report after the lost answer would have shown the run.
       return run.isUnanswered && run.worker.isReachable && sinceOrder >= START_PATIENCE_MILLIS;
     }
-    TaskState task = book.task(run.task);
-    return task == null || task.isDone || !task.active.contains(run);
+    return !run.isWanted();
   }
 
   private void place(
@@ -304,9 +302,8 @@
       WorkerState worker,
       List<Order> orders,
       long nowMillis) {
-    StepSpec step = occurrence.step(task.step);
     TaskId id = occurrence.taskId(task);
-    TaskRun started = new TaskRun(id, run, worker, step.reserved(), nowMillis);
+    TaskRun started = new TaskRun(id, run, worker, occurrence, nowMillis);
     task.runs = run;
     occurrence.addRun(task, started);
     worker.add(started);
--- a/core/src/main/java/org/persimmonloom/core/scheduling/OccurrenceState.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/OccurrenceState.java
@@ -27,6 +27,9 @@
   final boolean isLongRunning;
   WorkflowState state = WorkflowState.PENDING;
 
+  /** Whether it has left the book, also with another occurrence of its workflow that failed. */
+  boolean isEnded;
+
   OccurrenceState(WorkflowSpec spec, int number, long submittedOffset, long submittedMillis) {
     this.spec = spec;
     this.number = number;
--- a/core/src/main/java/org/persimmonloom/core/scheduling/TaskBook.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/TaskBook.java
@@ -95,6 +95,7 @@
   /** Ends an occurrence; its tasks are no longer wanted. */
   void end(OccurrenceState occurrence, WorkflowState state) {
     occurrence.state = state;
+    occurrence.isEnded = true;
     markDirty(occurrence);
     List<OccurrenceState> siblings = workflows.get(occurrence.spec.id());
     if (siblings == null) {
@@ -102,6 +103,7 @@
     }
     siblings.remove(occurrence);
     if (state == WorkflowState.FAILED) {
+      siblings.forEach(sibling -> sibling.isEnded = true);
       siblings.clear();
     }
     if (siblings.isEmpty()) {
--- a/core/src/main/java/org/persimmonloom/core/scheduling/TaskRun.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/TaskRun.java
@@ -1,6 +1,7 @@
 package org.persimmonloom.core.scheduling;
 
 import org.persimmonloom.core.workflow.Resources;
+import org.persimmonloom.core.workflow.StepSpec;
 import org.persimmonloom.core.workflow.TaskId;
 
 /** A run of a task at a worker, as far as the owner knows. Not thread-safe. */
@@ -16,6 +17,9 @@
   final int number;
   final WorkerState worker;
   final Resources reserved;
+  final boolean isFiller;
+  private final OccurrenceState occurrence;
+  private final TaskState state;
   Phase phase = Phase.STARTING;
 
   /** When the last order about this run was answered; a later report that lacks the run ends it. */
@@ -28,11 +32,20 @@
   int pace = 100;
   boolean isUnanswered;
 
-  TaskRun(TaskId task, int number, WorkerState worker, Resources reserved, long nowMillis) {
+  /**
+   * Creates a run.
+   *
+   * @param occurrence occurrence of the task; null if it has ended or is unknown
+   */
+  TaskRun(TaskId task, int number, WorkerState worker, OccurrenceState occurrence, long nowMillis) {
     this.task = task;
     this.number = number;
     this.worker = worker;
-    this.reserved = reserved;
+    this.occurrence = occurrence;
+    state = occurrence == null ? null : occurrence.task(task);
+    StepSpec step = state == null ? null : occurrence.step(state.step);
+    reserved = step == null ? Resources.NONE : step.reserved();
+    isFiller = step != null && step.filler();
     lastOrderMillis = nowMillis;
   }
 
@@ -46,6 +59,11 @@
     return new Order.Stop(worker.facts, task, number);
   }
 
+  /** Returns whether the task still asks for this run. */
+  boolean isWanted() {
+    return state != null && !occurrence.isEnded && !state.isDone && state.active.contains(this);
+  }
+
   /** Returns whether the run works at full speed. */
   boolean isAtWork() {
     return phase == Phase.RUNNING && percent >= 100;
--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerBook.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerBook.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Set;
 import org.persimmonloom.core.workflow.Resources;
-import org.persimmonloom.core.workflow.StepSpec;
 import org.persimmonloom.core.workflow.TaskId;
 
 /**
@@ -189,15 +188,13 @@
     }
     OccurrenceState occurrence = book.occurrence(running.task());
     TaskState task = occurrence == null ? null : occurrence.task(running.task());
-    StepSpec step = task == null ? null : occurrence.step(task.step);
-    Resources reserved = step == null ? Resources.NONE : step.reserved();
-    TaskRun run = new TaskRun(running.task(), running.run(), worker, reserved, nowMillis);
+    TaskRun run = new TaskRun(running.task(), running.run(), worker, occurrence, nowMillis);
     run.phase = TaskRun.Phase.RUNNING;
     run.settledAtMillis = nowMillis;
     worker.add(run);
     if (task != null) {
       task.runs = Math.max(task.runs, running.run());
-      if (task.isRunnable() || step.speculative()) {
+      if (task.isRunnable() || occurrence.step(task.step).speculative()) {
         occurrence.addRun(task, run);
       }
     }
--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerState.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerState.java
@@ -39,6 +39,9 @@
 
   Resources free;
 
+  /** How many of the runs are fillers. */
+  int fillers;
+
   WorkerState(WorkerFacts facts, long maxLeaseMillis) {
     this.facts = facts;
     bornMillis = facts.bornMillis();
@@ -58,11 +61,13 @@
   void add(TaskRun run) {
     runs.put(run.task, run);
     free = free.minus(run.reserved);
+    fillers += run.isFiller ? 1 : 0;
   }
 
   void remove(TaskRun run) {
     if (runs.remove(run.task, run)) {
       free = free.plus(run.reserved);
+      fillers -= run.isFiller ? 1 : 0;
     }
   }
 
--- a/core/src/test/java/org/persimmonloom/core/scheduling/ReferenceScheduler.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/ReferenceScheduler.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import java.util.Set;
 import org.persimmonloom.core.workflow.QueuePolicy;
-import org.persimmonloom.core.workflow.StepSpec;
 import org.persimmonloom.core.workflow.WorkflowState;
 
 /**
@@ -148,8 +147,7 @@
       WorkerState worker,
       List<Order> orders,
       long nowMillis) {
-    StepSpec step = occurrence.step(task.step);
-    TaskRun started = new TaskRun(occurrence.taskId(task), run, worker, step.reserved(), nowMillis);
+    TaskRun started = new TaskRun(occurrence.taskId(task), run, worker, occurrence, nowMillis);
     task.runs = run;
     occurrence.addRun(task, started);
     worker.add(started);
