--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerBook.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerBook.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Set;
 import org.persimmonloom.core.workflow.Resources;
-import org.persimmonloom.core.workflow.StepSpec;
 import org.persimmonloom.core.workflow.TaskId;
 
 /**
@@ -213,17 +212,16 @@
     if (previous != null) {
       ends.remove(previous);
     }
-    TaskState task = book.task(running.task());
-    StepSpec step = book.step(running.task());
-    Resources reserved = step == null ? Resources.NONE : step.reserved();
-    TaskRun run = new TaskRun(running.task(), running.run(), worker, reserved, nowMillis);
+    OccurrenceState occurrence = book.occurrence(running.task());
+    TaskState task = occurrence == null ? null : occurrence.task(running.task());
+    TaskRun run = new TaskRun(running.task(), running.run(), worker, occurrence, nowMillis);
     run.phase = TaskRun.Phase.RUNNING;
     run.settledAtMillis = nowMillis;
     worker.add(run);
     if (task != null) {
       task.runs = Math.max(task.runs, running.run());
-      if (task.isRunnable() || step.speculative()) {
-        task.active.add(run);
+      if (task.isRunnable() || occurrence.step(task.step).speculative()) {
+        occurrence.addRun(task, run);
       }
     }
     return run;
