--- a/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
@@ -7,7 +7,6 @@
 import java.util.Optional;
 import java.util.Set;
 import org.persimmonloom.core.workflow.QueuePolicy;
-import org.persimmonloom.core.workflow.StepSpec;
 import org.persimmonloom.core.workflow.TaskId;
 import org.persimmonloom.core.workflow.WorkflowEntry;
 import org.persimmonloom.core.workflow.WorkflowState;
@@ -34,7 +33,6 @@
   private final WorkerBook workers;
   private final NotStartedReport notStarted;
   private final MachineDirector machines;
-  private final List<OccurrenceState> order = new ArrayList<>();
 
   /** Occurrences that may start tasks, the most urgent first. */
   private final List<OccurrenceState> startable = new ArrayList<>();
@@ -57,7 +55,7 @@
     blockedUntilMillis = nowMillis + settings.takeoverBlockMillis();
     workers = new WorkerBook(settings.maxLeaseMillis(), book);
     notStarted = new NotStartedReport(book, workers, permits);
-    machines = new MachineDirector(workers, book, machinesFromMillis);
+    machines = new MachineDirector(workers, book, settings.earlierStopMillis(), machinesFromMillis);
   }
 
   /**
@@ -159,16 +157,32 @@
     for (WorkerState worker : workers.all()) {
       pacing.decide(worker, orders, nowMillis);
     }
-    order.clear();
     startable.clear();
-    book.all().forEach(order::addAll);
-    order.sort(QueueOrder.at(nowMillis, book));
-    for (OccurrenceState occurrence : order) {
-      place(occurrence, orders, nowMillis, wallMillis);
+    ExhaustedRoom exhausted = new ExhaustedRoom(workers, nowMillis);
+    List<OccurrenceState> waiting = waiting(exhausted);
+    for (OccurrenceState occurrence : QueueOrder.sorted(waiting, nowMillis, book)) {
+      place(occurrence, exhausted, orders, nowMillis, wallMillis);
     }
     return orders;
   }
 
+  /** Returns the occurrences for which tasks may start or permits be asked. */
+  private List<OccurrenceState> waiting(ExhaustedRoom exhausted) {
+    List<OccurrenceState> waiting = new ArrayList<>();
+    for (List<OccurrenceState> occurrences : book.all()) {
+      for (OccurrenceState occurrence : occurrences) {
+        if (occurrence.isWaiting()) {
+          QueuePolicy policy = book.policy(occurrence.spec);
+          if (policy.permitValidMillis() > 0
+              || !exhausted.coversAll(policy.service(), occurrence)) {
+            waiting.add(occurrence);
+          }
+        }
+      }
+    }
+    return waiting;
+  }
+
   /** Returns one line on each running service: workers, usable ones, runs and waiting tasks. */
   public String outline(long nowMillis) {
     StringBuilder line = new StringBuilder();
@@ -211,12 +225,15 @@
       // A report after the lost answer would have shown the run.
       return run.isUnanswered && run.worker.isReachable && sinceOrder >= START_PATIENCE_MILLIS;
     }
-    TaskState task = book.task(run.task);
-    return task == null || task.isDone || !task.active.contains(run);
+    return !run.isWanted();
   }
 
   private void place(
-      OccurrenceState occurrence, List<Order> orders, long nowMillis, long wallMillis) {
+      OccurrenceState occurrence,
+      ExhaustedRoom exhausted,
+      List<Order> orders,
+      long nowMillis,
+      long wallMillis) {
     if (wallMillis < occurrence.spec.dueMillis(occurrence.number)) {
       return;
     }
@@ -227,14 +244,15 @@
     startable.add(occurrence);
     List<WorkerState> pool = workers.ofService(service);
     for (int step = 0; step < occurrence.missing.length; step++) {
-      if (occurrence.missing[step] == 0 || !occurrence.isReady(step)) {
+      if (!occurrence.isWaiting(step) || exhausted.covers(service, occurrence.step(step))) {
         continue;
       }
       List<WorkerState> permitted = permits.permitted(occurrence, step, pool, nowMillis);
       if (occurrence.step(step).gang()) {
         placeGang(occurrence, step, permitted, orders, nowMillis);
-      } else {
-        placeTasks(occurrence, step, permitted, orders, nowMillis);
+      } else if (!placeTasks(occurrence, step, permitted, orders, nowMillis)
+          && permitted.size() == pool.size()) {
+        exhausted.add(service, occurrence.step(step));
       }
     }
   }
@@ -246,7 +264,8 @@
         && workers.hasUnheard(service);
   }
 
-  private void placeTasks(
+  /** Starts waiting tasks of a step and returns false if one fits nowhere. */
+  private boolean placeTasks(
       OccurrenceState occurrence,
       int step,
       List<WorkerState> pool,
@@ -258,10 +277,11 @@
       }
       WorkerState worker = Placement.choose(pool, occurrence, task, nowMillis);
       if (worker == null) {
-        return;
+        return false;
       }
       start(occurrence, task, task.runs + 1, worker, orders, nowMillis);
     }
+    return true;
   }
 
   private void placeGang(
@@ -296,11 +316,10 @@
       WorkerState worker,
       List<Order> orders,
       long nowMillis) {
-    StepSpec step = occurrence.step(task.step);
     TaskId id = occurrence.taskId(task);
-    TaskRun started = new TaskRun(id, run, worker, step.reserved(), nowMillis);
+    TaskRun started = new TaskRun(id, run, worker, occurrence, nowMillis);
     task.runs = run;
-    task.active.add(started);
+    occurrence.addRun(task, started);
     worker.add(started);
     long until = worker.lease.grant(nowMillis);
     String permit = permits.permit(occurrence, task.step, worker, nowMillis);
--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerBook.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerBook.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Set;
 import org.persimmonloom.core.workflow.Resources;
-import org.persimmonloom.core.workflow.StepSpec;
 import org.persimmonloom.core.workflow.TaskId;
 
 /**
@@ -29,13 +28,10 @@
   /** A lost answer hides the ends of a worker's runs for about this time, in ms. */
   private static final int HOLD_WAIT_MILLIS = 600;
 
-  private static final int FULL_PACE = 100;
-  private static final long AVOID_FULL_MILLIS = 250;
-  private static final long AVOID_UNHEALTHY_MILLIS = 1_000;
-
   private final Map<String, WorkerState> byId = new HashMap<>();
   private final Map<String, List<WorkerState>> byService = new HashMap<>();
   private final EndHandler ends;
+  private final OrderAnswers orderAnswers;
   private final TaskBook book;
   private final long maxLeaseMillis;
   private boolean isListKnown;
@@ -44,6 +40,7 @@
     this.maxLeaseMillis = maxLeaseMillis;
     this.book = book;
     ends = new EndHandler(book);
+    orderAnswers = new OrderAnswers(ends);
   }
 
   Collection<WorkerState> all() {
@@ -166,7 +163,11 @@
     }
     worker.lease.observe(report.clockMillis(), nowMillis);
     worker.lastReportMillis = nowMillis;
-    worker.isHeard = true;
+    worker.lastReportSentMillis = sentMillis;
+    if (!worker.isHeard) {
+      worker.isHeard = true;
+      worker.heardMillis = nowMillis;
+    }
     worker.isReachable = true;
     for (EndedTask ended : report.ended()) {
       if (ended.number() > worker.processedEnd) {
@@ -211,17 +212,16 @@
     if (previous != null) {
       ends.remove(previous);
     }
-    TaskState task = book.task(running.task());
-    StepSpec step = book.step(running.task());
-    Resources reserved = step == null ? Resources.NONE : step.reserved();
-    TaskRun run = new TaskRun(running.task(), running.run(), worker, reserved, nowMillis);
+    OccurrenceState occurrence = book.occurrence(running.task());
+    TaskState task = occurrence == null ? null : occurrence.task(running.task());
+    TaskRun run = new TaskRun(running.task(), running.run(), worker, occurrence, nowMillis);
     run.phase = TaskRun.Phase.RUNNING;
     run.settledAtMillis = nowMillis;
     worker.add(run);
     if (task != null) {
       task.runs = Math.max(task.runs, running.run());
-      if (task.isRunnable() || step.speculative()) {
-        task.active.add(run);
+      if (task.isRunnable() || occurrence.step(task.step).speculative()) {
+        occurrence.addRun(task, run);
       }
     }
     return run;
@@ -331,52 +331,7 @@
     if (run == null || run.number != order.run()) {
       return;
     }
-    if (order instanceof Order.Start) {
-      startAnswered(worker, run, result, nowMillis);
-    } else if (order instanceof Order.Stop) {
-      stopAnswered(worker, run, result, nowMillis);
-    } else if (order instanceof Order.Pace && result != CallResult.ACCEPTED) {
-      // Unknown whether it took effect; the next decision sets the pace anew.
-      run.pace = FULL_PACE;
-    }
-  }
-
-  private void startAnswered(WorkerState worker, TaskRun run, CallResult result, long nowMillis) {
-    switch (result) {
-      case ACCEPTED, RUN_SUPERSEDED -> {
-        // The order to stop is the last one about the run, and is repeated until it is answered.
-        if (run.phase != TaskRun.Phase.STOPPING) {
-          run.settledAtMillis = nowMillis;
-          run.phase = TaskRun.Phase.RUNNING;
-        }
-      }
-      case UNKNOWN -> {
-        run.isUnanswered = true;
-        run.lastOrderMillis = nowMillis;
-        worker.isReachable = false;
-      }
-      case NOT_SENT -> {
-        worker.isReachable = false;
-        ends.remove(run);
-      }
-      case PERMISSION_EXPIRED -> ends.remove(run);
-      case NO_ROOM -> {
-        worker.avoidUntilMillis = nowMillis + AVOID_FULL_MILLIS;
-        ends.remove(run);
-      }
-      default -> {
-        worker.avoidUntilMillis = nowMillis + AVOID_UNHEALTHY_MILLIS;
-        ends.remove(run);
-      }
-    }
-  }
-
-  private void stopAnswered(WorkerState worker, TaskRun run, CallResult result, long nowMillis) {
-    switch (result) {
-      case UNKNOWN, NOT_SENT -> worker.isReachable = false;
-      case ACCEPTED, RUN_SUPERSEDED -> run.settledAtMillis = nowMillis;
-      default -> run.lastOrderMillis = nowMillis;
-    }
+    orderAnswers.answered(order, run, result, nowMillis);
   }
 
   List<ProgressBatch.EndMark> takeEndMarks() {
--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerState.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerState.java
@@ -23,6 +23,9 @@
   /** Whether its life is over, although its entry may be listed for some time more. */
   boolean isGone;
 
+  /** When the first answer under the present owner's fence came. */
+  long heardMillis;
+
   boolean isReachable = true;
   long bornMillis;
 
@@ -40,11 +43,17 @@
   long avoidUntilMillis;
   long lastReportMillis;
 
+  /** When the last report was asked for. */
+  long lastReportSentMillis;
+
   /** Whether planned work will take the host down, so that nothing more starts there. */
   boolean isCordoned;
 
   Resources free;
 
+  /** How many of the runs are fillers. */
+  int fillers;
+
   WorkerState(WorkerFacts facts, long maxLeaseMillis, boolean isFromLastTerm) {
     this.facts = facts;
     this.isFromLastTerm = isFromLastTerm;
@@ -62,14 +71,27 @@
         && nowMillis >= avoidUntilMillis;
   }
 
+  /**
+   * Returns whether the last report shows the effect of every stop that earlier owners ordered. The
+   * worker has refused their orders since it saw the present fence, but it lists a run whose stop
+   * it accepted before as running until the run has ended.
+   *
+   * @param earlierStopMillis how long such a stop takes at most
+   */
+  boolean showsEarlierStops(long earlierStopMillis) {
+    return isHeard && lastReportSentMillis - heardMillis >= earlierStopMillis;
+  }
+
   void add(TaskRun run) {
     runs.put(run.task, run);
     free = free.minus(run.reserved);
+    fillers += run.isFiller ? 1 : 0;
   }
 
   void remove(TaskRun run) {
     if (runs.remove(run.task, run)) {
       free = free.plus(run.reserved);
+      fillers -= run.isFiller ? 1 : 0;
     }
   }
 
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
@@ -4,10 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.Executors;
-import java.util.concurrent.RejectedExecutionException;
-import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadPoolExecutor;
-import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -35,6 +32,9 @@
 
   private static final long TICK_MILLIS = 100;
 
+  /** A take-over whose reads failed is tried again after this time. */
+  private static final long RETRY_MILLIS = 50;
+
   /** Progress is recorded at most this often. */
   private static final long RECORD_MILLIS = 25;
 
@@ -59,7 +59,7 @@
   private final FleetServices services;
   private final Runnable depose;
   private final LongSupplier confirmedMillis;
-  private final ScheduledExecutorService loop;
+  private final OwnerLoop loop;
   private final ThreadPoolExecutor calls;
   private final TableWriter writer;
   private final TableFollower workerFollower;
@@ -69,11 +69,11 @@
   private final EndedRemoval endedRemoval;
   private FleetScheduler scheduler;
   private volatile MachineOperations machines;
+  private boolean isStopped;
   private boolean isPassPending;
   private boolean isSuperseded;
   private boolean isRecording;
   private long lastRecordMillis;
-  private long lastOutlineMillis;
 
   OwnerSession(
       long fence,
@@ -86,8 +86,8 @@
     this.services = services;
     this.depose = depose;
     this.confirmedMillis = confirmedMillis;
-    loop = Executors.newSingleThreadScheduledExecutor(task -> daemon(task, "owner-loop"));
     load = new OwnerLoad(services.metrics());
+    loop = new OwnerLoop(fence, load);
     calls = (ThreadPoolExecutor) Executors.newCachedThreadPool(task -> daemon(task, "owner-call"));
     writer =
         new TableWriter(
@@ -109,7 +109,7 @@
             services.gateway(),
             fence,
             calls,
-            this::execute,
+            loop::execute,
             services.clock(),
             new WorkerChannels.Listener() {
               @Override
@@ -135,7 +135,7 @@
     writer.start();
     writer
         .append(List.of(new WorkflowRecords().takeover(fence)), Long.MAX_VALUE)
-        .thenAccept(outcome -> execute(() -> shutOut(outcome)));
+        .thenAccept(outcome -> loop.execute(() -> shutOut(outcome)));
   }
 
   /**
@@ -151,7 +151,8 @@
   }
 
   /** Ends the term; orders that are on their way are refused by their fence. */
-  void stop() {
+  synchronized void stop() {
+    isStopped = true;
     services.workflows().ignore();
     services.workflowFollower().setPauseMillis(FleetServices.FOLLOWER_PAUSE_MILLIS);
     services.operations().observe(() -> {});
@@ -159,7 +160,7 @@
     if (machines != null) {
       machines.stop();
     }
-    loop.shutdownNow();
+    loop.stop();
     // Calls in progress end by their own limits; their answers are no longer heard.
     calls.shutdown();
     writer.stop();
@@ -167,7 +168,7 @@
 
   private void takeOver() {
     if (!services.workflowFollower().refresh() || services.operations().configuration().isEmpty()) {
-      loop.schedule(this::takeOver, 50, TimeUnit.MILLISECONDS);
+      loop.schedule(this::takeOver, RETRY_MILLIS);
       return;
     }
     SchedulingSettings settings = services.scheduling();
@@ -176,9 +177,18 @@
         new FleetScheduler(
             settings, services.workflowFollower().end(), now(), now() + Math.max(0, dutyWait));
     machines =
-        new MachineOperations(services, fence, scheduler.machines(), calls, this::execute, depose);
+        new MachineOperations(services, fence, scheduler.machines(), calls, loop::execute, depose);
     if (!machines.start()) {
-      loop.schedule(this::takeOver, 50, TimeUnit.MILLISECONDS);
+      loop.schedule(this::takeOver, RETRY_MILLIS);
+      return;
+    }
+    attach();
+  }
+
+  /** Begins to decide, unless the term has ended and the next one may hear the changes already. */
+  private synchronized void attach() {
+    if (isStopped) {
+      machines.stop();
       return;
     }
     configure();
@@ -194,12 +204,13 @@
 
               @Override
               public void takenOver(long newFence) {
-                execute(() -> noteTakeover(newFence));
+                loop.execute(() -> noteTakeover(newFence));
               }
             });
     services.workflowFollower().setPauseMillis(FleetServices.OWNER_PAUSE_MILLIS);
     workerFollower.start();
-    loop.scheduleWithFixedDelay(this::tick, 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    loop.repeat(this::pass, TICK_MILLIS);
+    loop.repeat(this::logOutlines, OUTLINE_MILLIS);
     LOG.info("event=term_started fence={} end={}", fence, services.workflowFollower().end());
   }
 
@@ -223,22 +234,9 @@
     post(() -> scheduler.workflowChanged(copy, now(), services.wallClock().millis(), isBacklog));
   }
 
-  private void execute(Runnable task) {
-    try {
-      long posted = System.nanoTime();
-      loop.execute(
-          () -> {
-            load.waited(System.nanoTime() - posted);
-            guarded(task);
-          });
-    } catch (RejectedExecutionException e) {
-      LOG.debug("event=term_over fence={}", fence);
-    }
-  }
-
   /** Runs a change on the loop, then a pass soon after. */
   private void post(Runnable change) {
-    execute(
+    loop.execute(
         () -> {
           change.run();
           requestPass();
@@ -248,16 +246,7 @@
   private void requestPass() {
     if (!isPassPending) {
       isPassPending = true;
-      loop.schedule(() -> guarded(this::pass), GATHER_MILLIS, TimeUnit.MILLISECONDS);
-    }
-  }
-
-  private void tick() {
-    guarded(this::pass);
-    if (now() - lastOutlineMillis >= OUTLINE_MILLIS) {
-      lastOutlineMillis = now();
-      // An exception would end the ticks for the rest of the term.
-      guarded(this::logOutlines);
+      loop.schedule(this::pass, GATHER_MILLIS);
     }
   }
 
@@ -274,14 +263,6 @@
     }
   }
 
-  private void guarded(Runnable task) {
-    try {
-      task.run();
-    } catch (RuntimeException e) {
-      LOG.error("event=owner_failed fence={}", fence, e);
-    }
-  }
-
   private void pass() {
     long started = System.nanoTime();
     isPassPending = false;
