Check an order that has waited before it is sent

Cause: each worker gets two orders at a time, and further ones wait. A start that has waited for as long as its lease is refused by the worker in any case.

Change: a waiting start is taken back if its run is no longer wanted or its lease is over. Stops are always sent.

--- a/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
@@ -106,6 +106,14 @@
     return workers.dueHolds(inFlight, nowMillis);
   }
 
+  /**
+   * Returns whether an order that was decided earlier is still to be sent. A start is taken back if
+   * its task has ended or runs elsewhere by now, or if the lease that it carries is over.
+   */
+  public boolean isStillDue(Order order, long nowMillis) {
+    return !(order instanceof Order.Start) || workers.isStartStillDue(order, nowMillis);
+  }
+
   /** Takes over the answer to an order. */
   public void answered(Order order, CallResult result, long nowMillis) {
     if (result == CallResult.PERMISSION_EXPIRED) {
--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerBook.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerBook.java
@@ -317,6 +317,20 @@
     return new HoldOrder(worker.facts, until, worker.recordedEnd, mayWait ? HOLD_WAIT_MILLIS : 0);
   }
 
+  /** Returns whether a start is still to be sent; forgets its run if not. */
+  boolean isStartStillDue(Order order, long nowMillis) {
+    WorkerState worker = byId.get(order.worker().id());
+    TaskRun run = worker == null ? null : worker.runs.get(order.task());
+    if (run == null || run.number != order.run() || run.phase != TaskRun.Phase.STARTING) {
+      return false;
+    }
+    boolean isDue = run.isWanted() && nowMillis - run.lastOrderMillis < maxLeaseMillis;
+    if (!isDue) {
+      ends.remove(run);
+    }
+    return isDue;
+  }
+
   void answered(Order order, CallResult result, long nowMillis) {
     if (result == CallResult.GONE) {
       holdFailed(order.worker(), result);
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
@@ -112,6 +112,11 @@
             loop::execute,
             services.clock(),
             new WorkerChannels.Listener() {
+              @Override
+              public boolean isStillDue(Order order) {
+                return scheduler.isStillDue(order, now());
+              }
+
               @Override
               public void answered(Order order, CallResult result) {
                 orderAnswered(order, result);
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkerChannels.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkerChannels.java
@@ -18,14 +18,21 @@
  * Sends orders and requests for lists to workers.
  *
  * <p>Each worker gets at most {@link #MAX_ORDERS_IN_FLIGHT} orders at a time, in their order, and
- * one request for lists, so that an owner holds few connections. Confined to the owner's loop,
- * except for the calls themselves.
+ * one request for lists, so that an owner holds few connections. An order that waits behind others
+ * may lose its reason meanwhile, so that it is checked again before it is sent. Confined to the
+ * owner's loop, except for the calls themselves.
  */
 final class WorkerChannels {
   private static final Logger LOG = LogManager.getLogger(WorkerChannels.class);
 
   /** Hears of answers, on the owner's loop. */
   interface Listener {
+    /**
+     * Returns whether an order that has waited is still to be sent. One that is not is dropped, and
+     * the listener takes it back.
+     */
+    boolean isStillDue(Order order);
+
     void answered(Order order, CallResult result);
 
     void held(HoldOrder order, long sentMillis, WorkerGateway.HoldAnswer answer);
@@ -70,11 +77,20 @@
   private void next(String worker) {
     Queue<Order> queue = waiting.get(worker);
     int busy = inFlight.getOrDefault(worker, 0);
-    if (queue == null || queue.isEmpty() || busy >= MAX_ORDERS_IN_FLIGHT) {
+    if (queue == null || busy >= MAX_ORDERS_IN_FLIGHT) {
       return;
     }
-    inFlight.put(worker, busy + 1);
-    Order order = queue.remove();
+    Order order = queue.poll();
+    while (order != null && !listener.isStillDue(order)) {
+      order = queue.poll();
+    }
+    if (order != null) {
+      inFlight.put(worker, busy + 1);
+      call(order);
+    }
+  }
+
+  private void call(Order order) {
     calls.execute(
         () -> {
           CallResult result = callSend(order);
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/WorkerChannelsTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/WorkerChannelsTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.Executor;
@@ -21,6 +22,7 @@
           "w1", "not an address", "s", "a", false, new Resources(4_000, 8_000, 0), Set.of(), 1);
 
   private final List<CallResult> answers = new ArrayList<>();
+  private final Set<Order> dropped = new HashSet<>();
   private final WorkerChannels channels =
       new WorkerChannels(
           new FailingGateway(),
@@ -29,6 +31,11 @@
           Runnable::run,
           () -> 0,
           new WorkerChannels.Listener() {
+            @Override
+            public boolean isStillDue(Order order) {
+              return !dropped.contains(order);
+            }
+
             @Override
             public void answered(Order order, CallResult result) {
               answers.add(result);
@@ -82,4 +89,14 @@
     }
     assertThat(answers).hasSize(4).containsOnly(CallResult.UNKNOWN);
   }
+
+  /** Guards against an order that is sent although its reason has gone while it waited. */
+  @Test
+  void orderThatIsNoLongerDueIsNotSent() {
+    Order stop = new Order.Stop(WORKER, new TaskId("f1", 0, 0, 0), 1);
+    dropped.add(stop);
+    channels.send(stop);
+    channels.send(new Order.Stop(WORKER, new TaskId("f1", 0, 0, 1), 1));
+    assertThat(answers).hasSize(1);
+  }
 }
