Keep the policy in force with each occurrence

A pass and the demand of the pools looked it up by queue for each occurrence. The comparison with plain scans now changes the configuration too.

--- a/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
@@ -155,7 +155,7 @@
     startable.clear();
     ExhaustedRoom exhausted = new ExhaustedRoom(workers, nowMillis);
     List<OccurrenceState> waiting = waiting(exhausted);
-    for (OccurrenceState occurrence : QueueOrder.sorted(waiting, nowMillis, book)) {
+    for (OccurrenceState occurrence : QueueOrder.sorted(waiting, nowMillis)) {
       place(occurrence, exhausted, orders, nowMillis, wallMillis);
     }
     return orders;
@@ -167,7 +167,7 @@
     for (List<OccurrenceState> occurrences : book.all()) {
       for (OccurrenceState occurrence : occurrences) {
         if (occurrence.isWaiting()) {
-          QueuePolicy policy = book.policy(occurrence.spec);
+          QueuePolicy policy = occurrence.policy;
           if (policy.permitValidMillis() > 0
               || !exhausted.coversAll(policy.service(), occurrence)) {
             waiting.add(occurrence);
@@ -223,7 +223,7 @@
     if (wallMillis < occurrence.spec.dueMillis(occurrence.number)) {
       return;
     }
-    String service = book.policy(occurrence.spec).service();
+    String service = occurrence.policy.service();
     if (!runningServices.contains(service) || isBlocked(occurrence, service, nowMillis)) {
       return;
     }
--- a/core/src/main/java/org/persimmonloom/core/scheduling/OccurrenceState.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/OccurrenceState.java
@@ -4,6 +4,7 @@
 import java.util.BitSet;
 import java.util.List;
 import org.persimmonloom.core.workflow.OccurrenceProgress;
+import org.persimmonloom.core.workflow.QueuePolicy;
 import org.persimmonloom.core.workflow.StepSpec;
 import org.persimmonloom.core.workflow.TaskId;
 import org.persimmonloom.core.workflow.WorkflowSpec;
@@ -15,6 +16,10 @@
   final int number;
   final long submittedOffset;
   final TaskState[] tasks;
+
+  /** Policy in force for the workflow, kept by the {@link TaskBook}. */
+  QueuePolicy policy;
+
   final int[] missing;
 
   /** How many tasks of each step are neither done nor running. */
@@ -32,6 +37,7 @@
 
   OccurrenceState(WorkflowSpec spec, int number, long submittedOffset, long submittedMillis) {
     this.spec = spec;
+    policy = spec.policy();
     this.number = number;
     this.submittedOffset = submittedOffset;
     this.submittedMillis = submittedMillis;
--- a/core/src/main/java/org/persimmonloom/core/scheduling/PermitBook.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/PermitBook.java
@@ -56,8 +56,8 @@
         .toList();
   }
 
-  private boolean isNeeded(OccurrenceState occurrence) {
-    return book.policy(occurrence.spec).permitValidMillis() > 0;
+  private static boolean isNeeded(OccurrenceState occurrence) {
+    return occurrence.policy.permitValidMillis() > 0;
   }
 
   /** Returns the permit with which the step may start on the worker now; empty if there is none. */
@@ -91,7 +91,7 @@
     verdicts.keySet().removeIf(step -> book.occurrence(step) == null);
     Optional<PermitRequest> due =
         occurrences.stream()
-            .filter(this::isNeeded)
+            .filter(PermitBook::isNeeded)
             .flatMap(occurrence -> requests(occurrence, workers, nowMillis))
             .findFirst();
     isAsking = due.isPresent();
@@ -101,7 +101,7 @@
   /** Returns a request for each waiting step that has workers to ask for, in their order. */
   private Stream<PermitRequest> requests(
       OccurrenceState occurrence, WorkerBook workers, long nowMillis) {
-    QueuePolicy policy = book.policy(occurrence.spec);
+    QueuePolicy policy = occurrence.policy;
     List<WorkerState> pool = workers.ofService(policy.service());
     return IntStream.range(0, occurrence.missing.length)
         .filter(occurrence::isReady)
--- a/core/src/main/java/org/persimmonloom/core/scheduling/PoolDemand.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/PoolDemand.java
@@ -34,7 +34,7 @@
     for (List<OccurrenceState> occurrences : book.all()) {
       for (OccurrenceState occurrence : occurrences) {
         if (wallMillis >= occurrence.spec.dueMillis(occurrence.number)) {
-          demand.add(occurrence, book.policy(occurrence.spec).service());
+          demand.add(occurrence, occurrence.policy.service());
         }
       }
     }
--- a/core/src/main/java/org/persimmonloom/core/scheduling/QueueOrder.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/QueueOrder.java
@@ -27,11 +27,10 @@
           .thenComparingLong(Ranked::dueMillis);
 
   /** Returns the occurrences, the most urgent first; equally urgent ones keep their order. */
-  static List<OccurrenceState> sorted(
-      List<OccurrenceState> occurrences, long nowMillis, TaskBook book) {
+  static List<OccurrenceState> sorted(List<OccurrenceState> occurrences, long nowMillis) {
     List<Ranked> ranked = new ArrayList<>(occurrences.size());
     for (OccurrenceState occurrence : occurrences) {
-      ranked.add(rank(occurrence, nowMillis, book));
+      ranked.add(rank(occurrence, nowMillis));
     }
     ranked.sort(MOST_URGENT_FIRST);
     List<OccurrenceState> sorted = new ArrayList<>(ranked.size());
@@ -41,7 +40,7 @@
     return sorted;
   }
 
-  private static Ranked rank(OccurrenceState occurrence, long nowMillis, TaskBook book) {
+  private static Ranked rank(OccurrenceState occurrence, long nowMillis) {
     long age = nowMillis - occurrence.submittedMillis;
     int lateness = 0;
     if (age > LATE_FACTOR * occurrence.objectiveMillis) {
@@ -51,6 +50,6 @@
     }
     int group = occurrence.isLongRunning ? 0 : 1;
     long due = occurrence.submittedMillis + occurrence.objectiveMillis;
-    return new Ranked(occurrence, group, book.policy(occurrence.spec).priority(), lateness, due);
+    return new Ranked(occurrence, group, occurrence.policy.priority(), lateness, due);
   }
 }
--- a/core/src/main/java/org/persimmonloom/core/scheduling/TaskBook.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/TaskBook.java
@@ -36,6 +36,9 @@
 
   void configure(Map<String, QueuePolicy> queues) {
     policies = Map.copyOf(queues);
+    for (List<OccurrenceState> occurrences : workflows.values()) {
+      occurrences.forEach(occurrence -> occurrence.policy = policy(occurrence.spec));
+    }
   }
 
   /**
@@ -73,6 +76,7 @@
       }
       OccurrenceState occurrence =
           new OccurrenceState(spec, number, entry.submittedOffset(), submitted);
+      occurrence.policy = policy(spec);
       if (progress != null) {
         occurrence.restore(progress);
       }
@@ -139,7 +143,7 @@
     int waiting = 0;
     for (List<OccurrenceState> occurrences : workflows.values()) {
       for (OccurrenceState occurrence : occurrences) {
-        if (policy(occurrence.spec).service().equals(service)) {
+        if (occurrence.policy.service().equals(service)) {
           waiting += occurrence.waitingTasks();
         }
       }
--- a/core/src/test/java/org/persimmonloom/core/scheduling/DecisionEqualityTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/DecisionEqualityTest.java
@@ -66,11 +66,9 @@
 
   private void takeOver() {
     SchedulingSettings settings = new SchedulingSettings(6_000, 8_000, 3_000, 120_000);
-    Map<String, QueuePolicy> queues = new HashMap<>();
-    POLICIES.forEach(policy -> queues.put(policy.queue(), policy));
     scheduler = new FleetScheduler(settings, offset, now, now);
-    scheduler.configure(queues, SERVICES, Set.of("spare"));
-    reference = new ReferenceScheduler(settings, offset, now, queues, SERVICES);
+    reference = new ReferenceScheduler(settings, offset, now, SERVICES);
+    configure();
     for (int i = 0; i < 14; i++) {
       addWorker("w" + i);
     }
@@ -84,6 +82,27 @@
             });
   }
 
+  /** Gives the queues other priorities; one may be withdrawn. */
+  private void configure() {
+    Map<String, QueuePolicy> queues = new HashMap<>();
+    for (QueuePolicy policy : POLICIES) {
+      if (random.nextInt(8) > 0) {
+        queues.put(
+            policy.queue(),
+            new QueuePolicy(
+                policy.queue(),
+                policy.service(),
+                random.nextInt(2),
+                policy.attempts(),
+                policy.stretch(),
+                policy.targetMillis(),
+                policy.permitValidMillis()));
+      }
+    }
+    scheduler.configure(queues, SERVICES, Set.of("spare"));
+    reference.book.configure(queues);
+  }
+
   private void addWorker(String id) {
     Resources capacity = new Resources(4_000 + 2_000 * random.nextInt(3), 8_000, 0);
     String rack = "rack-" + random.nextInt(3);
@@ -116,6 +135,8 @@
       fail(worker, CallResult.GONE);
       addWorker(worker.id());
       list();
+    } else if (kind < 97) {
+      configure();
     } else if (kind < 98) {
       addWorker(any().id());
       list();
--- a/core/src/test/java/org/persimmonloom/core/scheduling/ReferenceScheduler.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/ReferenceScheduler.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import org.persimmonloom.core.workflow.QueuePolicy;
 import org.persimmonloom.core.workflow.WorkflowState;
 
 /**
@@ -23,16 +22,11 @@
   private final Set<String> services;
 
   ReferenceScheduler(
-      SchedulingSettings settings,
-      long takeoverOffset,
-      long nowMillis,
-      Map<String, QueuePolicy> queues,
-      Set<String> services) {
+      SchedulingSettings settings, long takeoverOffset, long nowMillis, Set<String> services) {
     this.takeoverOffset = takeoverOffset;
     this.services = services;
     blockedUntilMillis = nowMillis + settings.takeoverBlockMillis();
     workers = new WorkerBook(settings.maxLeaseMillis(), book);
-    book.configure(queues);
   }
 
   List<Order> decide(long nowMillis, long wallMillis) {
