Repeat a take-over that ends with an exception

Seen by callers: a fleet whose owner renews its ownership, so that no other host takes over, and starts nothing.

Cause: the take-over reads two tables and is repeated when one can't be read, but not when the answer can't be understood: the decoding of records then throws, which ended the owner's only attempt. The repeated attempts were not guarded either, so that their exceptions were not even logged.

Evidence: the new test failed without the change, "takeoverIsRepeatedAfterAnAnswerThatCannotBeRead:197 Expecting value to be true but was false": the owner had not begun 5 s after the exception.

Change: the next attempt is scheduled before the reading and cancelled once it succeeds.

--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
@@ -1,9 +1,11 @@
 package org.persimmonloom.runtime.workflow;
 
+import java.time.InstantSource;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadPoolExecutor;
@@ -51,6 +53,7 @@
   private static final long WORKERS_PAUSE_MILLIS = 80;
 
   private static final long OUTLINE_MILLIS = 1_000;
+  private static final long TAKEOVER_RETRY_MILLIS = 50;
 
   private static final String PRODUCER = "fleet-owner";
 
@@ -167,23 +170,28 @@
     writer.stop();
   }
 
+  /** Begins once what earlier owners left was read, and repeats a reading that fails. */
   private void takeOver() {
-    if (!services.workflowFollower().refresh() || services.operations().configuration().isEmpty()) {
-      loop.schedule(this::takeOver, 50, TimeUnit.MILLISECONDS);
-      return;
+    Future<?> retry =
+        loop.schedule(() -> guarded(this::takeOver), TAKEOVER_RETRY_MILLIS, TimeUnit.MILLISECONDS);
+    if (readTables()) {
+      retry.cancel(false);
+      attach();
+    }
+  }
+
+  private boolean readTables() {
+    TableFollower follower = services.workflowFollower();
+    if (!follower.refresh() || services.operations().configuration().isEmpty()) {
+      return false;
     }
     SchedulingSettings settings = services.scheduling();
     long dutyWait = isHandedOver ? 0 : settings.dutyLeaseMillis() - DUTY_HEAD_START_MILLIS;
-    scheduler =
-        new FleetScheduler(
-            settings, services.workflowFollower().end(), now(), now() + Math.max(0, dutyWait));
+    long machinesFrom = now() + Math.max(0, dutyWait);
+    scheduler = new FleetScheduler(settings, follower.end(), now(), machinesFrom);
     machines =
         new MachineOperations(services, fence, scheduler.machines(), calls, this::execute, depose);
-    if (!machines.start()) {
-      loop.schedule(this::takeOver, 50, TimeUnit.MILLISECONDS);
-      return;
-    }
-    attach();
+    return machines.start();
   }
 
   /** Begins to decide, unless the term has ended and the next one may hear the changes already. */
@@ -200,7 +208,9 @@
             new WorkflowReplica.Observer() {
               @Override
               public void changed(WorkflowEntry entry, boolean isBacklog) {
-                workflowChanged(entry, isBacklog);
+                WorkflowEntry copy = entry.copy();
+                InstantSource wall = services.wallClock();
+                post(() -> scheduler.workflowChanged(copy, now(), wall.millis(), isBacklog));
               }
 
               @Override
@@ -229,11 +239,6 @@
     }
   }
 
-  private void workflowChanged(WorkflowEntry entry, boolean isBacklog) {
-    WorkflowEntry copy = entry.copy();
-    post(() -> scheduler.workflowChanged(copy, now(), services.wallClock().millis(), isBacklog));
-  }
-
   private void execute(Runnable task) {
     try {
       long posted = System.nanoTime();
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnerSessionTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnerSessionTest.java
@@ -2,6 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.time.InstantSource;
 import java.util.List;
 import java.util.Optional;
@@ -175,6 +177,26 @@
     assertThat(changes).hasValue(1);
   }
 
+  /** Guards against an owner that renews its record but never begins to decide. */
+  @Test
+  void takeoverIsRepeatedAfterAnAnswerThatCannotBeRead() throws Exception {
+    AtomicInteger reads = new AtomicInteger();
+    CountDownLatch begun = new CountDownLatch(1);
+    log.beforeNewest =
+        table -> {
+          if (table == Table.MAINTENANCE && reads.incrementAndGet() <= 2) {
+            throw new UncheckedIOException(new IOException("record of 9 bytes"));
+          }
+          if (table == Table.WORKERS) {
+            begun.countDown();
+          }
+        };
+    operations.apply(new StoredRecord(0, RECORD), true);
+    follower.start();
+    session.start();
+    assertThat(begun.await(5, TimeUnit.SECONDS)).isTrue();
+  }
+
   /** Waits like a read from a socket, which an interruption does not end. */
   private static void awaitUninterruptibly(CountDownLatch latch) {
     boolean isInterrupted = false;
