Claim anew after an ended term instead of resuming its fence

Seen by callers: a fleet whose owner renews its ownership and starts nothing, or tasks that run again after the owner had counted them as done.

Cause: a host whose term had ended took its own newest record of the ownership table for a claim whose answer was lost, and began a second term under the same fence. This happens when a renewal's answer was lost and the table's older records have expired by the time the conflict is resolved. The fence is the epoch of the owner's writers, whose numbers begin at 1 in each term. The platform's protocol answers a repeated number with the answer to its first use, so that records are taken for written, and refuses other numbers that don't follow the last one, so that the record which opens the term is repeated for ever.

Evidence: the new test failed without the change, "endedTermIsFollowedByAHigherFence:138 Expecting actual: 1L to be greater than: 1L".

Change: a host's own record of an ended term counts like one of an earlier life of the host: it is free to be claimed at once, under a higher fence.

--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/Ownership.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/Ownership.java
@@ -51,6 +51,10 @@
   private volatile boolean isStopping;
   private volatile boolean mayClaim;
   private volatile long fence = -1;
+
+  /** Fence of the last term that has ended; the numbers of its appends can't begin anew. */
+  private volatile long endedFence;
+
   private volatile long confirmedMillis;
   private long end;
   private boolean isLoaded;
@@ -226,12 +230,13 @@
     return newest != null
         && !newest.isReleased()
         && newest.host().equals(host)
-        && newest.incarnation() == incarnation;
+        && newest.incarnation() == incarnation
+        && newest.fence() > endedFence;
   }
 
-  /** An earlier life of this host cannot be alive while this one runs. */
+  /** An earlier life or term of this host gives no orders while this one watches. */
   private boolean isOwnPast() {
-    return newest.host().equals(host) && newest.incarnation() != incarnation;
+    return newest.host().equals(host) && !isOwnRecord();
   }
 
   private void gain(long wonFence, long confirmed, boolean isHandedOver) {
@@ -284,6 +289,7 @@
       return;
     }
     LOG.info("event=ownership_lost fence={} cause={}", fence, cause);
+    endedFence = fence;
     fence = -1;
     unchangedSinceMillis = clock.getAsLong();
     lastReadMillis = unchangedSinceMillis;
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/FakeKeyedLog.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/FakeKeyedLog.java
@@ -23,6 +23,9 @@
 
   boolean isDown;
 
+  /** How many of the next reads find that their records have expired. */
+  int expiries;
+
   /** Runs on the calling thread before the newest records of a table are read. */
   volatile Consumer<Table> beforeNewest = table -> {};
 
@@ -45,6 +48,10 @@
     if (isDown) {
       return new LogReadResult.Unavailable("down");
     }
+    if (expiries > 0) {
+      expiries--;
+      return new LogReadResult.Expired();
+    }
     List<StoredRecord> all = table(table);
     int first = (int) Math.min(from, all.size());
     return new LogReadResult.Records(List.copyOf(all.subList(first, all.size())), all.size());
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnershipTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnershipTest.java
@@ -122,4 +122,19 @@
     } while (!(result instanceof AppendResult.Appended));
     assertThat(one.losses.poll(5, TimeUnit.SECONDS)).isTrue();
   }
+
+  /**
+   * Guards against a second term under the fence of an ended one: its appends would repeat the
+   * numbers of the first term's, so that the store drops or refuses them.
+   */
+  @Test
+  void endedTermIsFollowedByAHigherFence() throws Exception {
+    one.ownership.start();
+    long first = one.nextFence();
+    // The renewal after the lost answer conflicts, and what it conflicts with has expired.
+    log.expiries = 1;
+    log.lostAnswers = 1;
+    assertThat(one.losses.poll(5, TimeUnit.SECONDS)).isTrue();
+    assertThat(one.nextFence()).isGreaterThan(first);
+  }
 }
