--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
@@ -1,5 +1,6 @@
 package org.persimmonloom.runtime.workflow;
 
+import java.time.InstantSource;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -32,9 +33,6 @@
 
   private static final long TICK_MILLIS = 100;
 
-  /** A take-over whose reads failed is tried again after this time. */
-  private static final long RETRY_MILLIS = 50;
-
   /** Progress is recorded at most this often. */
   private static final long RECORD_MILLIS = 25;
 
@@ -51,6 +49,7 @@
   private static final long WORKERS_PAUSE_MILLIS = 80;
 
   private static final long OUTLINE_MILLIS = 1_000;
+  private static final long TAKEOVER_RETRY_MILLIS = 50;
 
   private static final String PRODUCER = "fleet-owner";
 
@@ -171,23 +170,33 @@
     writer.stop();
   }
 
+  /** Begins once what earlier owners left was read, and repeats a reading that fails. */
   private void takeOver() {
-    if (!services.workflowFollower().refresh() || services.operations().configuration().isEmpty()) {
-      loop.schedule(this::takeOver, RETRY_MILLIS);
-      return;
+    boolean isRead = false;
+    try {
+      isRead = readTables();
+    } finally {
+      if (!isRead) {
+        loop.schedule(this::takeOver, TAKEOVER_RETRY_MILLIS);
+      }
+    }
+    if (isRead) {
+      attach();
+    }
+  }
+
+  private boolean readTables() {
+    TableFollower follower = services.workflowFollower();
+    if (!follower.refresh() || services.operations().configuration().isEmpty()) {
+      return false;
     }
     SchedulingSettings settings = services.scheduling();
     long dutyWait = isHandedOver ? 0 : settings.dutyLeaseMillis() - DUTY_HEAD_START_MILLIS;
-    scheduler =
-        new FleetScheduler(
-            settings, services.workflowFollower().end(), now(), now() + Math.max(0, dutyWait));
+    long machinesFrom = now() + Math.max(0, dutyWait);
+    scheduler = new FleetScheduler(settings, follower.end(), now(), machinesFrom);
     machines =
         new MachineOperations(services, fence, scheduler.machines(), calls, loop::execute, depose);
-    if (!machines.start()) {
-      loop.schedule(this::takeOver, RETRY_MILLIS);
-      return;
-    }
-    attach();
+    return machines.start();
   }
 
   /** Begins to decide, unless the term has ended and the next one may hear the changes already. */
@@ -204,7 +213,9 @@
             new WorkflowReplica.Observer() {
               @Override
               public void changed(WorkflowEntry entry, boolean isBacklog) {
-                workflowChanged(entry, isBacklog);
+                WorkflowEntry copy = entry.copy();
+                InstantSource wall = services.wallClock();
+                post(() -> scheduler.workflowChanged(copy, now(), wall.millis(), isBacklog));
               }
 
               @Override
@@ -234,11 +245,6 @@
     }
   }
 
-  private void workflowChanged(WorkflowEntry entry, boolean isBacklog) {
-    WorkflowEntry copy = entry.copy();
-    post(() -> scheduler.workflowChanged(copy, now(), services.wallClock().millis(), isBacklog));
-  }
-
   /** Runs a change on the loop, then a pass soon after. */
   private void post(Runnable change) {
     loop.execute(
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/Ownership.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/Ownership.java
@@ -53,6 +53,10 @@
   private volatile boolean mayClaim;
   private volatile boolean isHandoverWanted;
   private volatile long fence = -1;
+
+  /** Fence of the last term that has ended; the numbers of its appends can't begin anew. */
+  private volatile long endedFence;
+
   private volatile long confirmedMillis;
 
   /** The last fence that this host has released, although the record of that may be missing. */
@@ -246,12 +250,13 @@
         && !newest.isReleased()
         && newest.fence() != releasedFence
         && newest.host().equals(host)
-        && newest.incarnation() == incarnation;
+        && newest.incarnation() == incarnation
+        && newest.fence() > endedFence;
   }
 
-  /** An earlier life of this host cannot be alive while this one runs. */
+  /** An earlier life or term of this host gives no orders while this one watches. */
   private boolean isOwnPast() {
-    return newest.host().equals(host) && newest.incarnation() != incarnation;
+    return newest.host().equals(host) && !isOwnRecord();
   }
 
   private void gain(long wonFence, long confirmed, boolean isHandedOver) {
@@ -312,6 +317,7 @@
       return;
     }
     LOG.info("event=ownership_lost fence={} cause={}", fence, cause);
+    endedFence = fence;
     fence = -1;
     unchangedSinceMillis = clock.getAsLong();
     lastReadMillis = unchangedSinceMillis;
