Give back the room of a run that a newer run of its task replaces

An unwanted run that still stops no longer counts for its task, so that the task can start on the same worker. The newer run took the older one's place in the list, and the older one's room was never given back.

--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerState.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerState.java
@@ -58,19 +58,27 @@
         && nowMillis >= avoidUntilMillis;
   }
 
+  /** Adds a run in place of an older one of its task, if there is one. */
   void add(TaskRun run) {
-    runs.put(run.task, run);
+    TaskRun older = runs.put(run.task, run);
+    if (older != null) {
+      giveBack(older);
+    }
     free = free.minus(run.reserved);
     fillers += run.isFiller ? 1 : 0;
   }
 
   void remove(TaskRun run) {
     if (runs.remove(run.task, run)) {
-      free = free.plus(run.reserved);
-      fillers -= run.isFiller ? 1 : 0;
+      giveBack(run);
     }
   }
 
+  private void giveBack(TaskRun run) {
+    free = free.plus(run.reserved);
+    fillers -= run.isFiller ? 1 : 0;
+  }
+
   /** Returns whether ends are known only to this owner and the worker. */
   boolean hasUnrecordedEnds() {
     return processedEnd > recordedEnd;
--- a/core/src/test/java/org/persimmonloom/core/scheduling/DecisionEqualityTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/DecisionEqualityTest.java
@@ -234,6 +234,7 @@
         .as("permit request, seed %d, pass %d", seed, pass)
         .isEqualTo(reference.permits.due(reference.startable, reference.workers, now));
     request.ifPresent(this::permit);
+    checkCounts(seed, pass);
     orders.forEach(this::carryOut);
     if (random.nextInt(3) == 0) {
       ProgressBatch batch = scheduler.takeProgress(now);
@@ -247,6 +248,30 @@
     }
   }
 
+  /** What is counted along the way must equal what a count of everything gives. */
+  private void checkCounts(long seed, int pass) {
+    for (List<OccurrenceState> occurrences : reference.book.all()) {
+      for (OccurrenceState occurrence : occurrences) {
+        for (int step = 0; step < occurrence.missing.length; step++) {
+          assertThat((long) occurrence.waitingTasks(step))
+              .as("waiting tasks of %s, seed %d, pass %d", occurrence.spec.id(), seed, pass)
+              .isEqualTo(occurrence.tasksOf(step).stream().filter(TaskState::isRunnable).count());
+        }
+      }
+    }
+    for (WorkerState worker : reference.workers.all()) {
+      Resources used = Resources.NONE;
+      for (TaskRun run : worker.runs.values()) {
+        used = used.plus(run.reserved);
+      }
+      assertThat(worker.free)
+          .as("room of %s, seed %d, pass %d", worker.facts.id(), seed, pass)
+          .isEqualTo(worker.facts.capacity().minus(used));
+      assertThat((long) worker.fillers)
+          .isEqualTo(worker.runs.values().stream().filter(run -> run.isFiller).count());
+    }
+  }
+
   private static List<String> texts(List<TableRecord> batch) {
     return batch.stream().map(it -> it.key() + Arrays.toString(it.value())).toList();
   }
