--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/Ownership.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/Ownership.java
@@ -59,9 +59,6 @@
 
   private volatile long confirmedMillis;
 
-  /** The last fence that this host has released, although the record of that may be missing. */
-  private long releasedFence;
-
   private long end;
   private boolean isLoaded;
   private OwnershipRecord newest;
@@ -248,7 +245,6 @@
   private boolean isOwnRecord() {
     return newest != null
         && !newest.isReleased()
-        && newest.fence() != releasedFence
         && newest.host().equals(host)
         && newest.incarnation() == incarnation
         && newest.fence() > endedFence;
@@ -334,7 +330,7 @@
       result = log.appendAt(Table.OWNERSHIP, end, released);
     }
     LOG.info("event=ownership_released fence={} result={}", fence, result);
-    releasedFence = fence;
+    endedFence = fence;
     fence = -1;
   }
 
