--- a/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
@@ -168,6 +168,7 @@
       for (OccurrenceState occurrence : occurrences) {
         if (occurrence.isWaiting()) {
           QueuePolicy policy = occurrence.policy;
+          // Decisions about hosts may give room back before a permit is asked for.
           if (policy.permitValidMillis() > 0
               || !exhausted.coversAll(policy.service(), occurrence)) {
             waiting.add(occurrence);
