--- a/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
@@ -106,6 +106,14 @@
     return workers.dueHolds(inFlight, nowMillis);
   }
 
+  /**
+   * Returns whether an order that was decided earlier is still to be sent. A start is taken back if
+   * its task has ended or runs elsewhere by now, or if the lease that it carries is over.
+   */
+  public boolean isStillDue(Order order, long nowMillis) {
+    return !(order instanceof Order.Start) || workers.isStartStillDue(order, nowMillis);
+  }
+
   /** Takes over the answer to an order. */
   public void answered(Order order, CallResult result, long nowMillis) {
     if (result == CallResult.PERMISSION_EXPIRED) {
@@ -160,7 +168,7 @@
     startable.clear();
     ExhaustedRoom exhausted = new ExhaustedRoom(workers, nowMillis);
     List<OccurrenceState> waiting = waiting(exhausted);
-    for (OccurrenceState occurrence : QueueOrder.sorted(waiting, nowMillis, book)) {
+    for (OccurrenceState occurrence : QueueOrder.sorted(waiting, nowMillis)) {
       place(occurrence, exhausted, orders, nowMillis, wallMillis);
     }
     return orders;
@@ -172,7 +180,8 @@
     for (List<OccurrenceState> occurrences : book.all()) {
       for (OccurrenceState occurrence : occurrences) {
         if (occurrence.isWaiting()) {
-          QueuePolicy policy = book.policy(occurrence.spec);
+          QueuePolicy policy = occurrence.policy;
+          // Decisions about hosts may give room back before a permit is asked for.
           if (policy.permitValidMillis() > 0
               || !exhausted.coversAll(policy.service(), occurrence)) {
             waiting.add(occurrence);
@@ -237,7 +246,7 @@
     if (wallMillis < occurrence.spec.dueMillis(occurrence.number)) {
       return;
     }
-    String service = book.policy(occurrence.spec).service();
+    String service = occurrence.policy.service();
     if (!runningServices.contains(service) || isBlocked(occurrence, service, nowMillis)) {
       return;
     }
--- a/core/src/test/java/org/persimmonloom/core/scheduling/DecisionEqualityTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/DecisionEqualityTest.java
@@ -66,11 +66,9 @@
 
   private void takeOver() {
     SchedulingSettings settings = new SchedulingSettings(6_000, 8_000, 3_000, 900, 120_000);
-    Map<String, QueuePolicy> queues = new HashMap<>();
-    POLICIES.forEach(policy -> queues.put(policy.queue(), policy));
     scheduler = new FleetScheduler(settings, offset, now, now);
-    scheduler.configure(queues, SERVICES, Set.of("spare"));
-    reference = new ReferenceScheduler(settings, offset, now, queues, SERVICES);
+    reference = new ReferenceScheduler(settings, offset, now, SERVICES);
+    configure();
     for (int i = 0; i < 14; i++) {
       addWorker("w" + i);
     }
@@ -84,6 +82,27 @@
             });
   }
 
+  /** Gives the queues other priorities; one may be withdrawn. */
+  private void configure() {
+    Map<String, QueuePolicy> queues = new HashMap<>();
+    for (QueuePolicy policy : POLICIES) {
+      if (random.nextInt(8) > 0) {
+        queues.put(
+            policy.queue(),
+            new QueuePolicy(
+                policy.queue(),
+                policy.service(),
+                random.nextInt(2),
+                policy.attempts(),
+                policy.stretch(),
+                policy.targetMillis(),
+                policy.permitValidMillis()));
+      }
+    }
+    scheduler.configure(queues, SERVICES, Set.of("spare"));
+    reference.book.configure(queues);
+  }
+
   private void addWorker(String id) {
     Resources capacity = new Resources(4_000 + 2_000 * random.nextInt(3), 8_000, 0);
     String rack = "rack-" + random.nextInt(3);
@@ -116,6 +135,8 @@
       fail(worker, CallResult.GONE);
       addWorker(worker.id());
       list();
+    } else if (kind < 97) {
+      configure();
     } else if (kind < 98) {
       addWorker(any().id());
       list();
@@ -213,6 +234,7 @@
         .as("permit request, seed %d, pass %d", seed, pass)
         .isEqualTo(reference.permits.due(reference.startable, reference.workers, now));
     request.ifPresent(this::permit);
+    checkCounts(seed, pass);
     orders.forEach(this::carryOut);
     if (random.nextInt(3) == 0) {
       ProgressBatch batch = scheduler.takeProgress(now);
@@ -226,6 +248,30 @@
     }
   }
 
+  /** What is counted along the way must equal what a count of everything gives. */
+  private void checkCounts(long seed, int pass) {
+    for (List<OccurrenceState> occurrences : reference.book.all()) {
+      for (OccurrenceState occurrence : occurrences) {
+        for (int step = 0; step < occurrence.missing.length; step++) {
+          assertThat((long) occurrence.waitingTasks(step))
+              .as("waiting tasks of %s, seed %d, pass %d", occurrence.spec.id(), seed, pass)
+              .isEqualTo(occurrence.tasksOf(step).stream().filter(TaskState::isRunnable).count());
+        }
+      }
+    }
+    for (WorkerState worker : reference.workers.all()) {
+      Resources used = Resources.NONE;
+      for (TaskRun run : worker.runs.values()) {
+        used = used.plus(run.reserved);
+      }
+      assertThat(worker.free)
+          .as("room of %s, seed %d, pass %d", worker.facts.id(), seed, pass)
+          .isEqualTo(worker.facts.capacity().minus(used));
+      assertThat((long) worker.fillers)
+          .isEqualTo(worker.runs.values().stream().filter(run -> run.isFiller).count());
+    }
+  }
+
   private static List<String> texts(List<TableRecord> batch) {
     return batch.stream().map(it -> it.key() + Arrays.toString(it.value())).toList();
   }
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/Ownership.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/Ownership.java
@@ -53,10 +53,11 @@
   private volatile boolean mayClaim;
   private volatile boolean isHandoverWanted;
   private volatile long fence = -1;
-  private volatile long confirmedMillis;
 
-  /** The last fence that this host has released, although the record of that may be missing. */
-  private long releasedFence;
+  /** Fence of the last term that has ended; the numbers of its appends can't begin anew. */
+  private volatile long endedFence;
+
+  private volatile long confirmedMillis;
 
   private long end;
   private boolean isLoaded;
@@ -244,14 +245,14 @@
   private boolean isOwnRecord() {
     return newest != null
         && !newest.isReleased()
-        && newest.fence() != releasedFence
         && newest.host().equals(host)
-        && newest.incarnation() == incarnation;
+        && newest.incarnation() == incarnation
+        && newest.fence() > endedFence;
   }
 
-  /** An earlier life of this host cannot be alive while this one runs. */
+  /** An earlier life or term of this host gives no orders while this one watches. */
   private boolean isOwnPast() {
-    return newest.host().equals(host) && newest.incarnation() != incarnation;
+    return newest.host().equals(host) && !isOwnRecord();
   }
 
   private void gain(long wonFence, long confirmed, boolean isHandedOver) {
@@ -312,6 +313,7 @@
       return;
     }
     LOG.info("event=ownership_lost fence={} cause={}", fence, cause);
+    endedFence = fence;
     fence = -1;
     unchangedSinceMillis = clock.getAsLong();
     lastReadMillis = unchangedSinceMillis;
@@ -328,7 +330,7 @@
       result = log.appendAt(Table.OWNERSHIP, end, released);
     }
     LOG.info("event=ownership_released fence={} result={}", fence, result);
-    releasedFence = fence;
+    endedFence = fence;
     fence = -1;
   }
 
