Count a replica as current only at the end of its table

Cause: any read that succeeded counted as having reached the end of the table, although a read returns one page. A replica many pages behind was thus confirmed, and refresh(), which a new owner and the answer 'unknown' rely on, read one page only. A read whose position had expired counted as a success, too.

Change: a read tells whether it reached the end. Only then is the replica confirmed; refresh() reads on until then, and fails on an expired position.

--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/TableFollower.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/TableFollower.java
@@ -92,7 +92,7 @@
     return isLoaded;
   }
 
-  /** Returns the steady time at which the last successful read was sent. */
+  /** Returns the steady time at which the last read that reached the table's end was sent. */
   public long confirmedMillis() {
     return confirmedMillis;
   }
@@ -107,13 +107,30 @@
     }
   }
 
+  /** How far a read has brought the replica. */
+  private enum Progress {
+    AT_END,
+    /** More records follow than the read has returned. */
+    BEHIND,
+    /** The replica has to be loaded anew. */
+    EXPIRED,
+    FAILED
+  }
+
   /** Reads up to the present end of the table; returns whether that succeeded. */
   public boolean refresh() {
-    if (!isLoaded) {
-      return false;
+    while (isLoaded) {
+      long sent = clock.getAsLong();
+      long before = end();
+      Progress progress = take(log.read(table, before, 0), sent);
+      if (progress == Progress.AT_END) {
+        return true;
+      }
+      if (progress != Progress.BEHIND || end() == before) {
+        return false;
+      }
     }
-    long sent = clock.getAsLong();
-    return take(log.read(table, end(), 0), sent);
+    return false;
   }
 
   private void run() {
@@ -144,11 +161,12 @@
       return;
     }
     long before = end();
-    boolean succeeded = take(log.read(table, before, waitMillis), sent);
-    if (!succeeded) {
-      TimeUnit.MILLISECONDS.sleep(RETRY_MILLIS);
-    } else if (end() > before) {
+    Progress progress = take(log.read(table, before, waitMillis), sent);
+    boolean hasNew = end() > before;
+    if (progress == Progress.AT_END && hasNew) {
       pause();
+    } else if (progress == Progress.FAILED || (progress == Progress.BEHIND && !hasNew)) {
+      TimeUnit.MILLISECONDS.sleep(RETRY_MILLIS);
     }
   }
 
@@ -185,14 +203,14 @@
     LOG.info("event=table_loaded table={} end={}", table, records.end());
   }
 
-  private boolean take(LogReadResult result, long sent) {
+  private Progress take(LogReadResult result, long sent) {
     noteAvailability(result);
     if (result instanceof LogReadResult.Expired) {
       isLoaded = false;
-      return true;
+      return Progress.EXPIRED;
     }
     if (!(result instanceof LogReadResult.Records records)) {
-      return false;
+      return Progress.FAILED;
     }
     lock.lock();
     try {
@@ -202,11 +220,14 @@
           next = stored.offset() + 1;
         }
       }
+      if (next < records.end()) {
+        return Progress.BEHIND;
+      }
       confirmedMillis = Math.max(confirmedMillis, sent);
+      return Progress.AT_END;
     } finally {
       lock.unlock();
     }
-    return true;
   }
 
   private void noteAvailability(LogReadResult result) {
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/FakeKeyedLog.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/FakeKeyedLog.java
@@ -29,6 +29,9 @@
   /** Runs on the calling thread before the newest records of a table are read. */
   volatile Consumer<Table> beforeNewest = table -> {};
 
+  /** How many records a read returns at most. */
+  volatile int pageRecords = Integer.MAX_VALUE;
+
   private int appends;
 
   private List<StoredRecord> table(Table table) {
@@ -54,7 +57,8 @@
     }
     List<StoredRecord> all = table(table);
     int first = (int) Math.min(from, all.size());
-    return new LogReadResult.Records(List.copyOf(all.subList(first, all.size())), all.size());
+    int last = (int) Math.min(all.size(), (long) first + pageRecords);
+    return new LogReadResult.Records(List.copyOf(all.subList(first, last)), all.size());
   }
 
   @Override
