--- a/core/src/main/java/org/persimmonloom/core/scheduling/EndHandler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/EndHandler.java
@@ -66,7 +66,7 @@
     if (step.longRunning() || !task.failedRuns.add(run)) {
       return;
     }
-    if (task.failedRuns.size() >= book.policy(occurrence.spec).attempts()) {
+    if (task.failedRuns.size() >= occurrence.policy.attempts()) {
       book.end(occurrence, WorkflowState.FAILED);
     } else {
       book.markDirty(occurrence);
--- a/core/src/main/java/org/persimmonloom/core/scheduling/Evacuation.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/Evacuation.java
@@ -48,10 +48,7 @@
     }
     return areOthersAtWork(occurrence, task, nowMillis)
         && Placement.choose(
-                workers.ofService(book.policy(occurrence.spec).service()),
-                occurrence,
-                task,
-                nowMillis)
+                workers.ofService(occurrence.policy.service()), occurrence, task, nowMillis)
             != null;
   }
 
--- a/core/src/main/java/org/persimmonloom/core/scheduling/FillerPacing.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/FillerPacing.java
@@ -37,16 +37,11 @@
       return;
     }
     double worst = 0;
-    boolean hasFillers = false;
     for (TaskRun run : worker.runs.values()) {
       StepSpec step = book.step(run.task);
       if (step != null && step.serves() && run.phase == TaskRun.Phase.RUNNING) {
         worst = Math.max(worst, run.load / (double) step.targetMillis());
       }
-      hasFillers |= step != null && step.filler();
-    }
-    if (!hasFillers) {
-      return;
     }
     long sinceChange =
         nowMillis - changedMillis.getOrDefault(worker.facts.id(), nowMillis - SPEED_UP_MILLIS);
--- a/core/src/main/java/org/persimmonloom/core/scheduling/NotStartedReport.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/NotStartedReport.java
@@ -88,7 +88,7 @@
       Moment moment,
       Map<String, Map<NotStartedReason, Group>> groups,
       Map<TaskState, Waiting> found) {
-    String service = book.policy(occurrence.spec).service();
+    String service = occurrence.policy.service();
     for (int step = 0; step < occurrence.missing.length; step++) {
       if (occurrence.missing[step] == 0 || !occurrence.isReady(step)) {
         continue;
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/Ownership.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/Ownership.java
@@ -101,9 +101,14 @@
     thread.join(TimeUnit.SECONDS.toMillis(2));
   }
 
+  /** Returns whether this host owns the fleet. */
+  boolean isOwner() {
+    return fence >= 0;
+  }
+
   /** Gives up the ownership, if this host has it, with its next renewal. */
   public void handOver() {
-    isHandoverWanted = fence >= 0;
+    isHandoverWanted = isOwner();
   }
 
   /** Lets this host claim the ownership, or keeps it from doing so. */
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowHost.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowHost.java
@@ -138,7 +138,7 @@
 
   private void checkPlacement() {
     try {
-      if (metrics.fence.get() > 0 && placement.isHandoverDue(clock.getAsLong())) {
+      if (ownership.isOwner() && placement.isHandoverDue(clock.getAsLong())) {
         LOG.info("event=ownership_handed_over processors={}", registration.processors());
         ownership.handOver();
       }
