Log how long orders wait until they are sent to workers

The line owner_load and a histogram now give the orders sent, the longest wait of one, and the orders not sent yet.

--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerLoad.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerLoad.java
@@ -1,8 +1,8 @@
 package org.persimmonloom.runtime.workflow;
 
 /**
- * Load of the owner's loop: the duration of its passes, the time that events wait for the loop, and
- * the number of calls in progress.
+ * Load of the owner's loop: the duration of its passes, the time that events wait for the loop, the
+ * number of calls in progress, and the time that orders wait until they are sent.
  *
  * <p>A long wait shows that the owner is overloaded; the duration of passes and the number of calls
  * show the cause. Confined to the owner's loop.
@@ -14,6 +14,8 @@
   private long longestPassNanos;
   private int events;
   private long longestWaitNanos;
+  private int ordersSent;
+  private long longestOrderWaitMillis;
 
   OwnerLoad(WorkflowMetrics metrics) {
     this.metrics = metrics;
@@ -34,27 +36,41 @@
     metrics.loopWaitSeconds.observe(WorkflowMetrics.secondsOfNanos(nanos));
   }
 
+  /** Records that an order was sent, after it has waited for other orders. */
+  void recordOrderSent(long waitedMillis) {
+    ordersSent++;
+    longestOrderWaitMillis = Math.max(longestOrderWaitMillis, waitedMillis);
+    metrics.orderWaitSeconds.observe(WorkflowMetrics.seconds(waitedMillis));
+  }
+
   /**
    * Returns the figures since the last call as a log line, and resets them.
    *
    * @param calls calls in progress
+   * @param queuedOrders orders that are not sent yet
    */
-  String takeSummary(int calls) {
+  String takeSummary(int calls, int queuedOrders) {
     metrics.calls.set(calls);
     String line =
         String.format(
-            "passes=%d pass_ms=%d pass_ms_max=%d events=%d wait_ms_max=%d calls=%d",
+            "passes=%d pass_ms=%d pass_ms_max=%d events=%d wait_ms_max=%d calls=%d"
+                + " orders_sent=%d order_wait_ms_max=%d orders_queued=%d",
             passes,
             millis(passNanos),
             millis(longestPassNanos),
             events,
             millis(longestWaitNanos),
-            calls);
+            calls,
+            ordersSent,
+            longestOrderWaitMillis,
+            queuedOrders);
     passes = 0;
     passNanos = 0;
     longestPassNanos = 0;
     events = 0;
     longestWaitNanos = 0;
+    ordersSent = 0;
+    longestOrderWaitMillis = 0;
     return line;
   }
 
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
@@ -120,6 +120,11 @@
                 return scheduler.isStillValid(order, now());
               }
 
+              @Override
+              public void orderSent(Order order, long waitedMillis) {
+                load.recordOrderSent(waitedMillis);
+              }
+
               @Override
               public void orderAnswered(Order order, CallResult result) {
                 handleOrderAnswer(order, result);
@@ -272,7 +277,8 @@
   }
 
   private void logSummary() {
-    summary.log(scheduler, callExecutor.getActiveCount(), now(), services.wallClock().millis());
+    int calls = callExecutor.getActiveCount();
+    summary.log(scheduler, calls, channels.queuedCount(), now(), services.wallClock().millis());
   }
 
   private void pass() {
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSummary.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSummary.java
@@ -17,9 +17,9 @@
   }
 
   /** Logs the current state, and the load since the last call. */
-  void log(FleetScheduler scheduler, int calls, long nowMillis, long wallMillis) {
+  void log(FleetScheduler scheduler, int calls, int queuedOrders, long nowMillis, long wallMillis) {
     LOG.info("event=fleet fence={} {}", fence, scheduler.outline(nowMillis));
-    LOG.info("event=owner_load fence={} {}", fence, load.takeSummary(calls));
+    LOG.info("event=owner_load fence={} {}", fence, load.takeSummary(calls, queuedOrders));
     logIfAny("event=pools fence={} {}", scheduler.machines().outlinePools());
     logIfAny("event=not_started fence={} {}", scheduler.outlineNotStarted(nowMillis, wallMillis));
     logIfAny("event=waves fence={} {}", scheduler.machines().outline(nowMillis));
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkerChannels.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkerChannels.java
@@ -36,6 +36,9 @@
      */
     boolean isStillValid(Order order);
 
+    /** An order is about to be sent, after it has waited for the given time. */
+    void orderSent(Order order, long waitedMillis);
+
     void orderAnswered(Order order, CallResult result);
 
     void holdAnswered(HoldOrder order, long sentMillis, WorkerGateway.HoldAnswer answer);
@@ -50,7 +53,7 @@
   private final Executor loopExecutor;
   private final LongSupplier clock;
   private final Listener listener;
-  private final Map<String, Queue<Order>> queuedOrders = new HashMap<>();
+  private final Map<String, Queue<QueuedOrder>> queuedOrders = new HashMap<>();
   private final Map<String, Integer> ordersInFlight = new HashMap<>();
   private final Set<String> workersInHold = new HashSet<>();
 
@@ -58,6 +61,9 @@
   private final Set<String> waitingWorkers = new LinkedHashSet<>();
 
   private int ordersInProgress;
+  private int queuedCount;
+
+  private record QueuedOrder(Order order, long queuedMillis) {}
 
   WorkerChannels(
       WorkerGateway gateway,
@@ -78,14 +84,20 @@
     return workersInHold;
   }
 
+  /** Returns the number of orders that are not sent yet. */
+  int queuedCount() {
+    return queuedCount;
+  }
+
   void send(Order order) {
-    queuedOrders.computeIfAbsent(order.worker().id(), key -> new ArrayDeque<>()).add(order);
+    queuedOrders
+        .computeIfAbsent(order.worker().id(), key -> new ArrayDeque<>())
+        .add(new QueuedOrder(order, clock.getAsLong()));
+    queuedCount++;
     sendNext(order.worker().id());
   }
 
   private void sendNext(String worker) {
-    Queue<Order> queue = queuedOrders.get(worker);
-    int inFlight = ordersInFlight.getOrDefault(worker, 0);
     if (!hasSendableOrder(worker)) {
       return;
     }
@@ -93,15 +105,25 @@
       waitingWorkers.add(worker);
       return;
     }
-    Order order = queue.poll();
-    while (order != null && !listener.isStillValid(order)) {
-      order = queue.poll();
-    }
-    if (order != null) {
-      ordersInFlight.put(worker, inFlight + 1);
+    QueuedOrder next = nextValid(queuedOrders.get(worker));
+    if (next != null) {
+      ordersInFlight.merge(worker, 1, Integer::sum);
       ordersInProgress++;
-      dispatch(order);
+      listener.orderSent(next.order(), clock.getAsLong() - next.queuedMillis());
+      dispatch(next.order());
+    }
+  }
+
+  /** Removes orders up to the first valid one, and returns it; null if there is none. */
+  private QueuedOrder nextValid(Queue<QueuedOrder> queue) {
+    while (!queue.isEmpty()) {
+      QueuedOrder next = queue.poll();
+      queuedCount--;
+      if (listener.isStillValid(next.order())) {
+        return next;
+      }
     }
+    return null;
   }
 
   private void dispatch(Order order) {
@@ -134,7 +156,7 @@
   }
 
   private boolean hasSendableOrder(String worker) {
-    Queue<Order> queue = queuedOrders.get(worker);
+    Queue<QueuedOrder> queue = queuedOrders.get(worker);
     return queue != null
         && !queue.isEmpty()
         && ordersInFlight.getOrDefault(worker, 0) < MAX_ORDERS_IN_FLIGHT;
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowMetrics.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowMetrics.java
@@ -60,6 +60,12 @@
           .help("time that an event waits for the owner's loop")
           .classicUpperBounds(OWNER_BUCKETS_SECONDS)
           .register(registry);
+  final Histogram orderWaitSeconds =
+      Histogram.builder()
+          .name("persimmonloom_owner_order_wait_seconds")
+          .help("time that an order waits for other orders until it is sent to its worker")
+          .classicUpperBounds(OWNER_BUCKETS_SECONDS)
+          .register(registry);
   final Gauge calls =
       Gauge.builder()
           .name("persimmonloom_owner_calls")
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/WorkerChannelsTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/WorkerChannelsTest.java
@@ -42,6 +42,11 @@
               return !obsoleteOrders.contains(order);
             }
 
+            @Override
+            public void orderSent(Order order, long waitedMillis) {
+              // Not observed here.
+            }
+
             @Override
             public void orderAnswered(Order order, CallResult result) {
               results.add(result);
@@ -168,6 +173,11 @@
       return true;
     }
 
+    @Override
+    public void orderSent(Order order, long waitedMillis) {
+      // Not observed here.
+    }
+
     @Override
     public void orderAnswered(Order order, CallResult result) {
       answered.release();
