Call workers without a thread for each call

Cause: the client blocks a thread for each call. The checks of WorkerChannelsTest stay; their gateways return futures, and a failing call now fails both at once and later.

--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
@@ -111,7 +111,6 @@
         new WorkerChannels(
             services.gateway(),
             fence,
-            callExecutor,
             loop::execute,
             services.clock(),
             new WorkerChannels.Listener() {
@@ -277,7 +276,7 @@
   }
 
   private void logSummary() {
-    int calls = callExecutor.getActiveCount();
+    int calls = callExecutor.getActiveCount() + channels.callsInProgress();
     summary.log(scheduler, calls, channels.queuedCount(), now(), services.wallClock().millis());
   }
 
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkerChannels.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkerChannels.java
@@ -7,8 +7,10 @@
 import java.util.Map;
 import java.util.Queue;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.persimmonloom.core.scheduling.CallResult;
@@ -49,7 +51,6 @@
 
   private final WorkerGateway gateway;
   private final long fence;
-  private final Executor callExecutor;
   private final Executor loopExecutor;
   private final LongSupplier clock;
   private final Listener listener;
@@ -68,13 +69,11 @@
   WorkerChannels(
       WorkerGateway gateway,
       long fence,
-      Executor callExecutor,
       Executor loopExecutor,
       LongSupplier clock,
       Listener listener) {
     this.gateway = gateway;
     this.fence = fence;
-    this.callExecutor = callExecutor;
     this.loopExecutor = loopExecutor;
     this.clock = clock;
     this.listener = listener;
@@ -84,6 +83,11 @@
     return workersInHold;
   }
 
+  /** Returns the number of orders and hold requests that are not answered yet. */
+  int callsInProgress() {
+    return ordersInProgress + workersInHold.size();
+  }
+
   /** Returns the number of orders that are not sent yet. */
   int queuedCount() {
     return queuedCount;
@@ -127,11 +131,13 @@
   }
 
   private void dispatch(Order order) {
-    callExecutor.execute(
-        () -> {
-          CallResult result = sendOrder(order);
-          loopExecutor.execute(() -> handleAnswer(order, result));
-        });
+    call(() -> gateway.send(order, fence))
+        .handle(
+            (result, failure) -> {
+              CallResult known = failure == null ? result : orderFailed(order, failure);
+              loopExecutor.execute(() -> handleAnswer(order, known));
+              return known;
+            });
   }
 
   private void handleAnswer(Order order, CallResult result) {
@@ -165,41 +171,41 @@
   void hold(HoldOrder order) {
     String worker = order.worker().id();
     workersInHold.add(worker);
-    callExecutor.execute(
-        () -> {
-          long sent = clock.getAsLong();
-          WorkerGateway.HoldAnswer answer = sendHold(order);
-          loopExecutor.execute(
-              () -> {
-                workersInHold.remove(worker);
-                listener.holdAnswered(order, sent, answer);
-              });
-        });
-  }
-
-  /**
-   * Sends an order; after an exception the result is unknown, since the worker may have executed
-   * the order.
-   */
-  private CallResult sendOrder(Order order) {
-    try {
-      return gateway.send(order, fence);
-    } catch (RuntimeException e) {
-      LOG.warn(
-          "event=order_failed worker={} task={} cause={}",
-          order.worker().id(),
-          order.task(),
-          e.toString());
-      return CallResult.UNKNOWN;
-    }
+    long sent = clock.getAsLong();
+    call(() -> gateway.hold(order, fence))
+        .handle(
+            (answer, failure) -> {
+              WorkerGateway.HoldAnswer known =
+                  failure == null ? answer : holdFailed(order, failure);
+              loopExecutor.execute(
+                  () -> {
+                    workersInHold.remove(worker);
+                    listener.holdAnswered(order, sent, known);
+                  });
+              return known;
+            });
   }
 
-  private WorkerGateway.HoldAnswer sendHold(HoldOrder order) {
+  private static <T> CompletableFuture<T> call(Supplier<CompletableFuture<T>> call) {
     try {
-      return gateway.hold(order, fence);
+      return call.get();
     } catch (RuntimeException e) {
-      LOG.warn("event=hold_failed worker={} cause={}", order.worker().id(), e.toString());
-      return new WorkerGateway.HoldAnswer(CallResult.UNKNOWN, null);
+      return CompletableFuture.failedFuture(e);
     }
   }
+
+  /** Returns an unknown result, since the worker may have executed the order. */
+  private static CallResult orderFailed(Order order, Throwable cause) {
+    LOG.warn(
+        "event=order_failed worker={} task={} cause={}",
+        order.worker().id(),
+        order.task(),
+        cause.toString());
+    return CallResult.UNKNOWN;
+  }
+
+  private static WorkerGateway.HoldAnswer holdFailed(HoldOrder order, Throwable cause) {
+    LOG.warn("event=hold_failed worker={} cause={}", order.worker().id(), cause.toString());
+    return new WorkerGateway.HoldAnswer(CallResult.UNKNOWN, null);
+  }
 }
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnerSessionTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnerSessionTest.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -68,13 +69,13 @@
 
   private static final class UnreachableWorkers implements WorkerGateway {
     @Override
-    public CallResult send(Order order, long fence) {
-      return CallResult.NOT_SENT;
+    public CompletableFuture<CallResult> send(Order order, long fence) {
+      return CompletableFuture.completedFuture(CallResult.NOT_SENT);
     }
 
     @Override
-    public HoldAnswer hold(HoldOrder order, long fence) {
-      return new HoldAnswer(CallResult.NOT_SENT, null);
+    public CompletableFuture<HoldAnswer> hold(HoldOrder order, long fence) {
+      return CompletableFuture.completedFuture(new HoldAnswer(CallResult.NOT_SENT, null));
     }
   }
 
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/WorkerChannelsTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/WorkerChannelsTest.java
@@ -7,7 +7,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.Executor;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -33,7 +33,6 @@
       new WorkerChannels(
           new FailingGateway(),
           1,
-          newThreadPerCall(),
           Runnable::run,
           () -> 0,
           new WorkerChannels.Listener() {
@@ -59,30 +58,28 @@
             }
           });
 
+  /** Fails calls both when they are made and while they are in progress. */
   private static final class FailingGateway implements WorkerGateway {
+    private int calls;
+
     @Override
-    public CallResult send(Order order, long fence) {
-      throw new IllegalArgumentException("Invalid URL host");
+    public CompletableFuture<CallResult> send(Order order, long fence) {
+      return fail();
     }
 
     @Override
-    public HoldAnswer hold(HoldOrder order, long fence) {
-      throw new IllegalArgumentException("Invalid URL host");
+    public CompletableFuture<HoldAnswer> hold(HoldOrder order, long fence) {
+      return fail();
     }
-  }
 
-  /** Runs each call on its own thread, where an exception does not reach the caller. */
-  private static Executor newThreadPerCall() {
-    return call -> {
-      Thread thread = new Thread(call, "call");
-      thread.setUncaughtExceptionHandler((failed, cause) -> {});
-      thread.start();
-      try {
-        thread.join();
-      } catch (InterruptedException e) {
-        Thread.currentThread().interrupt();
+    private <T> CompletableFuture<T> fail() {
+      calls++;
+      IllegalArgumentException cause = new IllegalArgumentException("Invalid URL host");
+      if (calls % 2 == 0) {
+        return CompletableFuture.failedFuture(cause);
       }
-    };
+      throw cause;
+    }
   }
 
   /** Guards against a worker that gets no further hold request after one has failed. */
@@ -91,6 +88,9 @@
     channels.hold(new HoldOrder(WORKER, 0, 0, 0));
     assertThat(channels.workersInHold()).isEmpty();
     assertThat(results).containsExactly(CallResult.UNKNOWN);
+    channels.hold(new HoldOrder(WORKER, 0, 0, 0));
+    assertThat(channels.workersInHold()).isEmpty();
+    assertThat(results).containsExactly(CallResult.UNKNOWN, CallResult.UNKNOWN);
   }
 
   /** Guards against orders that wait indefinitely behind failed ones. */
@@ -119,28 +119,26 @@
   @Test
   void ordersToManyWorkersAreSentAFewAtATime() throws Exception {
     int workers = 3 * WorkerChannels.MAX_ORDERS_IN_PROGRESS;
-    BlockingQueue<Order> called = new LinkedBlockingQueue<>();
-    Semaphore mayAnswer = new Semaphore(0);
+    BlockingQueue<CompletableFuture<CallResult>> called = new LinkedBlockingQueue<>();
     WorkerGateway slow =
         new WorkerGateway() {
           @Override
-          public CallResult send(Order order, long fence) {
-            called.add(order);
-            mayAnswer.acquireUninterruptibly();
-            return CallResult.ACCEPTED;
+          public CompletableFuture<CallResult> send(Order order, long fence) {
+            CompletableFuture<CallResult> answer = new CompletableFuture<>();
+            called.add(answer);
+            return answer;
           }
 
           @Override
-          public HoldAnswer hold(HoldOrder order, long fence) {
-            return new HoldAnswer(CallResult.UNKNOWN, null);
+          public CompletableFuture<HoldAnswer> hold(HoldOrder order, long fence) {
+            throw new AssertionError("no hold was sent");
           }
         };
     Semaphore answered = new Semaphore(0);
-    ExecutorService calls = Executors.newCachedThreadPool();
     ExecutorService loop = Executors.newSingleThreadExecutor();
     try {
       WorkerChannels limited =
-          new WorkerChannels(slow, 1, calls, loop, () -> 0, new CountingListener(answered));
+          new WorkerChannels(slow, 1, loop, () -> 0, new CountingListener(answered));
       for (int worker = 0; worker < workers; worker++) {
         for (int index = 0; index < 2; index++) {
           Order order =
@@ -148,15 +146,18 @@
           loop.execute(() -> limited.send(order));
         }
       }
-      for (int first = 0; first < WorkerChannels.MAX_ORDERS_IN_PROGRESS; first++) {
-        assertThat(called.poll(10, TimeUnit.SECONDS)).isNotNull();
+      List<CompletableFuture<CallResult>> first = new ArrayList<>();
+      for (int index = 0; index < WorkerChannels.MAX_ORDERS_IN_PROGRESS; index++) {
+        first.add(called.poll(10, TimeUnit.SECONDS));
       }
+      assertThat(first).doesNotContainNull();
       assertThat(called.poll(300, TimeUnit.MILLISECONDS)).isNull();
-      mayAnswer.release(2 * workers);
+      first.forEach(answer -> answer.complete(CallResult.ACCEPTED));
+      for (int index = first.size(); index < 2 * workers; index++) {
+        called.poll(10, TimeUnit.SECONDS).complete(CallResult.ACCEPTED);
+      }
       assertThat(answered.tryAcquire(2 * workers, 10, TimeUnit.SECONDS)).isTrue();
     } finally {
-      mayAnswer.release(2 * workers);
-      calls.shutdownNow();
       loop.shutdownNow();
     }
   }
