Order no more starts than can be sent soon

Cause: a pass started every waiting task that fitted, 1,432 at once after a take-over in a burst. Change: the scheduler takes a limit of starts, twice the orders in progress less those not sent. Tasks beyond it stay waiting in their order of urgency.

--- a/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
@@ -41,6 +41,9 @@
   private final long blockedUntilMillis;
   private Set<String> runningServices = Set.of();
 
+  /** Starts that the current decision may still order. */
+  private int startsLeft;
+
   /**
    * Creates the scheduler of a new owner.
    *
@@ -167,13 +170,24 @@
     workers.endsRecorded(batch.ends());
   }
 
+  /** Returns the orders to send now, without a limit of starts. */
+  public List<Order> decide(long nowMillis, long wallMillis) {
+    return decide(nowMillis, wallMillis, Integer.MAX_VALUE);
+  }
+
   /**
    * Returns the orders to send now.
    *
+   * <p>For a backlog that appears at once, such as that of a new owner in a burst: tasks beyond the
+   * limit stay waiting. A start that waits to be sent would hold the room of its worker meanwhile,
+   * and would go before more urgent tasks that arrive later.
+   *
    * @param nowMillis current time on the monotonic clock
    * @param wallMillis current Unix time, for scheduled occurrences
+   * @param maxStarts maximum number of starts; a gang is started as a whole and may exceed it
    */
-  public List<Order> decide(long nowMillis, long wallMillis) {
+  public List<Order> decide(long nowMillis, long wallMillis, int maxStarts) {
+    startsLeft = maxStarts;
     List<Order> orders = new ArrayList<>();
     workers.expireLeases(nowMillis);
     stopUnneededRuns(orders, nowMillis);
@@ -306,6 +320,9 @@
       if (!task.isRunnable()) {
         continue;
       }
+      if (startsLeft <= 0) {
+        return true;
+      }
       WorkerState worker = Placement.choose(pool, occurrence, task, nowMillis);
       if (worker == null) {
         return false;
@@ -321,6 +338,9 @@
       List<WorkerState> pool,
       List<Order> orders,
       long nowMillis) {
+    if (startsLeft <= 0) {
+      return;
+    }
     List<TaskState> members = occurrence.tasksOf(step);
     int run = 0;
     for (TaskState task : members) {
@@ -350,6 +370,7 @@
       long nowMillis) {
     TaskId id = occurrence.taskId(task);
     TaskRun started = new TaskRun(id, run, worker, occurrence, nowMillis);
+    startsLeft--;
     task.lastRun = run;
     occurrence.addRun(task, started);
     worker.add(started);
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
@@ -43,6 +43,9 @@
   private static final long MIN_MILLIS_SINCE_EARLIER_HOST_ORDER =
       Ownership.CLAIM_AFTER_MILLIS - HOST_ORDER_RENEWAL_TIMEOUT_MILLIS;
 
+  /** Twice the orders in progress, so that the channels do not run empty between two passes. */
+  private static final int MAX_UNSENT_ORDERS = 2 * WorkerChannels.MAX_ORDERS_IN_PROGRESS;
+
   private static final int WORKERS_READ_WAIT_MILLIS = 1_000;
 
   /** Batches the heartbeats of many workers; delays the use of a new worker by this time. */
@@ -297,7 +300,8 @@
       return;
     }
     long wall = services.wallClock().millis();
-    List<Order> orders = scheduler.decide(now, wall);
+    int maxStarts = Math.max(0, MAX_UNSENT_ORDERS - channels.queuedCount());
+    List<Order> orders = scheduler.decide(now, wall, maxStarts);
     if (sinceRenewalMillis < HOST_ORDER_RENEWAL_TIMEOUT_MILLIS) {
       machines.pass(now, wall, orders);
     }
