--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/SubmissionService.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/SubmissionService.java
@@ -74,9 +74,14 @@
         && clock.getAsLong() - follower.caughtUpMillis() < MAX_REPLICA_AGE_MILLIS;
   }
 
+  /** Returns whether this host's replica has the workflow. */
+  public boolean isKnown(String id) {
+    return workflows.state(id).isPresent();
+  }
+
   /** Submits a workflow; a workflow that exists already is accepted again without effect. */
   public CompletableFuture<Result> submit(WorkflowSpec spec) {
-    if (workflows.state(spec.id()).isPresent()) {
+    if (isKnown(spec.id())) {
       return CompletableFuture.completedFuture(Result.ACCEPTED);
     }
     LOG.info(
