Keep the writer of a table going after an exception

An exception of an append ended the writer's thread: its host accepted nothing any more until a restart, and callers waited for their deadlines.

--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/TableWriter.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/TableWriter.java
@@ -123,8 +123,7 @@
       List<TableRecord> records = new ArrayList<>();
       group.forEach(pending -> records.addAll(pending.records()));
       long sent = clock.getAsLong();
-      AppendResult result =
-          log.append(table, new KeyedLog.Sequence(producer, epoch, lastSequence + 1), records);
+      AppendResult result = append(records);
       metrics
           .appendSeconds
           .labelValues(table.name(), result.getClass().getSimpleName())
@@ -155,6 +154,16 @@
     }
   }
 
+  /** Appends records; after an exception they may be appended, so the append is repeated. */
+  private AppendResult append(List<TableRecord> records) {
+    try {
+      return log.append(table, new KeyedLog.Sequence(producer, epoch, lastSequence + 1), records);
+    } catch (RuntimeException e) {
+      LOG.error("event=append_failed table={} producer={}", table, producer, e);
+      return new AppendResult.Unknown(e.toString());
+    }
+  }
+
   /** Returns a jittered delay that ends by the next deadline of the group. */
   private long retryDelay(List<PendingAppend> group, long delay) {
     long jittered = delay + ThreadLocalRandom.current().nextLong(delay);
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/FakeKeyedLog.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/FakeKeyedLog.java
@@ -26,6 +26,9 @@
 
   boolean isDown;
 
+  /** Number of following appends that take effect and then throw an exception. */
+  int failingAppends;
+
   /** Number of following reads that report expired records. */
   int expiredReads;
 
@@ -134,6 +137,10 @@
   }
 
   private AppendResult result(Table table, int count) {
+    if (failingAppends > 0) {
+      failingAppends--;
+      throw new IllegalStateException("unexpected answer");
+    }
     if (lostResponses > 0) {
       lostResponses--;
       return new AppendResult.Unknown("lost");
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/TableWriterTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/TableWriterTest.java
@@ -33,6 +33,19 @@
     assertThat(log.appendCount()).isEqualTo(3);
   }
 
+  /**
+   * Guards against a writer that ends with an exception: its host would accept nothing any more,
+   * and its callers would wait for their deadlines.
+   */
+  @Test
+  void writerContinuesAfterAnException() throws Exception {
+    log.failingAppends = 1;
+    writer.start();
+    assertThat(writer.append(List.of(RECORD), 0).get(5, TimeUnit.SECONDS))
+        .isEqualTo(TableWriter.Outcome.WRITTEN);
+    assertThat(log.records(Table.WORKFLOWS)).containsExactly(RECORD);
+  }
+
   /** Guards against reporting a record as not written although it may be in the log. */
   @Test
   void appendWithUnknownResultIsNotReportedAsNotWritten() throws Exception {
