Hand the ownership over through another host if the store turns its owner away

Cause: renewals and releases went only by the owner's own calls, and other hosts take 1.8 s of silence for its end. Change: a renewal that is refused, or has no answer within 300 ms, is appended through another host (OwnershipTable, OwnershipRelay, PeerClient.appendOwnership). If only that way works, and the owner's own read fails too, it releases the ownership the same way; the next owner then knows that no more orders follow. The condition of each append lets one of two tries be written at most. A store that is down for all, or loses single answers, ends no term. The age of the last renewal is now the longer one of the monotonic and the wall clock: the monotonic clock stands still while a host is suspended, so that an owner that resumed held its permission for valid (RenewalAge, OwnerPermission). Queued orders to workers are withdrawn once the permission is over. ownerWithoutTheStoreHandsOverThroughAnotherHost (refused and silent) finds isHandedOver false without the change.

--- a/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
@@ -132,6 +132,13 @@
     return !(order instanceof Order.Start) || workers.isStartStillValid(order, nowMillis);
   }
 
+  /** Withdraws a queued order that this owner may not send any more. */
+  public void withdraw(Order order) {
+    if (order instanceof Order.Start) {
+      workers.withdraw(order);
+    }
+  }
+
   /** Applies the result of an order. */
   public void orderAnswered(Order order, CallResult result, long nowMillis) {
     if (result == CallResult.PERMISSION_EXPIRED) {
--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
@@ -334,18 +334,32 @@
 
   /** Returns whether a start should still be sent; removes its run if not. */
   boolean isStartStillValid(Order order, long nowMillis) {
-    WorkerState worker = byId.get(order.worker().id());
-    TaskRun run = worker == null ? null : worker.runs.get(order.task());
-    if (run == null || run.number != order.run() || run.phase != TaskRun.Phase.STARTING) {
-      return false;
-    }
-    boolean isValid = run.isNeeded() && nowMillis - run.lastOrderMillis < maxLeaseMillis;
+    TaskRun run = unsentRun(order);
+    boolean isValid =
+        run != null && run.isNeeded() && nowMillis - run.lastOrderMillis < maxLeaseMillis;
     if (!isValid) {
-      endHandler.removeRun(run);
+      withdraw(order);
     }
     return isValid;
   }
 
+  /** Removes the run of a start that is not sent. */
+  void withdraw(Order order) {
+    TaskRun run = unsentRun(order);
+    if (run != null) {
+      endHandler.removeRun(run);
+    }
+  }
+
+  /** Returns the run of a start that is not answered yet; null if there is none. */
+  private TaskRun unsentRun(Order order) {
+    WorkerState worker = byId.get(order.worker().id());
+    TaskRun run = worker == null ? null : worker.runs.get(order.task());
+    boolean isUnsent =
+        run != null && run.number == order.run() && run.phase == TaskRun.Phase.STARTING;
+    return isUnsent ? run : null;
+  }
+
   void orderAnswered(Order order, CallResult result, long nowMillis) {
     if (result == CallResult.GONE) {
       holdFailed(order.worker(), result);
--- /dev/null
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerPermission.java
@@ -0,0 +1,47 @@
+package org.persimmonloom.runtime.workflow;
+
+import java.util.function.LongSupplier;
+
+/**
+ * What an owner may still do, by the time since its last renewal.
+ *
+ * <p>Orders to workers carry the fence and leases, so an owner goes on with them through a usual
+ * outage of the store. Hosts have no leases, so orders about them need a recent renewal. Safe for
+ * any thread.
+ */
+final class OwnerPermission {
+  /** After this time without a successful renewal, an owner sends no more orders about hosts. */
+  private static final long HOST_ORDER_RENEWAL_TIMEOUT_MILLIS = 900;
+
+  /** Minimum age of the previous owner's last host order when its successor claims. */
+  static final long MIN_MILLIS_SINCE_EARLIER_HOST_ORDER =
+      Ownership.CLAIM_AFTER_MILLIS - HOST_ORDER_RENEWAL_TIMEOUT_MILLIS;
+
+  private final LongSupplier renewalAgeMillis;
+  private final long renewalTimeoutMillis;
+  private volatile boolean isSuperseded;
+
+  /**
+   * Creates the permission of one term.
+   *
+   * @param renewalAgeMillis time since the last renewal, in ms
+   * @param renewalTimeoutMillis time without a renewal after which no orders are sent, in ms
+   */
+  OwnerPermission(LongSupplier renewalAgeMillis, long renewalTimeoutMillis) {
+    this.renewalAgeMillis = renewalAgeMillis;
+    this.renewalTimeoutMillis = renewalTimeoutMillis;
+  }
+
+  /** Ends the permission, since a newer owner has taken over. */
+  void supersede() {
+    isSuperseded = true;
+  }
+
+  boolean mayOrderWorkers() {
+    return !isSuperseded && renewalAgeMillis.getAsLong() < renewalTimeoutMillis;
+  }
+
+  boolean mayOrderHosts() {
+    return !isSuperseded && renewalAgeMillis.getAsLong() < HOST_ORDER_RENEWAL_TIMEOUT_MILLIS;
+  }
+}
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
@@ -14,7 +14,6 @@
 import org.persimmonloom.core.scheduling.HoldOrder;
 import org.persimmonloom.core.scheduling.Order;
 import org.persimmonloom.core.scheduling.PermitRequest;
-import org.persimmonloom.core.scheduling.ProgressBatch;
 import org.persimmonloom.core.scheduling.SchedulingSettings;
 import org.persimmonloom.core.workflow.WorkflowEntry;
 import org.persimmonloom.core.workflow.WorkflowRecords;
@@ -33,16 +32,6 @@
 
   private static final long PASS_INTERVAL_MILLIS = 100;
 
-  /** Minimum interval between two writes of progress. */
-  private static final long RECORD_INTERVAL_MILLIS = 25;
-
-  /** After this time without a successful renewal, an owner sends no more orders about hosts. */
-  private static final long HOST_ORDER_RENEWAL_TIMEOUT_MILLIS = 900;
-
-  /** Minimum age of the previous owner's last host order when its successor claims. */
-  private static final long MIN_MILLIS_SINCE_EARLIER_HOST_ORDER =
-      Ownership.CLAIM_AFTER_MILLIS - HOST_ORDER_RENEWAL_TIMEOUT_MILLIS;
-
   /** Twice the orders in progress, so that the channels do not run empty between two passes. */
   private static final int MAX_UNSENT_ORDERS = 2 * WorkerChannels.MAX_ORDERS_IN_PROGRESS;
 
@@ -56,14 +45,15 @@
 
   private static final String PRODUCER = "fleet-owner";
 
+  private final OwnershipTerm term;
   private final long fence;
-  private final boolean isHandedOver;
   private final FleetServices services;
   private final Runnable stepDown;
-  private final LongSupplier lastRenewalMillis;
+  private final OwnerPermission permission;
   private final OwnerLoop loop;
   private final ThreadPoolExecutor callExecutor;
   private final TableWriter writer;
+  private final ProgressRecorder progressRecorder;
   private final TableFollower workerFollower;
   private final WorkerReplica workers;
   private final WorkerChannels channels;
@@ -74,21 +64,18 @@
   private volatile MachineOperations machines;
   private boolean isStopped;
   private boolean isPassPending;
-  private boolean isSuperseded;
-  private boolean isRecordingProgress;
-  private long lastRecordMillis;
 
   OwnerSession(
-      long fence,
-      boolean isHandedOver,
+      OwnershipTerm term,
       FleetServices services,
       Runnable stepDown,
-      LongSupplier lastRenewalMillis) {
-    this.fence = fence;
-    this.isHandedOver = isHandedOver;
+      LongSupplier renewalAgeMillis) {
+    this.term = term;
     this.services = services;
     this.stepDown = stepDown;
-    this.lastRenewalMillis = lastRenewalMillis;
+    fence = term.fence();
+    permission =
+        new OwnerPermission(renewalAgeMillis, services.scheduling().ownerRenewalTimeoutMillis());
     load = new OwnerLoad(services.metrics());
     loop = new OwnerLoop(fence, load);
     summary = new OwnerSummary(fence, load);
@@ -98,6 +85,7 @@
     writer =
         new TableWriter(
             services.log(), Table.WORKFLOWS, PRODUCER, fence, services.metrics(), services.clock());
+    progressRecorder = new ProgressRecorder(services, writer, this::post, stepDown);
     endedWorkflowRemoval = new EndedWorkflowRemoval(services, writer);
     workers =
         new WorkerReplica(
@@ -119,7 +107,7 @@
             new WorkerChannels.Listener() {
               @Override
               public boolean isStillValid(Order order) {
-                return scheduler.isStillValid(order, now());
+                return isStillPermitted(order) && scheduler.isStillValid(order, now());
               }
 
               @Override
@@ -155,8 +143,8 @@
   }
 
   /**
-   * Loads the tables once the takeover record is written. From then on appends of earlier owners
-   * are refused, so none can follow the loading of the tables and be missed.
+   * Loads the tables once the first records are written. From then on appends of earlier owners are
+   * refused, so none can follow the loading of the tables and be missed.
    */
   private void handleTakeoverWritten(TableWriter.Outcome outcome) {
     if (outcome == TableWriter.Outcome.WRITTEN) {
@@ -204,7 +192,9 @@
     }
     SchedulingSettings settings = services.scheduling();
     long hostOrderWaitMillis =
-        isHandedOver ? 0 : settings.dutyLeaseMillis() - MIN_MILLIS_SINCE_EARLIER_HOST_ORDER;
+        term.isHandedOver()
+            ? 0
+            : settings.dutyLeaseMillis() - OwnerPermission.MIN_MILLIS_SINCE_EARLIER_HOST_ORDER;
     long hostOrdersFromMillis = now() + Math.max(0, hostOrderWaitMillis);
     scheduler = new FleetScheduler(settings, follower.end(), now(), hostOrdersFromMillis);
     machines =
@@ -257,7 +247,7 @@
    */
   private void handleTakeover(long newFence) {
     if (newFence > fence) {
-      isSuperseded = true;
+      permission.supersede();
       stepDown.run();
     }
   }
@@ -290,19 +280,25 @@
     load.recordPass(System.nanoTime() - started);
   }
 
+  /** Withdraws an order that was queued while this owner lost its permission to send it. */
+  private boolean isStillPermitted(Order order) {
+    boolean isPermitted = permission.mayOrderWorkers();
+    if (!isPermitted) {
+      scheduler.withdraw(order);
+    }
+    return isPermitted;
+  }
+
   private void decideAndSend(long now) {
     workers.publishOnce(workerFollower.isLoaded());
     endedWorkflowRemoval.removeExpired(now);
-    long sinceRenewalMillis = now - lastRenewalMillis.getAsLong();
-    boolean maySendOrders =
-        !isSuperseded && sinceRenewalMillis < services.scheduling().ownerRenewalTimeoutMillis();
-    if (!maySendOrders) {
+    if (!permission.mayOrderWorkers()) {
       return;
     }
     long wall = services.wallClock().millis();
     int maxStarts = Math.max(0, MAX_UNSENT_ORDERS - channels.queuedCount());
     List<Order> orders = scheduler.decide(now, wall, maxStarts);
-    if (sinceRenewalMillis < HOST_ORDER_RENEWAL_TIMEOUT_MILLIS) {
+    if (permission.mayOrderHosts()) {
       machines.pass(now, wall, orders);
     }
     orders.forEach(channels::send);
@@ -310,7 +306,7 @@
     for (HoldOrder hold : scheduler.dueHolds(channels.workersInHold(), now)) {
       channels.hold(hold);
     }
-    recordProgress();
+    progressRecorder.record(scheduler, now);
   }
 
   private void requestPermits(PermitRequest request) {
@@ -332,37 +328,6 @@
         });
   }
 
-  private void recordProgress() {
-    long now = now();
-    if (scheduler == null
-        || isRecordingProgress
-        || now - lastRecordMillis < RECORD_INTERVAL_MILLIS) {
-      return;
-    }
-    ProgressBatch batch = scheduler.takeProgress(services.wallClock().millis());
-    if (batch.isEmpty()) {
-      return;
-    }
-    lastRecordMillis = now;
-    if (batch.records().isEmpty()) {
-      scheduler.progressRecorded(batch);
-      return;
-    }
-    isRecordingProgress = true;
-    writer
-        .append(batch.records(), Long.MAX_VALUE)
-        .thenAccept(outcome -> post(() -> handleProgressWritten(batch, outcome)));
-  }
-
-  private void handleProgressWritten(ProgressBatch batch, TableWriter.Outcome outcome) {
-    isRecordingProgress = false;
-    if (outcome == TableWriter.Outcome.WRITTEN) {
-      scheduler.progressRecorded(batch);
-    } else {
-      stepDown.run();
-    }
-  }
-
   private void handleOrderAnswer(Order order, CallResult result) {
     services.metrics().orders.labelValues(order.getClass().getSimpleName(), result.name()).inc();
     if (result != CallResult.ACCEPTED) {
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/Ownership.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/Ownership.java
@@ -1,12 +1,10 @@
 package org.persimmonloom.runtime.workflow;
 
-import java.util.Map;
+import java.time.InstantSource;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.persimmonloom.core.wire.Codec;
-import org.persimmonloom.core.workflow.TableRecord;
 
 /**
  * Elects the entry host that owns the fleet, through the platform's log.
@@ -18,27 +16,23 @@
  * #CLAIM_AFTER_MILLIS} and found no renewal. Runs on its own thread; the methods are safe for any
  * thread.
  */
-public final class Ownership {
+final class Ownership {
   /**
    * Receives changes of ownership; usually called on the ownership thread, but a step-down calls it
    * on the caller's thread.
    */
-  public interface Listener {
-    /**
-     * This host now owns the fleet under the given fence.
-     *
-     * @param isHandedOver whether the previous owner has certainly sent its last order
-     */
-    void ownershipGained(long fence, boolean isHandedOver);
+  interface Listener {
+    /** This host now owns the fleet. */
+    void ownershipGained(OwnershipTerm term);
 
     /** This host no longer owns the fleet. */
     void ownershipLost();
   }
 
   private static final Logger LOG = LogManager.getLogger(Ownership.class);
-  private static final String KEY = "fleet";
   private static final long RENEWAL_INTERVAL_MILLIS = 500;
   static final long CLAIM_AFTER_MILLIS = 1_800;
+  private static final int MAX_RELEASE_RETRIES = 2;
   private static final int READ_WAIT_MILLIS = 500;
   private static final long RETRY_DELAY_MILLIS = 100;
 
@@ -48,14 +42,15 @@
    */
   private static final int MAX_STAGGER_MILLIS = 150;
 
-  private final KeyedLog log;
+  private final OwnershipTable table;
   private final String host;
   private final long incarnation;
   private final LongSupplier clock;
+  private final InstantSource wallClock;
   private final LongSupplier claimDelayMillis;
   private final Listener listener;
-  private final Codec codec = new Codec(Map.of());
   private final Thread thread;
+  private final RenewalAge renewalAge = new RenewalAge();
   private volatile boolean isStopping;
   private volatile boolean mayClaim;
   private volatile boolean isHandoverRequested;
@@ -67,11 +62,6 @@
    */
   private volatile long endedFence;
 
-  private volatile long lastRenewalMillis;
-
-  private long tableEnd;
-  private boolean isLoaded;
-  private OwnershipRecord newestRecord;
   private long unchangedSinceMillis;
   private long lastReadMillis;
 
@@ -80,27 +70,30 @@
    *
    * @param incarnation start time of this process, which distinguishes restarts
    * @param clock monotonic clock in milliseconds
+   * @param wallClock wall clock, which shows a suspension of this host
    * @param claimDelayMillis additional delay before this host claims
    */
-  public Ownership(
-      KeyedLog log,
+  Ownership(
+      OwnershipTable table,
       String host,
       long incarnation,
       LongSupplier clock,
+      InstantSource wallClock,
       LongSupplier claimDelayMillis,
       Listener listener) {
-    this.claimDelayMillis = claimDelayMillis;
-    this.log = log;
+    this.table = table;
     this.host = host;
     this.incarnation = incarnation;
     this.clock = clock;
+    this.wallClock = wallClock;
+    this.claimDelayMillis = claimDelayMillis;
     this.listener = listener;
     thread = new Thread(this::run, "ownership");
     thread.setDaemon(true);
   }
 
   /** Starts the ownership thread. */
-  public void start() {
+  void start() {
     thread.start();
   }
 
@@ -108,7 +101,7 @@
    * Releases the ownership, if this host has it, and stops claiming. Blocks until the thread ends,
    * up to 2 s.
    */
-  public void stop() throws InterruptedException {
+  void stop() throws InterruptedException {
     isStopping = true;
     thread.interrupt();
     thread.join(TimeUnit.SECONDS.toMillis(2));
@@ -120,22 +113,22 @@
   }
 
   /** Releases the ownership, if this host has it, instead of its next renewal. */
-  public void handOver() {
+  void handOver() {
     isHandoverRequested = isOwner();
   }
 
   /** Sets whether this host may claim the ownership. */
-  public void setMayClaim(boolean mayClaim) {
+  void setMayClaim(boolean mayClaim) {
     this.mayClaim = mayClaim;
   }
 
-  /** Returns the monotonic time at which the last successful claim or renewal was sent, in ms. */
-  public long lastRenewalMillis() {
-    return lastRenewalMillis;
+  /** Returns the time since the last successful claim or renewal was sent, in ms. */
+  long renewalAgeMillis() {
+    return renewalAge.millis(clock.getAsLong(), wallClock.millis());
   }
 
   /** Ends the ownership after a worker or the platform has seen a newer fence. */
-  public void stepDown() {
+  void stepDown() {
     if (fence >= 0) {
       loseOwnership("fenced");
     }
@@ -144,7 +137,7 @@
   private void run() {
     while (!isStopping) {
       try {
-        if (!isLoaded) {
+        if (!table.isLoaded()) {
           loadTable();
         } else if (fence >= 0) {
           renew();
@@ -173,32 +166,19 @@
   }
 
   private void loadTable() throws InterruptedException {
-    LogReadResult result = log.readNewest(Table.OWNERSHIP);
-    if (result instanceof LogReadResult.Records records) {
-      records.records().forEach(this::applyRecord);
-      tableEnd = records.end();
-      isLoaded = true;
-      unchangedSinceMillis = clock.getAsLong();
-      lastReadMillis = unchangedSinceMillis;
+    if (table.load()) {
+      noteRead(true);
     } else {
       TimeUnit.MILLISECONDS.sleep(RETRY_DELAY_MILLIS);
     }
   }
 
-  private void applyRecord(StoredRecord stored) {
-    if (stored.record().value() == null) {
-      return;
+  /** Records that the table was read; a change, or a gap in reading, restarts the silence. */
+  private void noteRead(boolean isChanged) {
+    lastReadMillis = clock.getAsLong();
+    if (isChanged) {
+      unchangedSinceMillis = lastReadMillis;
     }
-    codec
-        .decode(stored.record().value(), OwnershipRecord.class)
-        .peek(
-            record -> {
-              long recordFence = record.fence() == 0 ? stored.offset() + 1 : record.fence();
-              newestRecord =
-                  new OwnershipRecord(
-                      record.host(), record.incarnation(), recordFence, record.isReleased());
-            })
-        .peekLeft(failure -> LOG.warn("event=ownership_unreadable cause={}", failure));
   }
 
   /**
@@ -207,31 +187,26 @@
    */
   private void waitForClaim() throws InterruptedException {
     long sentMillis = clock.getAsLong();
+    long sentWallMillis = wallClock.millis();
     if (sentMillis - lastReadMillis > CLAIM_AFTER_MILLIS) {
       // Time in which this host did not read, such as a freeze, does not count as silence of the
       // owner.
       unchangedSinceMillis = sentMillis;
     }
-    LogReadResult result = log.read(Table.OWNERSHIP, tableEnd, readWaitMillis(sentMillis));
-    if (result instanceof LogReadResult.Expired) {
-      isLoaded = false;
+    OwnershipTable.ReadResult result = table.read(readWaitMillis(sentMillis));
+    if (result == OwnershipTable.ReadResult.EXPIRED) {
       return;
     }
-    if (!(result instanceof LogReadResult.Records records)) {
-      unchangedSinceMillis = clock.getAsLong();
-      lastReadMillis = unchangedSinceMillis;
+    if (result == OwnershipTable.ReadResult.UNAVAILABLE) {
+      noteRead(true);
       TimeUnit.MILLISECONDS.sleep(RETRY_DELAY_MILLIS);
       return;
     }
-    lastReadMillis = clock.getAsLong();
-    if (!records.records().isEmpty()) {
-      records.records().forEach(this::applyRecord);
-      tableEnd = records.end();
-      unchangedSinceMillis = lastReadMillis;
-    }
+    noteRead(result == OwnershipTable.ReadResult.NEW_RECORDS);
+    OwnershipRecord newest = table.newest();
     if (isOwnCurrentTerm()) {
       // The claim succeeded, but its response was lost or arrived after the timeout.
-      gain(newestRecord.fence(), sentMillis, false);
+      gain(new OwnershipTerm(newest.fence(), false, 0), sentMillis, sentWallMillis);
       return;
     }
     boolean isUnowned = isUnowned();
@@ -242,7 +217,8 @@
   }
 
   private boolean isUnowned() {
-    return newestRecord == null || newestRecord.isReleased() || isOwnEarlierTerm();
+    OwnershipRecord newest = table.newest();
+    return newest == null || newest.isReleased() || isOwnEarlierTerm();
   }
 
   /** Returns the wait time of a read, which ends at the latest when this host may claim. */
@@ -258,15 +234,18 @@
     int stagger = Math.floorMod(host.hashCode(), MAX_STAGGER_MILLIS);
     TimeUnit.MILLISECONDS.sleep(stagger + claimDelayMillis.getAsLong());
     long sentMillis = clock.getAsLong();
-    AppendResult result =
-        log.appendAt(
-            Table.OWNERSHIP, tableEnd, record(new OwnershipRecord(host, incarnation, 0, false)));
+    long sentWallMillis = wallClock.millis();
+    OwnershipRecord previous = table.newest();
+    AppendResult result = table.append(new OwnershipRecord(host, incarnation, 0, false));
     if (result instanceof AppendResult.Appended appended) {
-      tableEnd = appended.end();
+      long previousFence = previous == null ? 0 : previous.fence();
       // The offset can be 0, but workers treat fence 0 as missing.
-      gain(appended.offset() + 1, sentMillis, isHandedOver);
+      gain(
+          new OwnershipTerm(appended.offset() + 1, isHandedOver, previousFence),
+          sentMillis,
+          sentWallMillis);
     } else {
-      LOG.info("event=claim_failed at={} result={}", tableEnd, result);
+      LOG.info("event=claim_failed at={} result={}", table.end(), result);
       unchangedSinceMillis = clock.getAsLong();
       if (!(result instanceof AppendResult.Conflict)) {
         TimeUnit.MILLISECONDS.sleep(RETRY_DELAY_MILLIS);
@@ -275,11 +254,12 @@
   }
 
   private boolean isOwnCurrentTerm() {
-    return newestRecord != null
-        && !newestRecord.isReleased()
-        && newestRecord.host().equals(host)
-        && newestRecord.incarnation() == incarnation
-        && newestRecord.fence() > endedFence;
+    OwnershipRecord newest = table.newest();
+    return newest != null
+        && !newest.isReleased()
+        && newest.host().equals(host)
+        && newest.incarnation() == incarnation
+        && newest.fence() > endedFence;
   }
 
   /**
@@ -287,15 +267,15 @@
    * more orders.
    */
   private boolean isOwnEarlierTerm() {
-    return newestRecord.host().equals(host) && !isOwnCurrentTerm();
+    return table.newest().host().equals(host) && !isOwnCurrentTerm();
   }
 
-  private synchronized void gain(long newFence, long renewalMillis, boolean isHandedOver) {
-    lastRenewalMillis = renewalMillis;
+  private synchronized void gain(OwnershipTerm term, long sentMillis, long sentWallMillis) {
+    renewalAge.renewed(sentMillis, sentWallMillis);
     isHandoverRequested = false;
-    fence = newFence;
-    LOG.info("event=ownership_gained fence={} previous={}", fence, newestRecord);
-    listener.ownershipGained(newFence, isHandedOver);
+    fence = term.fence();
+    LOG.info("event=ownership_gained fence={} previous={}", fence, table.newest());
+    listener.ownershipGained(term);
   }
 
   private void renew() throws InterruptedException {
@@ -305,48 +285,57 @@
     }
     if (isHandoverRequested) {
       isHandoverRequested = false;
-      release();
-      // Reload the table, since the response to the release may have been lost.
-      isLoaded = false;
+      releaseAndReload();
       return;
     }
     long sentMillis = clock.getAsLong();
-    AppendResult result =
-        log.appendAt(
-            Table.OWNERSHIP,
-            tableEnd,
-            record(new OwnershipRecord(host, incarnation, fence, false)));
-    if (result instanceof AppendResult.Appended appended) {
-      tableEnd = appended.end();
-      lastRenewalMillis = sentMillis;
+    long sentWallMillis = wallClock.millis();
+    AppendResult result = table.appendAnyWay(new OwnershipRecord(host, incarnation, fence, false));
+    if (result instanceof AppendResult.Appended) {
+      renewalAge.renewed(sentMillis, sentWallMillis);
+      handOverIfUnreachable();
     } else if (result instanceof AppendResult.Conflict) {
-      resolveConflict(sentMillis);
+      resolveConflict(sentMillis, sentWallMillis);
     } else {
       LOG.warn("event=renewal_failed fence={} result={}", fence, result);
     }
   }
 
+  /**
+   * Hands over if only other hosts reach the store: this owner would learn of no submission and
+   * could record no progress.
+   */
+  private void handOverIfUnreachable() {
+    if (table.isRelayed() && !table.isReachable()) {
+      LOG.info("event=ownership_handed_over cause=store_unreachable");
+      releaseAndReload();
+    }
+  }
+
+  /** Releases the ownership and reloads the table, since the release's response may be lost. */
+  private void releaseAndReload() {
+    release();
+    table.unload();
+  }
+
   /**
    * Handles a conflict, which may stem from an own renewal that was written but whose response was
    * lost.
    */
-  private void resolveConflict(long sentMillis) {
-    LogReadResult result = log.read(Table.OWNERSHIP, tableEnd, 0);
-    if (!(result instanceof LogReadResult.Records records)) {
-      isLoaded = isLoaded && !(result instanceof LogReadResult.Expired);
-      if (!isLoaded) {
-        loseOwnership("expired");
-      }
+  private void resolveConflict(long sentMillis, long sentWallMillis) {
+    OwnershipTable.ReadResult result = table.read(0);
+    if (result == OwnershipTable.ReadResult.EXPIRED) {
+      loseOwnership("expired");
       return;
     }
-    records.records().forEach(this::applyRecord);
-    tableEnd = records.end();
-    if (newestRecord != null
-        && newestRecord.fence() == fence
-        && newestRecord.incarnation() == incarnation) {
-      lastRenewalMillis = sentMillis;
+    if (result == OwnershipTable.ReadResult.UNAVAILABLE) {
+      return;
+    }
+    OwnershipRecord newest = table.newest();
+    if (newest != null && newest.fence() == fence && newest.incarnation() == incarnation) {
+      renewalAge.renewed(sentMillis, sentWallMillis);
     } else {
-      loseOwnership("superseded by " + newestRecord);
+      loseOwnership("superseded by " + newest);
     }
   }
 
@@ -356,8 +345,7 @@
       return;
     }
     LOG.info("event=ownership_lost fence={} cause={}", lostFence, cause);
-    unchangedSinceMillis = clock.getAsLong();
-    lastReadMillis = unchangedSinceMillis;
+    noteRead(true);
     listener.ownershipLost();
   }
 
@@ -371,15 +359,26 @@
       return;
     }
     listener.ownershipLost();
-    TableRecord released = record(new OwnershipRecord(host, incarnation, releasedFence, true));
-    AppendResult result = log.appendAt(Table.OWNERSHIP, tableEnd, released);
-    if (result instanceof AppendResult.Unknown) {
-      // A conflict then means that the first attempt was written.
-      result = log.appendAt(Table.OWNERSHIP, tableEnd, released);
+    OwnershipRecord released = new OwnershipRecord(host, incarnation, releasedFence, true);
+    AppendResult result = table.appendAnyWay(released);
+    // The response may be lost, and an earlier renewal may have been written only now.
+    for (int retry = 0;
+        retry < MAX_RELEASE_RETRIES && !isReleased(result, releasedFence);
+        retry++) {
+      result = table.appendAnyWay(released);
     }
     LOG.info("event=ownership_released fence={} result={}", releasedFence, result);
   }
 
+  /** Returns whether the release was written, or another host owns the fleet already. */
+  private boolean isReleased(AppendResult result, long releasedFence) {
+    if (result instanceof AppendResult.Conflict) {
+      table.read(0);
+      return table.newest().isReleased() || table.newest().fence() != releasedFence;
+    }
+    return !(result instanceof AppendResult.Unknown);
+  }
+
   /** Ends the current term; returns its fence, or -1 if it has ended already. */
   private synchronized long endTerm() {
     long ended = fence;
@@ -389,8 +388,4 @@
     }
     return ended;
   }
-
-  private TableRecord record(OwnershipRecord value) {
-    return new TableRecord(KEY, codec.encode(value));
-  }
 }
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/PeerClient.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/PeerClient.java
@@ -4,6 +4,7 @@
 import java.net.ConnectException;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import okhttp3.MediaType;
@@ -16,13 +17,16 @@
 import org.persimmonloom.core.workflow.WorkflowState;
 
 /**
- * HTTP client for requests to another entry host: it appends records and reads workflow states for
- * a host that cannot use the platform's log. Bodies are MessagePack. Safe for any thread.
+ * HTTP client for requests to another entry host, which appends records and reads workflow states
+ * for a host that cannot use the platform's log. Bodies are MessagePack. Safe for any thread.
  */
 public final class PeerClient {
   /** Path to append records. */
   static final String APPEND_PATH = "/records";
 
+  /** Path to append to the ownership table. */
+  static final String OWNERSHIP_PATH = "/ownership";
+
   /** Path prefix of a workflow's state; the workflow's identifier follows. */
   static final String STATE_PATH = "/workflows/";
 
@@ -32,6 +36,7 @@
   private static final MediaType MESSAGE_PACK = MediaType.get("application/msgpack");
   private static final int CONNECT_TIMEOUT_MILLIS = 200;
   private static final int STATE_TIMEOUT_MILLIS = 500;
+  private static final int OWNERSHIP_TIMEOUT_MILLIS = 400;
   private static final int OK = 200;
   private static final int NOT_FOUND = 404;
   private static final int NOT_WRITTEN = 503;
@@ -51,6 +56,22 @@
     }
   }
 
+  /** Request to append a record to the ownership table if it ends at the expected offset. */
+  record OwnershipAppend(long expectedEnd, TableRecord record) {
+    /** The record may not be null. */
+    OwnershipAppend {
+      Objects.requireNonNull(record);
+    }
+  }
+
+  /**
+   * Result of an append to the ownership table.
+   *
+   * @param isAppended whether the record was appended; if not, the table ends elsewhere
+   * @param end end of the table
+   */
+  record OwnershipAnswer(boolean isAppended, long end) {}
+
   /** State of a workflow in a peer's replica. */
   record State(WorkflowState state) {}
 
@@ -91,6 +112,40 @@
     }
   }
 
+  /** Appends a record to the ownership table through the host at the address. */
+  AppendResult appendOwnership(String address, long expectedEnd, TableRecord record) {
+    byte[] content = codec.encode(new OwnershipAppend(expectedEnd, record));
+    Request request =
+        new Request.Builder()
+            .url("http://" + address + OWNERSHIP_PATH)
+            .post(RequestBody.create(content, MESSAGE_PACK))
+            .build();
+    var call = client.newCall(request);
+    call.timeout().timeout(OWNERSHIP_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    try (Response response = call.execute()) {
+      if (response.code() == NOT_WRITTEN) {
+        return new AppendResult.Refused("status " + NOT_WRITTEN + " of " + address);
+      }
+      if (response.code() != OK) {
+        return new AppendResult.Unknown("status " + response.code() + " of " + address);
+      }
+      return codec
+          .decode(response.body().bytes(), OwnershipAnswer.class)
+          .map(PeerClient::appendResult)
+          .getOrElseGet(failure -> new AppendResult.Unknown("malformed answer of " + address));
+    } catch (ConnectException e) {
+      return new AppendResult.Refused("no connection to " + address);
+    } catch (IOException e) {
+      return new AppendResult.Unknown("no answer of " + address);
+    }
+  }
+
+  private static AppendResult appendResult(OwnershipAnswer answer) {
+    return answer.isAppended()
+        ? new AppendResult.Appended(answer.end() - 1, answer.end())
+        : new AppendResult.Conflict(answer.end());
+  }
+
   StateAnswer state(String address, String workflow) {
     Request request =
         new Request.Builder().url("http://" + address + STATE_PATH + workflow).build();
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/PeerServer.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/PeerServer.java
@@ -31,6 +31,7 @@
   private static final String METRICS_PATH = "/metrics";
 
   private final Codec codec = new Codec(Map.of());
+  private final KeyedLog log;
   private final SubmissionService submissions;
   private final TableWriter writer;
   private final WorkflowMetrics metrics;
@@ -39,12 +40,14 @@
   private final Undertow server;
 
   PeerServer(
+      KeyedLog log,
       SubmissionService submissions,
       TableWriter writer,
       WorkflowMetrics metrics,
       BooleanSupplier mayClaim,
       LongSupplier clock,
       InetSocketAddress address) {
+    this.log = log;
     this.mayClaim = mayClaim;
     this.submissions = submissions;
     this.writer = writer;
@@ -71,6 +74,8 @@
     String path = exchange.getRequestPath();
     if (path.equals(PeerClient.APPEND_PATH)) {
       exchange.getRequestReceiver().receiveFullBytes(this::handleAppend);
+    } else if (path.equals(PeerClient.OWNERSHIP_PATH)) {
+      exchange.getRequestReceiver().receiveFullBytes(this::handleOwnership);
     } else if (path.startsWith(PeerClient.STATE_PATH)) {
       exchange.dispatch(() -> sendState(exchange, path.substring(PeerClient.STATE_PATH.length())));
     } else if (path.equals(PeerClient.CANDIDATE_PATH)) {
@@ -110,6 +115,33 @@
         });
   }
 
+  private void handleOwnership(HttpServerExchange exchange, byte[] body) {
+    var append = codec.decode(body, PeerClient.OwnershipAppend.class);
+    if (append.isLeft() || !append.get().record().hasStorableKey()) {
+      exchange.setStatusCode(400).endExchange();
+      return;
+    }
+    exchange.dispatch(
+        () ->
+            respondOwnership(
+                exchange,
+                log.appendAt(Table.OWNERSHIP, append.get().expectedEnd(), append.get().record())));
+  }
+
+  private void respondOwnership(HttpServerExchange exchange, AppendResult result) {
+    if (result instanceof AppendResult.Appended appended) {
+      send(exchange, new PeerClient.OwnershipAnswer(true, appended.end()));
+    } else if (result instanceof AppendResult.Conflict conflict) {
+      send(exchange, new PeerClient.OwnershipAnswer(false, conflict.end()));
+    } else {
+      exchange.setStatusCode(result instanceof AppendResult.Refused ? 503 : 504).endExchange();
+    }
+  }
+
+  private void send(HttpServerExchange exchange, Object body) {
+    exchange.getResponseSender().send(ByteBuffer.wrap(codec.encode(body)));
+  }
+
   private static void respond(HttpServerExchange exchange, TableWriter.Outcome outcome) {
     int status = 504;
     if (outcome == TableWriter.Outcome.WRITTEN) {
@@ -123,8 +155,7 @@
   private void sendState(HttpServerExchange exchange, String workflow) {
     Optional<WorkflowState> state = submissions.localState(workflow);
     if (state.isPresent()) {
-      byte[] body = codec.encode(new PeerClient.State(state.get()));
-      exchange.getResponseSender().send(ByteBuffer.wrap(body));
+      send(exchange, new PeerClient.State(state.get()));
     } else {
       exchange.setStatusCode(submissions.isCurrent() ? 404 : 503).endExchange();
     }
--- /dev/null
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/RenewalAge.java
@@ -0,0 +1,25 @@
+package org.persimmonloom.runtime.workflow;
+
+/**
+ * Time since the last renewal of a term.
+ *
+ * <p>It is the longer of the times on two clocks: the monotonic clock stands still while the host
+ * is suspended, and the wall clock may be set back. A wall clock that jumps forward makes the
+ * renewal look old until the next one. Safe for any thread.
+ */
+final class RenewalAge {
+  private volatile Renewal last = new Renewal(0, 0);
+
+  private record Renewal(long monotonicMillis, long wallMillis) {}
+
+  /** Records a renewal that was sent at the given times. */
+  void renewed(long monotonicMillis, long wallMillis) {
+    last = new Renewal(monotonicMillis, wallMillis);
+  }
+
+  /** Returns the time since the last renewal was sent, in ms. */
+  long millis(long monotonicMillis, long wallMillis) {
+    Renewal renewal = last;
+    return Math.max(monotonicMillis - renewal.monotonicMillis(), wallMillis - renewal.wallMillis());
+  }
+}
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowHost.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowHost.java
@@ -16,7 +16,7 @@
  * The workflow part of an entry host: replicas, submissions, and the fleet's ownership while this
  * host holds it. Start and stop once; the other methods are safe for any thread.
  */
-public final class WorkflowHost implements Ownership.Listener {
+public final class WorkflowHost {
   private static final Logger LOG = LogManager.getLogger(WorkflowHost.class);
 
   /** Wait time of a read of the host table, which rarely changes. */
@@ -98,8 +98,17 @@
             SubmissionLimits.DEFAULT,
             metrics,
             clock);
-    peerServer = new PeerServer(submissions, writer, metrics, this::mayClaim, clock, peerAddress);
-    ownership = new Ownership(log, name, incarnation, clock, placement::claimDelayMillis, this);
+    peerServer =
+        new PeerServer(log, submissions, writer, metrics, this::mayClaim, clock, peerAddress);
+    ownership =
+        new Ownership(
+            new OwnershipTable(log, new PeerOwnershipRelay(peers, hosts)),
+            name,
+            incarnation,
+            clock,
+            InstantSource.system(),
+            placement::claimDelayMillis,
+            new TermListener());
     services =
         new FleetServices(
             name,
@@ -191,17 +200,13 @@
     return submissions;
   }
 
-  @Override
-  public synchronized void ownershipGained(long fence, boolean isHandedOver) {
-    session =
-        new OwnerSession(
-            fence, isHandedOver, services, ownership::stepDown, ownership::lastRenewalMillis);
+  private synchronized void beginTerm(OwnershipTerm term) {
+    session = new OwnerSession(term, services, ownership::stepDown, ownership::renewalAgeMillis);
     session.start();
-    metrics.fence.set(fence);
+    metrics.fence.set(term.fence());
   }
 
-  @Override
-  public synchronized void ownershipLost() {
+  private synchronized void endTerm() {
     if (session != null) {
       metrics.fence.set(0);
       session.stop();
@@ -210,6 +215,19 @@
     }
   }
 
+  /** Runs the session of a term while this host owns the fleet. */
+  private final class TermListener implements Ownership.Listener {
+    @Override
+    public void ownershipGained(OwnershipTerm term) {
+      beginTerm(term);
+    }
+
+    @Override
+    public void ownershipLost() {
+      endTerm();
+    }
+  }
+
   /** Returns a monotonic clock in milliseconds. */
   public static LongSupplier steadyClock() {
     return () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/FakeKeyedLog.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/FakeKeyedLog.java
@@ -124,6 +124,11 @@
     return result(table, 1);
   }
 
+  /** Appends to the ownership table on behalf of a host that is cut off. */
+  AppendResult relay(long expectedEnd, TableRecord record) {
+    return appendAt(Table.OWNERSHIP, expectedEnd, record);
+  }
+
   private boolean takeRefusal() {
     if (refusedAppends > 0) {
       refusedAppends--;
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnerSessionTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnerSessionTest.java
@@ -48,8 +48,7 @@
       new OperationsReplica(new FixedConfigurationDecoder());
   private final OwnerSession session =
       new OwnerSession(
-          5,
-          true,
+          new OwnershipTerm(5, true, 0),
           new FleetServices(
               "host",
               log,
@@ -65,7 +64,7 @@
               CLOCK,
               InstantSource.system()),
           steppedDown::countDown,
-          CLOCK);
+          () -> 0);
 
   private static final class UnreachableWorkers implements WorkerGateway {
     @Override
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnershipTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnershipTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.time.InstantSource;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
@@ -10,6 +11,8 @@
 import java.util.function.LongSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.persimmonloom.core.wire.Codec;
 import org.persimmonloom.core.workflow.TableRecord;
 
@@ -22,7 +25,8 @@
 
   /** An entry host's ownership and the calls of its listener. */
   private final class Candidate implements Ownership.Listener {
-    private final BlockingQueue<Long> fences = new LinkedBlockingQueue<>();
+    private final BlockingQueue<OwnershipTerm> terms = new LinkedBlockingQueue<>();
+    private final CutOffLog ownLog = new CutOffLog(log);
     private final BlockingQueue<Boolean> losses = new LinkedBlockingQueue<>();
     private volatile int appendsAtLoss;
     private final Ownership ownership;
@@ -33,13 +37,21 @@
     private volatile boolean isFencedAtLoss;
 
     Candidate(String name, long incarnation) {
-      ownership = new Ownership(log, name, incarnation, CLOCK, () -> claimDelayMillis, this);
+      ownership =
+          new Ownership(
+              new OwnershipTable(ownLog, log::relay),
+              name,
+              incarnation,
+              CLOCK,
+              InstantSource.system(),
+              () -> claimDelayMillis,
+              this);
       ownership.setMayClaim(true);
     }
 
     @Override
-    public void ownershipGained(long fence, boolean isHandedOver) {
-      fences.add(fence);
+    public void ownershipGained(OwnershipTerm term) {
+      terms.add(term);
     }
 
     @Override
@@ -52,7 +64,12 @@
     }
 
     Long nextFence() throws InterruptedException {
-      return fences.poll(10, TimeUnit.SECONDS);
+      OwnershipTerm term = nextTerm();
+      return term == null ? null : term.fence();
+    }
+
+    OwnershipTerm nextTerm() throws InterruptedException {
+      return terms.poll(10, TimeUnit.SECONDS);
     }
   }
 
@@ -118,7 +135,7 @@
     hostOne.ownership.start();
     long first = hostOne.nextFence();
     hostTwo.ownership.start();
-    assertThat(hostTwo.fences).isEmpty();
+    assertThat(hostTwo.terms).isEmpty();
     hostOne.ownership.stop();
     assertThat(hostOne.losses.poll(1, TimeUnit.SECONDS)).isTrue();
     assertThat(hostTwo.nextFence()).isGreaterThan(first);
@@ -145,7 +162,7 @@
     hostOne.ownership.start();
     hostTwo.ownership.start();
     assertThat(hostTwo.nextFence()).isEqualTo(1);
-    assertThat(hostOne.fences).isEmpty();
+    assertThat(hostOne.terms).isEmpty();
   }
 
   /**
@@ -211,4 +228,56 @@
     assertThat(hostOne.losses.poll(5, TimeUnit.SECONDS)).isTrue();
     assertThat(hostOne.nextFence()).isGreaterThan(first);
   }
+
+  /**
+   * Guards against a burst without an owner: the store refused the owner alone for 7 s, which
+   * started nothing from then on, and the next owner ordered no hosts for 2 s after its claim.
+   */
+  @ParameterizedTest
+  @EnumSource(CutOffLog.Cut.class)
+  void ownerWithoutTheStoreHandsOverThroughAnotherHost(CutOffLog.Cut cut) throws Exception {
+    hostOne.ownership.start();
+    OwnershipTerm first = hostOne.nextTerm();
+    hostTwo.ownership.start();
+    hostOne.ownLog.cut = cut;
+    OwnershipTerm second = hostTwo.nextTerm();
+    assertThat(second.fence()).isGreaterThan(first.fence());
+    assertThat(second.isHandedOver()).isTrue();
+    assertThat(second.previousFence()).isEqualTo(first.fence());
+    assertThat(hostOne.losses).hasSize(1);
+  }
+
+  /** Guards against a handover that leaves the fleet without an owner while the store is down. */
+  @Test
+  void ownerKeepsItsTermWhileNoHostReachesTheStore() throws Exception {
+    hostOne.ownership.start();
+    hostOne.nextFence();
+    log.isDown = true;
+    assertThat(hostOne.losses.poll(2, TimeUnit.SECONDS)).isNull();
+    log.isDown = false;
+    assertThat(hostOne.losses.poll(2, TimeUnit.SECONDS)).isNull();
+  }
+
+  /** Guards against a handover because answers of the store are lost now and then. */
+  @Test
+  void ownerKeepsItsTermAfterALostAnswer() throws Exception {
+    hostOne.ownership.start();
+    hostOne.nextFence();
+    log.lostResponses = 2;
+    assertThat(hostOne.losses.poll(3, TimeUnit.SECONDS)).isNull();
+  }
+
+  /**
+   * Guards against an owner that is suspended and resumes: its monotonic clock has stood still, so
+   * that its last renewal looks recent although another host owns the fleet.
+   */
+  @Test
+  void renewalIsOldAfterASuspension() {
+    RenewalAge age = new RenewalAge();
+    age.renewed(1_000, 50_000);
+    assertThat(age.millis(1_100, 50_100)).isEqualTo(100);
+    assertThat(age.millis(1_101, 59_000)).isEqualTo(9_000);
+    // A wall clock that was set back does not make the renewal look recent.
+    assertThat(age.millis(4_000, 20_000)).isEqualTo(3_000);
+  }
 }
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/PeerAppendTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/PeerAppendTest.java
@@ -67,7 +67,8 @@
       address = new InetSocketAddress("127.0.0.1", socket.getLocalPort());
     }
     server =
-        new PeerServer(helper.submissions, helper.writer, METRICS, () -> mayClaim, CLOCK, address);
+        new PeerServer(
+            log, helper.submissions, helper.writer, METRICS, () -> mayClaim, CLOCK, address);
     server.start();
     helper.writer.start();
     helper.follower.start();
@@ -154,6 +155,24 @@
         .isNull();
   }
 
+  /** Guards against a term that ends because the store turns only the owner away. */
+  @Test
+  void ownershipIsAppendedThroughAnotherHost() {
+    PeerOwnershipRelay relay =
+        new PeerOwnershipRelay(new PeerClient(new OkHttpClient()), directory);
+    TableRecord record = new TableRecord("fleet", new byte[] {1});
+    assertThat(relay.appendAt(0, record)).isEqualTo(new AppendResult.Appended(0, 1));
+    assertThat(relay.appendAt(0, record)).isEqualTo(new AppendResult.Conflict(1));
+    log.isDown = true;
+    assertThat(relay.appendAt(1, record)).isInstanceOf(AppendResult.Refused.class);
+    log.isDown = false;
+    log.lostResponses = 1;
+    assertThat(relay.appendAt(1, record)).isInstanceOf(AppendResult.Unknown.class);
+    server.stop();
+    assertThat(relay.appendAt(2, record)).isInstanceOf(AppendResult.Refused.class);
+    assertThat(log.records(Table.OWNERSHIP)).hasSize(2);
+  }
+
   /** Guards against a handover to a host that would not claim the ownership. */
   @Test
   void peerReportsWhetherItMayClaimOwnership() {
