Take the rate of submissions from the backlog of a new owner

Cause: a pool's demand follows the rate at which work is submitted, but a new owner counted only submissions of its own term, so that after a take-over in a burst it ordered hosts for the tasks of one instant.

--- a/core/src/main/java/org/persimmonloom/core/scheduling/OccurrenceTable.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/OccurrenceTable.java
@@ -63,18 +63,16 @@
     if (entry.state() == WorkflowState.CANCELLED) {
       cancel(entry, known, nowMillis);
     } else if (known == null && entry.spec().isPresent() && !entry.state().isFinal()) {
-      add(entry, nowMillis, wallMillis, isBacklog);
-      if (!isBacklog) {
-        WorkflowSpec spec = entry.spec().get();
-        arrivals.submitted(policy(spec).service(), spec, nowMillis);
-      }
+      WorkflowSpec spec = entry.spec().get();
+      long age = isBacklog ? wallMillis - spec.acceptedMillis() : 0;
+      long submitted = nowMillis - Math.max(0, Math.min(age, MAX_BACKLOG_AGE_MILLIS));
+      add(entry, submitted);
+      arrivals.submitted(policy(spec).service(), spec, submitted);
     }
   }
 
-  private void add(WorkflowEntry entry, long nowMillis, long wallMillis, boolean isBacklog) {
+  private void add(WorkflowEntry entry, long submitted) {
     WorkflowSpec spec = entry.spec().orElseThrow();
-    long age = isBacklog ? wallMillis - spec.acceptedMillis() : 0;
-    long submitted = nowMillis - Math.max(0, Math.min(age, MAX_BACKLOG_AGE_MILLIS));
     List<OccurrenceState> occurrences = new ArrayList<>();
     for (int number = 0; number < spec.occurrences(); number++) {
       OccurrenceProgress progress = entry.progress().get(number);
@@ -92,7 +90,7 @@
     workflows.put(entry.id(), occurrences);
   }
 
-  /** Returns the work that was submitted during this term. */
+  /** Returns the work that was submitted lately. */
   WorkArrivals arrivals() {
     return arrivals;
   }
@@ -103,7 +101,7 @@
         end(occurrence, WorkflowState.CANCELLED);
       }
     } else if (entry.spec().isPresent()) {
-      add(entry, nowMillis, 0, false);
+      add(entry, nowMillis);
       cancel(entry, workflows.get(entry.id()), nowMillis);
     }
   }
--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkArrivals.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkArrivals.java
@@ -47,6 +47,10 @@
 
     void add(double submitted, long slot) {
       int position = (int) Math.floorMod(slot, (long) numbers.length);
+      if (numbers[position] > slot) {
+        // The backlog of a new owner may be older than what it has counted since.
+        return;
+      }
       if (numbers[position] != slot) {
         numbers[position] = slot;
         work[position] = 0;
@@ -72,8 +76,11 @@
     }
   }
 
-  /** Records a workflow that was submitted now; scheduled and long-running work is not counted. */
-  void submitted(String service, WorkflowSpec spec, long nowMillis) {
+  /**
+   * Records a workflow that was submitted at the given time; scheduled and long-running work is not
+   * counted.
+   */
+  void submitted(String service, WorkflowSpec spec, long submittedMillis) {
     if (spec.repeatCount() > 0) {
       return;
     }
@@ -86,7 +93,7 @@
     if (work > 0) {
       byService
           .computeIfAbsent(service, key -> new Arrivals())
-          .add(work, Math.floorDiv(nowMillis, SLOT_MILLIS));
+          .add(work, Math.floorDiv(submittedMillis, SLOT_MILLIS));
     }
   }
 
