Let a new owner move hosts at once that its predecessor has not ordered

Cause: orders of two owners for one host must not alternate within a duty lease (ONE); a new owner did not know which hosts its predecessor had ordered, and waited for all of them. Change: an owner records the hosts of its next orders before it sends them (HostOrderAnnouncements, table HOST_ORDERS). Its successor first writes under its newer epoch, then reads, and postpones these hosts only. Waves wait as before, since they also depend on hosts that are down, and so does everything if the predecessor announced nothing under its fence. Orders pass a gate just before they are sent: none follows the end of a term or an expired permission, which closes the moment at a hand-over in which both owners could order one host. An order whose announcement took over a second is not sent. A move that the service is too busy for is tried again after 0.5 s instead of 5 s.

--- a/core/src/main/java/org/persimmonloom/core/scheduling/MachineScheduler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/MachineScheduler.java
@@ -13,7 +13,9 @@
  * Schedules maintenance waves and moves between pools for worker hosts. Not thread-safe.
  *
  * <p>A new owner gives no orders about hosts for one duty lease, so that orders of two owners for
- * the same host never alternate within that interval.
+ * the same host never alternate within that interval. If it knows which hosts the previous owner
+ * has ordered lately, it moves the others between pools at once, as a take-over in a burst needs
+ * hosts soon; waves wait, since they also depend on which hosts are down.
  */
 public final class MachineScheduler {
   private final MaintenanceWaves waves;
@@ -36,6 +38,7 @@
 
   private final Set<MachineOrder> inFlight = new HashSet<>();
   private final long notBeforeMillis;
+  private boolean areEarlierOrdersKnown;
   private Set<String> services = Set.of();
   private Set<String> spareServices = Set.of();
 
@@ -57,6 +60,12 @@
     spareServices = Set.copyOf(spare);
   }
 
+  /** Applies the hosts that the previous owner may have ordered within the last duty lease. */
+  public void earlierOrdersKnown(Collection<String> hosts) {
+    areEarlierOrdersKnown = true;
+    balancer.postpone(hosts, notBeforeMillis);
+  }
+
   /** Returns whether the host list may be requested; the list of workers must be read first. */
   public boolean canListMachines() {
     return workers.isListKnown();
@@ -127,7 +136,8 @@
   /** Returns the host orders to send now, and adds the task orders to send to {@code tasks}. */
   public List<MachineOrder> decide(List<Order> tasks, long nowMillis, long wallMillis) {
     List<MachineOrder> orders = new ArrayList<>();
-    if (machines.isEmpty() || nowMillis < notBeforeMillis) {
+    boolean isEarly = nowMillis < notBeforeMillis;
+    if (machines.isEmpty() || (isEarly && !areEarlierOrdersKnown)) {
       return orders;
     }
     PoolDemand demand = PoolDemand.of(occurrenceTable, services, nowMillis, wallMillis);
@@ -136,7 +146,9 @@
       Resources capacity = PoolTarget.meanCapacity(service, machines.values());
       needed.put(service, (int) Math.ceil(demand.of(service).workers(capacity)));
     }
-    waves.decide(machines, needed, orders, tasks, nowMillis);
+    if (!isEarly) {
+      waves.decide(machines, needed, orders, tasks, nowMillis);
+    }
     orders.addAll(balancer.decide(machines, services, spareServices, demand, tasks, nowMillis));
     orders.removeIf(order -> !inFlight.add(order));
     return orders;
--- a/core/src/main/java/org/persimmonloom/core/scheduling/PoolBalancer.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/PoolBalancer.java
@@ -1,6 +1,7 @@
 package org.persimmonloom.core.scheduling;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -35,6 +36,9 @@
   /** Time for which a host is not moved after its move was refused, in ms. */
   private static final long REFUSED_MOVE_BACKOFF_MILLIS = 5_000;
 
+  /** Time for which a host is not moved after the service was too busy for its move, in ms. */
+  private static final long POSTPONED_MOVE_BACKOFF_MILLIS = 500;
+
   private final WorkerTable workers;
   private final MaintenanceWaves waves;
   private final Evacuation evacuation;
@@ -56,6 +60,11 @@
     this.evacuation = evacuation;
   }
 
+  /** Moves none of the hosts before the given time. */
+  void postpone(Collection<String> hosts, long untilMillis) {
+    hosts.forEach(host -> refusedUntil.put(host, untilMillis));
+  }
+
   List<MachineOrder> decide(
       Map<String, MachineFacts> machines,
       Set<String> services,
@@ -313,7 +322,11 @@
       return;
     }
     moves.remove(order.machine());
-    refusedUntil.put(order.machine(), nowMillis + REFUSED_MOVE_BACKOFF_MILLIS);
+    long backoffMillis =
+        result == MachineOrder.Result.TRY_LATER
+            ? POSTPONED_MOVE_BACKOFF_MILLIS
+            : REFUSED_MOVE_BACKOFF_MILLIS;
+    refusedUntil.put(order.machine(), nowMillis + backoffMillis);
     MachineFacts facts = machines.get(order.machine());
     if (facts != null) {
       workers.cordon(facts.worker(), false);
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/MachineOperations.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/MachineOperations.java
@@ -34,12 +34,17 @@
   private static final long LIST_DELAY_AFTER_ORDER_MILLIS = 300;
   private static final long DECISION_INTERVAL_MILLIS = 100;
 
+  /** An order whose announcement takes longer rests on an outdated decision and is not sent. */
+  private static final long MAX_ANNOUNCEMENT_MILLIS = 1_000;
+
   private final FleetServices services;
   private final long fence;
   private final MachineScheduler scheduler;
   private final Executor callExecutor;
   private final Executor loopExecutor;
   private final Runnable stepDown;
+  private final HostOrderAnnouncements announcements;
+  private final HostOrderGate gate;
   private final TableWriter progressWriter;
   private final TableWriter statusWriter;
   private final Codec codec = new Codec(Map.of());
@@ -54,13 +59,17 @@
       MachineScheduler scheduler,
       Executor callExecutor,
       Executor loopExecutor,
-      Runnable stepDown) {
+      Runnable stepDown,
+      HostOrderAnnouncements announcements,
+      HostOrderGate gate) {
     this.services = services;
     this.fence = fence;
     this.scheduler = scheduler;
     this.callExecutor = callExecutor;
     this.loopExecutor = loopExecutor;
     this.stepDown = stepDown;
+    this.announcements = announcements;
+    this.gate = gate;
     progressWriter = newWriter(Table.MAINTENANCE);
     statusWriter = newWriter(Table.STATUS);
   }
@@ -70,12 +79,27 @@
         services.log(), table, PRODUCER, fence, services.metrics(), services.clock());
   }
 
-  /** Loads the progress recorded by earlier owners; returns false if the read fails. */
-  boolean start() {
+  /**
+   * Loads the progress and the announcements recorded by earlier owners; returns false if a read
+   * fails.
+   *
+   * @param previousFence fence of the previous owner
+   */
+  boolean start(long previousFence) {
     LogReadResult result = services.log().readNewest(Table.MAINTENANCE);
-    if (!(result instanceof LogReadResult.Records records)) {
+    Optional<HostOrdersRecord> earlier = announcements.takeOver(services.clock().getAsLong());
+    if (!(result instanceof LogReadResult.Records records) || earlier.isEmpty()) {
       return false;
     }
+    if (earlier.get().fence() == previousFence) {
+      scheduler.earlierOrdersKnown(earlier.get().hosts());
+    }
+    LOG.info(
+        "event=earlier_host_orders fence={} previous={} announced={} hosts={}",
+        fence,
+        previousFence,
+        earlier.get().fence(),
+        earlier.get().hosts().size());
     for (StoredRecord stored : records.records()) {
       codec
           .decode(stored.record().value(), WaveProgress.class)
@@ -88,6 +112,7 @@
   }
 
   void stop() {
+    announcements.stop();
     progressWriter.stop();
     statusWriter.stop();
   }
@@ -115,7 +140,10 @@
     }
     if (nowMillis >= nextDecisionMillis) {
       nextDecisionMillis = nowMillis + DECISION_INTERVAL_MILLIS;
-      scheduler.decide(taskOrders, nowMillis, wallMillis).forEach(this::send);
+      List<MachineOrder> orders = scheduler.decide(taskOrders, nowMillis, wallMillis);
+      if (!orders.isEmpty()) {
+        announce(orders, nowMillis);
+      }
       recordWaveProgress();
     }
   }
@@ -126,19 +154,45 @@
     listed.ifPresent(scheduler::machinesListed);
   }
 
+  private void announce(List<MachineOrder> orders, long nowMillis) {
+    announcements
+        .announce(orders.stream().map(MachineOrder::machine).toList(), nowMillis)
+        .thenAccept(
+            outcome -> loopExecutor.execute(() -> handleAnnounced(orders, outcome, nowMillis)));
+  }
+
+  private void handleAnnounced(
+      List<MachineOrder> orders, TableWriter.Outcome outcome, long decidedMillis) {
+    if (outcome != TableWriter.Outcome.WRITTEN) {
+      stepDown.run();
+      return;
+    }
+    boolean isOutdated = services.clock().getAsLong() - decidedMillis > MAX_ANNOUNCEMENT_MILLIS;
+    for (MachineOrder order : orders) {
+      if (isOutdated) {
+        handleResult(order, MachineOrder.Result.TRY_LATER);
+      } else {
+        send(order);
+      }
+    }
+  }
+
   private void send(MachineOrder order) {
     callExecutor.execute(
         () -> {
-          // After an exception the order may have taken effect.
-          MachineOrder.Result result =
-              PlatformCalls.resultOr(
-                  MachineOrder.Result.UNKNOWN,
-                  "machine order",
-                  () -> services.machines().send(order, services.hostName(), fence));
+          MachineOrder.Result result = gate.send(() -> call(order), MachineOrder.Result.TRY_LATER);
           loopExecutor.execute(() -> handleResult(order, result));
         });
   }
 
+  /** Sends an order; after an exception it may have taken effect. */
+  private MachineOrder.Result call(MachineOrder order) {
+    return PlatformCalls.resultOr(
+        MachineOrder.Result.UNKNOWN,
+        "machine order",
+        () -> services.machines().send(order, services.hostName(), fence));
+  }
+
   private void handleResult(MachineOrder order, MachineOrder.Result result) {
     LOG.info("event=machine_order order={} fence={} result={}", order, fence, result);
     services
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
@@ -1,9 +1,11 @@
 package org.persimmonloom.runtime.workflow;
 
 import java.time.InstantSource;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.function.LongSupplier;
@@ -35,6 +37,9 @@
   /** Twice the orders in progress, so that the channels do not run empty between two passes. */
   private static final int MAX_UNSENT_ORDERS = 2 * WorkerChannels.MAX_ORDERS_IN_PROGRESS;
 
+  /** Time for the answers to the last orders about hosts at the end of a term. */
+  private static final long HOST_ORDERS_STOP_WAIT_MILLIS = 300;
+
   private static final int WORKERS_READ_WAIT_MILLIS = 1_000;
 
   /** Batches the heartbeats of many workers; delays the use of a new worker by this time. */
@@ -50,6 +55,8 @@
   private final FleetServices services;
   private final Runnable stepDown;
   private final OwnerPermission permission;
+  private final HostOrderAnnouncements announcements;
+  private final HostOrderGate hostOrderGate;
   private final OwnerLoop loop;
   private final ThreadPoolExecutor callExecutor;
   private final TableWriter writer;
@@ -76,6 +83,8 @@
     fence = term.fence();
     permission =
         new OwnerPermission(renewalAgeMillis, services.scheduling().ownerRenewalTimeoutMillis());
+    announcements = new HostOrderAnnouncements(services, fence);
+    hostOrderGate = new HostOrderGate(permission::mayOrderHosts);
     load = new OwnerLoad(services.metrics());
     loop = new OwnerLoop(fence, load);
     summary = new OwnerSummary(fence, load);
@@ -139,15 +148,16 @@
     writer.start();
     writer
         .append(List.of(new WorkflowRecords().takeover(fence)), Long.MAX_VALUE)
-        .thenAccept(outcome -> loop.execute(() -> handleTakeoverWritten(outcome)));
+        .thenCombine(announcements.start(), (first, second) -> EnumSet.of(first, second))
+        .thenAccept(outcomes -> loop.execute(() -> handleTakeoverWritten(outcomes)));
   }
 
   /**
    * Loads the tables once the first records are written. From then on appends of earlier owners are
    * refused, so none can follow the loading of the tables and be missed.
    */
-  private void handleTakeoverWritten(TableWriter.Outcome outcome) {
-    if (outcome == TableWriter.Outcome.WRITTEN) {
+  private void handleTakeoverWritten(Set<TableWriter.Outcome> outcomes) {
+    if (outcomes.equals(Set.of(TableWriter.Outcome.WRITTEN))) {
       loadTables();
     } else {
       stepDown.run();
@@ -157,6 +167,8 @@
   /** Ends the term; workers refuse orders still in flight once they have seen a newer fence. */
   synchronized void stop() {
     isStopped = true;
+    hostOrderGate.close(HOST_ORDERS_STOP_WAIT_MILLIS);
+    announcements.stop();
     services.workflows().removeObserver();
     services.workflowFollower().setPauseMillis(FleetServices.FOLLOWER_PAUSE_MILLIS);
     services.operations().setObserver(() -> {});
@@ -199,8 +211,15 @@
     scheduler = new FleetScheduler(settings, follower.end(), now(), hostOrdersFromMillis);
     machines =
         new MachineOperations(
-            services, fence, scheduler.machines(), callExecutor, loop::execute, stepDown);
-    return machines.start();
+            services,
+            fence,
+            scheduler.machines(),
+            callExecutor,
+            loop::execute,
+            stepDown,
+            announcements,
+            hostOrderGate);
+    return machines.start(term.previousFence());
   }
 
   /** Starts to decide unless the term has ended; a later one may have set its observers already. */
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/Table.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/Table.java
@@ -8,6 +8,8 @@
   HOSTS,
   /** Claims, renewals and releases of the fleet's ownership. */
   OWNERSHIP,
+  /** Hosts that owners have ordered lately. */
+  HOST_ORDERS,
   /** Progress of maintenance waves, written and read by owners. */
   MAINTENANCE,
   /** Configuration and maintenance waves; written by operators. */
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/TableRecordFieldsTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/TableRecordFieldsTest.java
@@ -23,6 +23,7 @@
     fields.addAll(EncodedFields.of("(ownership)", OwnershipRecord.class));
     fields.addAll(EncodedFields.of("(host)", HostRecord.class));
     fields.addAll(EncodedFields.of("(wave)", WaveProgress.class));
+    fields.addAll(EncodedFields.of("(host orders)", HostOrdersRecord.class));
     fields.addAll(EncodedFields.of("(ownership append)", PeerClient.OwnershipAppend.class));
     fields.addAll(EncodedFields.of("(ownership answer)", PeerClient.OwnershipAnswer.class));
     fields.addAll(EncodedFields.of("(append)", PeerClient.Records.class));
