Read only the newest configuration after an outage or a storm

Reads that were given up and begun anew (the suspicion so far) are not what delayed it. Change: a follower whose listener needs only the newest record of each key loads these when a read leaves it behind, and after an outage. Waves that are read again are logged only if they changed. Both tests about a storm in TableFollowerTest see all 100 versions read without the change.

--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/OperationsReplica.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/OperationsReplica.java
@@ -49,12 +49,18 @@
         .wave(stored.record())
         .ifPresent(
             wave -> {
-              waves.put(wave.number(), wave);
-              LOG.info("event=wave_ordered wave={}", wave);
-              observer.run();
+              if (!wave.equals(waves.put(wave.number(), wave))) {
+                LOG.info("event=wave_ordered wave={}", wave);
+                observer.run();
+              }
             });
   }
 
+  @Override
+  public boolean needsEveryRecord() {
+    return false;
+  }
+
   private void accept(FleetConfiguration candidate, long offset) {
     current = candidate;
     LOG.info(
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/TableFollower.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/TableFollower.java
@@ -21,6 +21,14 @@
 
     /** Discards all records; called before each load of the whole table. */
     default void reset() {}
+
+    /**
+     * Returns whether each record matters, or only the newest one of each key. Reading only the
+     * newest keeps up on a slow link if many large records follow each other, also after an outage.
+     */
+    default boolean needsEveryRecord() {
+      return true;
+    }
   }
 
   private static final Logger LOG = LogManager.getLogger(TableFollower.class);
@@ -158,13 +166,18 @@
 
   private void readOnce() throws InterruptedException {
     long sentMillis = clock.getAsLong();
-    if (!isLoaded) {
+    boolean mayHaveMissedMany = !wasAvailable && !listener.needsEveryRecord();
+    if (!isLoaded || mayHaveMissedMany) {
       load(log.readNewest(table), sentMillis);
       return;
     }
     long previousEnd = end();
     Progress progress = applyRead(log.read(table, previousEnd, waitMillis), sentMillis);
     boolean hasNew = end() > previousEnd;
+    if (progress == Progress.BEHIND && !listener.needsEveryRecord()) {
+      load(log.readNewest(table), sentMillis);
+      return;
+    }
     if (progress == Progress.AT_END && hasNew) {
       pause();
     } else if (progress == Progress.FAILED || (progress == Progress.BEHIND && !hasNew)) {
@@ -185,8 +198,8 @@
   }
 
   private void load(LogReadResult result, long sentMillis) throws InterruptedException {
+    logAvailabilityChange(result);
     if (!(result instanceof LogReadResult.Records records)) {
-      logAvailabilityChange(result);
       TimeUnit.MILLISECONDS.sleep(RETRY_DELAY_MILLIS);
       return;
     }
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/TableFollowerTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/TableFollowerTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
@@ -13,6 +14,8 @@
 /** Tests a replica that is behind by more records than one read returns. */
 class TableFollowerTest {
   private static final int RECORD_COUNT = 9;
+  private static final int STORM_VERSIONS = 100;
+  private static final byte NEWEST_VERSION = STORM_VERSIONS - 1;
 
   private final FakeKeyedLog log = new FakeKeyedLog();
   private final AtomicLong clock = new AtomicLong(1_000);
@@ -116,4 +119,60 @@
     }
     assertThat(applied).contains(key);
   }
+
+  /**
+   * Guards against a host that applies a configuration seconds late: it read every version of a
+   * storm of large ones over a slow link before it came to the newest.
+   */
+  @Test
+  void onlyTheNewestOfManyReplacedRecordsIsRead() throws InterruptedException {
+    log.maxRecordsPerRead = 1;
+    assertThat(readsOfAStorm(null)).isLessThan(STORM_VERSIONS / 10);
+  }
+
+  /** Guards against the same after an outage of the store, in which the versions were written. */
+  @Test
+  void onlyTheNewestOfTheRecordsThatWereMissedIsRead() throws InterruptedException {
+    assertThat(readsOfAStorm(CutOffLog.Cut.REFUSED)).isLessThan(STORM_VERSIONS / 10);
+  }
+
+  /** Returns how many versions a follower applies that is cut off while they are written. */
+  private int readsOfAStorm(CutOffLog.Cut cut) throws InterruptedException {
+    CutOffLog way = new CutOffLog(log);
+    List<Byte> applied = new CopyOnWriteArrayList<>();
+    TableFollower.Listener newestOnly =
+        new TableFollower.Listener() {
+          @Override
+          public void apply(StoredRecord stored, boolean isBacklog) {
+            applied.add(stored.record().value()[0]);
+          }
+
+          @Override
+          public boolean needsEveryRecord() {
+            return false;
+          }
+        };
+    TableFollower configuration =
+        new TableFollower(way, Table.OPERATIONS, newestOnly, clock::get, 0, 0);
+    configuration.start();
+    while (!configuration.isLoaded()) {
+      TimeUnit.MILLISECONDS.sleep(5);
+    }
+    way.cut = cut;
+    // Let a read that began before end, and one fail.
+    TimeUnit.MILLISECONDS.sleep(300);
+    List<TableRecord> storm = new ArrayList<>();
+    for (int version = 0; version < STORM_VERSIONS; version++) {
+      storm.add(new TableRecord("config", new byte[] {(byte) version}));
+    }
+    log.append(Table.OPERATIONS, new KeyedLog.Sequence("operator", 1, 1), storm);
+    way.cut = null;
+    long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+    while (!applied.contains(NEWEST_VERSION) && System.nanoTime() < until) {
+      TimeUnit.MILLISECONDS.sleep(5);
+    }
+    configuration.stop();
+    assertThat(applied).contains(NEWEST_VERSION);
+    return applied.size();
+  }
 }
