--- a/core/src/test/java/org/persimmonloom/core/scheduling/PoolGrowthTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/PoolGrowthTest.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.persimmonloom.core.workflow.Resources;
@@ -20,26 +19,15 @@
   private static final int SPARE_HOSTS = 60;
 
   private final SchedulerFixture fleet = new SchedulerFixture();
-  private final Map<String, MachineFacts> machines = new TreeMap<>();
+  private Map<String, MachineFacts> machines;
   private int submitted;
 
   @BeforeEach
   void addHosts() {
-    for (int i = 0; i < RUNNING_HOSTS; i++) {
-      fleet.addWorker("w" + i);
-      put("m" + i, SERVICE, "w" + i);
-    }
-    for (int i = 0; i < SPARE_HOSTS; i++) {
-      put("s" + i, "spare", "");
-    }
+    machines = fleet.addHosts(RUNNING_HOSTS, SPARE_HOSTS);
     fleet.now += fleet.settings.dutyLeaseMillis();
   }
 
-  private void put(String id, String pool, String worker) {
-    machines.put(
-        id, new MachineFacts(id, pool, MachineFacts.State.UP, Set.of("kind-a"), CAPACITY, worker));
-  }
-
   /** Submits workflows with two steps of four tasks each, and returns the moves ordered. */
   private List<MachineOrder> passRound(int workflows) {
     fleet.now += 80;
--- a/core/src/test/java/org/persimmonloom/core/scheduling/SchedulerFixture.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/SchedulerFixture.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import org.persimmonloom.core.workflow.QueuePolicy;
 import org.persimmonloom.core.workflow.Resources;
 import org.persimmonloom.core.workflow.StepBuilder;
@@ -85,6 +86,26 @@
     return facts;
   }
 
+  /**
+   * Returns hosts {@code m0}, ... with workers {@code w0}, ..., and switched-off {@code s0}, ...
+   */
+  Map<String, MachineFacts> addHosts(int runningHosts, int spareHosts) {
+    Map<String, MachineFacts> machines = new TreeMap<>();
+    for (int i = 0; i < runningHosts; i++) {
+      addWorker("w" + i);
+      machines.put("m" + i, upHost("m" + i, POLICY.service(), "w" + i));
+    }
+    for (int i = 0; i < spareHosts; i++) {
+      machines.put("s" + i, upHost("s" + i, "spare", ""));
+    }
+    return machines;
+  }
+
+  private static MachineFacts upHost(String id, String pool, String worker) {
+    Resources capacity = new Resources(4_000, 8_000, 0);
+    return new MachineFacts(id, pool, MachineFacts.State.UP, Set.of("kind-a"), capacity, worker);
+  }
+
   static StepSpec step(int tasks, int cpuMillis, List<Integer> after) {
     return StepBuilder.step(tasks).cpuMillis(cpuMillis).after(after).build();
   }
--- a/core/src/test/java/org/persimmonloom/core/scheduling/TakeoverInBurstTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/TakeoverInBurstTest.java
@@ -6,10 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.persimmonloom.core.workflow.Resources;
 import org.persimmonloom.core.workflow.TableRecord;
 import org.persimmonloom.core.workflow.WorkflowRecords;
 import org.persimmonloom.core.workflow.WorkflowSpec;
@@ -21,32 +19,20 @@
  */
 class TakeoverInBurstTest {
   private static final String SERVICE = SchedulerFixture.POLICY.service();
-  private static final Resources CAPACITY = new Resources(4_000, 8_000, 0);
   private static final int RUNNING_HOSTS = 8;
   private static final int SPARE_HOSTS = 60;
 
   private final SchedulerFixture fleet = new SchedulerFixture();
-  private final Map<String, MachineFacts> machines = new TreeMap<>();
+  private Map<String, MachineFacts> machines;
 
   @BeforeEach
   void takeOver() {
-    for (int i = 0; i < RUNNING_HOSTS; i++) {
-      fleet.addWorker("w" + i);
-      put("m" + i, SERVICE, "w" + i);
-    }
-    for (int i = 0; i < SPARE_HOSTS; i++) {
-      put("s" + i, "spare", "");
-    }
+    machines = fleet.addHosts(RUNNING_HOSTS, SPARE_HOSTS);
     fleet.submit("backlog", SchedulerFixture.step(1_432, 1_000, List.of()));
     fleet.takeOver();
     fleet.report();
   }
 
-  private void put(String id, String pool, String worker) {
-    machines.put(
-        id, new MachineFacts(id, pool, MachineFacts.State.UP, Set.of("kind-a"), CAPACITY, worker));
-  }
-
   private List<String> ordered() {
     fleet.scheduler.machines().machinesListed(machines.values());
     return fleet.scheduler.machines().decide(new ArrayList<>(), fleet.now, fleet.now).stream()
