--- a/review/standin/Deployment.java
+++ b/review/standin/Deployment.java
@@ -290,13 +290,13 @@
   /** Cancels a job until a host confirms it, and returns whether one does. */
   boolean cancel(Jobs.Job job) throws InterruptedException {
     for (int attempt = 0; attempt < 10; attempt++) {
-      EntryHost host = hosts.get(attempt % hosts.size());
+      EntryHost host = hosts.get(Math.floorMod(job.id().hashCode() + attempt, hosts.size()));
       Answer answer = request(host, "DELETE", job.route(), job.id(), "");
       record.line("client: DELETE %s to %s: %d", job.id(), host.name, answer.status());
       if (answer.status() == 200) {
         return true;
       }
-      Thread.sleep(200);
+      Thread.sleep(50);
     }
     return false;
   }
@@ -327,18 +327,6 @@
     }
   }
 
-  /** Returns the number of waiting jobs that a host gives for a queue; -1 without an answer. */
-  int waiting(EntryHost host, String service) {
-    Answer answer = request(host, "GET", service, "", "");
-    try {
-      return answer.status() == 200
-          ? Http.MAPPER.readTree(answer.body()).path("waiting").asInt(-1)
-          : -1;
-    } catch (IOException e) {
-      return -1;
-    }
-  }
-
   @Override
   public void close() {
     for (EntryHost host : hosts) {
--- a/review/standin/Script.java
+++ b/review/standin/Script.java
@@ -21,8 +21,8 @@
         Map.of(
             "silent-worker", new SilentWorker(),
             "restarted-host", new RestartedHost(),
-            "order-queue", new OrderQueue(),
-            "refused-starts", new RefusedStarts());
+            "cancelled-series", new CancelledSeries(),
+            "order-queue", new OrderQueue());
     boolean hasTrouble = !"0".equals(System.getenv("TROUBLE"));
     int result = NOT_RUN;
     try (Recorder record = new Recorder(Path.of(arguments[1], "record.txt"))) {
--- a/review/standin/Store.java
+++ b/review/standin/Store.java
@@ -25,6 +25,11 @@
 final class Store {
   private static final int PAGE = 500;
   private static final int APPEND_MILLIS = 3;
+
+  /** The settings {@code record_bytes} and {@code call_bytes} of both deployments. */
+  private static final int RECORD_BYTES = 262_144;
+
+  private static final int CALL_BYTES = 2_097_152;
   private final HttpServer server;
   private final Map<String, Topic> topics = new HashMap<>();
 
@@ -100,6 +105,10 @@
       Http.answer(exchange, 403, new byte[0]);
       return;
     }
+    if (!isWithinLimits(body.duplicate())) {
+      Http.answer(exchange, 413, new byte[0]);
+      return;
+    }
     int status;
     byte[] answer;
     synchronized (this) {
@@ -163,6 +172,20 @@
     Http.answer(exchange, status, answer);
   }
 
+  /** A call appends at most {@link #CALL_BYTES}, in records of at most {@link #RECORD_BYTES}. */
+  private static boolean isWithinLimits(ByteBuffer body) {
+    int total = 0;
+    while (body.remaining() > 4) {
+      int length = body.getInt();
+      if (length < 1 || length > RECORD_BYTES || length > body.remaining()) {
+        return false;
+      }
+      total += length;
+      body.position(body.position() + length);
+    }
+    return total <= CALL_BYTES;
+  }
+
   private static void pause() {
     try {
       Thread.sleep(APPEND_MILLIS);
--- a/review/standin/Worker.java
+++ b/review/standin/Worker.java
@@ -40,7 +40,6 @@
   private long lastHeartbeat = -HEARTBEAT_MILLIS;
   private boolean isListed;
   private boolean isGone;
-  private volatile boolean isShedding;
 
   private static final class Running {
     final Jobs.Run run;
@@ -127,10 +126,6 @@
   private int start(JsonNode body, ObjectNode answer) {
     String task = body.path("task").asText();
     int run = body.path("run").asInt();
-    if (isShedding) {
-      record.line("%s refuses %s run %d: 503", id, task, run);
-      return 503;
-    }
     Running present = running.get(task);
     if (present != null && present.run.number == run) {
       extendLease(body);
@@ -193,6 +188,11 @@
     return 200;
   }
 
+  /** Returns the number of ends that are listed and not taken note of. */
+  synchronized int listedEnds() {
+    return ended.size();
+  }
+
   synchronized int usedCpu() {
     return running.keySet().stream().mapToInt(task -> jobs.of(task).cpu()).sum();
   }
@@ -206,12 +206,6 @@
     return running.keySet().stream().anyMatch(task -> task.startsWith(job + "."));
   }
 
-  /** Refuses all starts with 503 from now on, or no longer. */
-  void shed(boolean shedding) {
-    isShedding = shedding;
-    record.line("%s %s", id, shedding ? "refuses starts" : "takes starts again");
-  }
-
   /** Loses power for good: its tasks are gone, and its address falls silent. */
   synchronized void losePower() {
     link.cut();
