--- a/review/standin/RestartedHost.java
+++ b/review/standin/RestartedHost.java
@@ -14,7 +14,7 @@
  * first occurrence has run, and cancel some of them.
  */
 final class RestartedHost implements Script.Case {
-  private static final int SMALL_JOBS = 1_500;
+  private static final int SMALL_JOBS = 1_900;
   private static final int CLIENTS = 8;
   private static final int ASKED_JOBS = 8;
   private static final int CANCELLED_JOBS = 16;
--- a/review/standin/Script.java
+++ b/review/standin/Script.java
@@ -19,6 +19,7 @@
   public static void main(String[] arguments) {
     Map<String, Case> cases =
         Map.of(
+            "lapsed-entries", new LapsedEntries(),
             "silent-worker", new SilentWorker(),
             "restarted-host", new RestartedHost(),
             "cancelled-series", new CancelledSeries(),
--- a/review/standin/Store.java
+++ b/review/standin/Store.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpHandler;
 import com.sun.net.httpserver.HttpServer;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -32,6 +33,7 @@
   private static final int CALL_BYTES = 2_097_152;
   private final HttpServer server;
   private final Map<String, Topic> topics = new HashMap<>();
+  private volatile boolean isDown;
 
   /** A record of a keyed topic and its offset. */
   record Stored(byte[] value, long offset) {}
@@ -50,9 +52,9 @@
 
   Store() throws IOException {
     server = Http.server();
-    server.createContext("/persimmonloom/log-append", this::append);
-    server.createContext("/persimmonloom/log-read", this::read);
-    server.createContext("/persimmonloom/log-newest", this::newest);
+    server.createContext("/persimmonloom/log-append", unlessDown(this::append));
+    server.createContext("/persimmonloom/log-read", unlessDown(this::read));
+    server.createContext("/persimmonloom/log-newest", unlessDown(this::newest));
     server.start();
   }
 
@@ -60,6 +62,26 @@
     return Http.address(server);
   }
 
+  /** Closes the connection of each call while the store is down; nothing is done then. */
+  private HttpHandler unlessDown(HttpHandler handler) {
+    return exchange -> {
+      if (isDown) {
+        exchange.getRequestBody().readAllBytes();
+        exchange.close();
+      } else {
+        handler.handle(exchange);
+      }
+    };
+  }
+
+  void setDown(boolean down) {
+    isDown = down;
+  }
+
+  boolean isDown() {
+    return isDown;
+  }
+
   private Topic topic(String name) {
     return topics.computeIfAbsent(name, key -> new Topic());
   }
--- a/review/standin/Worker.java
+++ b/review/standin/Worker.java
@@ -12,6 +12,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
 
 /** A worker that guards its capacity. It runs tasks under a lease and writes heartbeats. */
 final class Worker {
@@ -37,7 +38,8 @@
   private long fence;
   private long leaseUntil;
   private long heartbeats;
-  private long lastHeartbeat = -HEARTBEAT_MILLIS;
+  private long lastHeartbeat;
+  private long nextHeartbeat;
   private boolean isListed;
   private boolean isGone;
 
@@ -259,8 +261,17 @@
   /** The entry is removed after three heartbeat intervals of silence. */
   private synchronized void heartbeat() {
     long now = Recorder.nowMillis();
-    boolean reachesStore = !link.isCut() && !isGone;
-    if (reachesStore && now - lastHeartbeat >= HEARTBEAT_MILLIS) {
+    boolean isDue = now >= nextHeartbeat;
+    if (isDue) {
+      // The first interval is shorter, so that the workers do not write in step.
+      long interval =
+          nextHeartbeat == 0
+              ? ThreadLocalRandom.current().nextLong(HEARTBEAT_MILLIS)
+              : HEARTBEAT_MILLIS;
+      nextHeartbeat = now + interval;
+    }
+    boolean reachesStore = !link.isCut() && !isGone && !store.isDown();
+    if (isDue && reachesStore) {
       lastHeartbeat = now;
       heartbeats++;
       ObjectNode entry = Http.MAPPER.createObjectNode();
