--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "${BASH_SOURCE[0]}")/.."
 mkdir -p target/review
-javac -nowarn -cp 'target/lib/*' -d target/review review/standin/*.java
+javac -nowarn -cp 'target/lib/*' -d target/review review/*.java
