Record the workers that may hold leases, so that a new owner knows them all

Cause: a new owner took the absence of an entry in its first list of workers for proof that nothing runs there. Entries lapse with an outage or a cut; the workers run on under their leases. Ruled out: a wait that is too short (14.6 s exceeds any lease, and the unit test fails without a clock), starts that a worker should refuse (the second run is on another worker).

Change: an owner records a worker before its first start there and removes the record once nothing can run there. A new owner loads these records with the workflows, polls the workers listed or not, and waits for them as it did for listed ones. The polling and the stops of runs move to classes of their own.

The same cause let a maintenance wave take down a host whose worker was unknown to the new owner for 5 s.

--- a/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
@@ -22,11 +22,6 @@
  * are acknowledged to workers only after they are recorded in the log. Not thread-safe.
  */
 public final class FleetScheduler {
-  private static final long STOP_RETRY_MILLIS = 300;
-
-  /** A start without a response is stopped if the worker does not report the run by this time. */
-  private static final long UNANSWERED_START_TIMEOUT_MILLIS = 400;
-
   private final OccurrenceTable occurrenceTable = new OccurrenceTable();
   private final FillerPacing pacing = new FillerPacing(occurrenceTable);
   private final PermitCache permits = new PermitCache(occurrenceTable);
@@ -38,7 +33,6 @@
   private final List<OccurrenceState> startable = new ArrayList<>();
 
   private final long takeoverOffset;
-  private final long blockedUntilMillis;
   private Set<String> runningServices = Set.of();
 
   /** Starts that the current decision may still order. */
@@ -55,8 +49,9 @@
   public FleetScheduler(
       SchedulingSettings settings, long takeoverOffset, long nowMillis, long machinesFromMillis) {
     this.takeoverOffset = takeoverOffset;
-    blockedUntilMillis = nowMillis + settings.takeoverBlockMillis();
-    workers = new WorkerTable(settings.maxLeaseMillis(), occurrenceTable);
+    workers =
+        new WorkerTable(
+            settings.maxLeaseMillis(), nowMillis + settings.takeoverBlockMillis(), occurrenceTable);
     notStarted = new NotStartedReport(occurrenceTable, workers, permits);
     machines =
         new MachineScheduler(
@@ -93,6 +88,24 @@
     occurrenceTable.workflowChanged(entry, nowMillis, wallMillis, isBacklog);
   }
 
+  /** Applies the workers that earlier owners recorded; called before the first list. */
+  public void leaseHoldersLoaded(Collection<WorkerFacts> recorded) {
+    workers.leaseHoldersLoaded(recorded);
+  }
+
+  /**
+   * Returns the unrecorded changes of the workers that may hold leases, and marks them as taken.
+   * Workers get no start orders before they are recorded.
+   */
+  public LeaseHolderBatch takeLeaseHolders() {
+    return workers.takeLeaseHolders();
+  }
+
+  /** Marks a batch as durable. */
+  public void leaseHoldersRecorded(LeaseHolderBatch batch) {
+    workers.leaseHoldersRecorded(batch);
+  }
+
   /** Applies the published list of workers. */
   public void workersListed(Collection<WorkerFacts> listed, long nowMillis) {
     workers.workersListed(listed, nowMillis);
@@ -121,7 +134,7 @@
    * @param inFlight identifiers of workers that already have a request in flight
    */
   public List<HoldOrder> dueHolds(Set<String> inFlight, long nowMillis) {
-    return workers.dueHolds(inFlight, nowMillis);
+    return WorkerPolling.dueHolds(workers.all(), inFlight, nowMillis);
   }
 
   /**
@@ -197,7 +210,7 @@
     startsLeft = maxStarts;
     List<Order> orders = new ArrayList<>();
     workers.expireLeases(nowMillis);
-    stopUnneededRuns(orders, nowMillis);
+    RunStops.add(workers.all(), orders, nowMillis);
     for (WorkerState worker : workers.all()) {
       pacing.decide(worker, orders, nowMillis);
     }
@@ -246,35 +259,7 @@
    * Returns the reasons why tasks of ready steps do not run, for logs; empty if all of them run.
    */
   public String outlineNotStarted(long nowMillis, long wallMillis) {
-    return notStarted.outline(
-        runningServices,
-        (occurrence, service) -> isBlocked(occurrence, service, nowMillis),
-        nowMillis,
-        wallMillis);
-  }
-
-  private void stopUnneededRuns(List<Order> orders, long nowMillis) {
-    for (WorkerState worker : workers.all()) {
-      for (TaskRun run : worker.runs.values()) {
-        if (needsStop(run, nowMillis)) {
-          orders.add(run.stop(nowMillis));
-        }
-      }
-    }
-  }
-
-  private boolean needsStop(TaskRun run, long nowMillis) {
-    long sinceOrder = nowMillis - run.lastOrderMillis;
-    if (run.phase == TaskRun.Phase.STOPPING) {
-      return run.orderAnsweredMillis == Long.MAX_VALUE && sinceOrder >= STOP_RETRY_MILLIS;
-    }
-    if (run.phase == TaskRun.Phase.STARTING) {
-      // The worker is reachable again, so a report would have shown the run if it had started.
-      return run.isUnanswered
-          && run.worker.isReachable
-          && sinceOrder >= UNANSWERED_START_TIMEOUT_MILLIS;
-    }
-    return !run.isNeeded();
+    return notStarted.outline(runningServices, this::isBlocked, nowMillis, wallMillis);
   }
 
   private void place(
@@ -287,7 +272,7 @@
       return;
     }
     String service = occurrence.policy.service();
-    if (!runningServices.contains(service) || isBlocked(occurrence, service, nowMillis)) {
+    if (!runningServices.contains(service) || isBlocked(occurrence, service)) {
       return;
     }
     startable.add(occurrence);
@@ -307,13 +292,11 @@
   }
 
   /**
-   * Returns whether a worker from the previous term that has not reported yet may still run tasks
-   * of the occurrence.
+   * Returns whether a worker that has not reported yet may still run tasks of the occurrence, which
+   * an earlier owner started.
    */
-  private boolean isBlocked(OccurrenceState occurrence, String service, long nowMillis) {
-    return occurrence.submittedOffset < takeoverOffset
-        && nowMillis < blockedUntilMillis
-        && workers.hasUnreportedWorker(service);
+  private boolean isBlocked(OccurrenceState occurrence, String service) {
+    return occurrence.submittedOffset < takeoverOffset && workers.hasUnreportedWorker(service);
   }
 
   /** Starts the waiting tasks of a step; returns false if no worker can take one of them. */
--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerFacts.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerFacts.java
@@ -1,5 +1,6 @@
 package org.persimmonloom.core.scheduling;
 
+import java.util.Objects;
 import java.util.Set;
 import org.persimmonloom.core.workflow.Resources;
 
@@ -25,8 +26,13 @@
     Resources capacity,
     Set<String> labels,
     long bornMillis) {
-  /** Copies the labels. */
+  /** Copies the labels; no reference may be null. */
   public WorkerFacts {
+    Objects.requireNonNull(id);
+    Objects.requireNonNull(address);
+    Objects.requireNonNull(service);
+    Objects.requireNonNull(dataCentre);
+    Objects.requireNonNull(capacity);
     labels = Set.copyOf(labels);
   }
 }
--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerState.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerState.java
@@ -11,19 +11,19 @@
   WorkerFacts facts;
   LeaseClock lease;
 
-  /** Whether the worker is in the published list and not known to have terminated. */
-  boolean isListed = true;
+  /** Whether the worker is in the published list. */
+  boolean isPublished;
+
+  /** Whether a record names this worker as one that may hold leases, so that it may get orders. */
+  boolean isRecorded;
 
   /**
    * Whether the worker has reported under the current owner's fence, so that its runs are known.
    */
   boolean hasReported;
 
-  /**
-   * Whether the worker was listed when the term began, so that it may run tasks of an earlier
-   * owner.
-   */
-  final boolean isFromPreviousTerm;
+  /** Whether an earlier owner may have given the worker tasks whose lease is not over. */
+  boolean isFromPreviousTerm;
 
   /** Whether the worker process has ended; its entry may stay in the published list for a while. */
   boolean isTerminated;
@@ -70,8 +70,23 @@
     free = facts.capacity();
   }
 
+  /** Returns whether the worker is in the published list and not known to have terminated. */
+  boolean isListed() {
+    return isPublished && !isTerminated;
+  }
+
+  /**
+   * Returns whether the worker may run tasks of an earlier owner that this owner does not know. A
+   * missing entry does not show that it runs nothing: its own report does, its termination, and the
+   * end of the longest lease.
+   */
+  boolean mayRunEarlierTasks() {
+    return isFromPreviousTerm && !hasReported && !isTerminated;
+  }
+
   boolean acceptsRuns(long nowMillis) {
-    return isListed
+    return isListed()
+        && isRecorded
         && hasReported
         && isReachable
         && !facts.draining()
--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
@@ -17,34 +17,26 @@
  * <p>See {@link FleetScheduler} for the rules by which a run counts as ended.
  */
 final class WorkerTable {
-  /** Minimum interval between polls of a worker with unrecorded run ends, in ms. */
-  private static final long UNRECORDED_POLL_MILLIS = 300;
-
-  /** Minimum interval between polls, which coalesces run ends that are close together, in ms. */
-  private static final long COALESCE_MILLIS = 25;
-
-  /**
-   * Maximum polls of busy workers, per second. Above it, polls are spread out: an owner that polls
-   * faster than it can handle the reports delays its own orders.
-   */
-  private static final long MAX_POLLS_PER_SECOND = 1_000;
-
-  /** Retry interval for a worker that has not reported or is unreachable, in ms. */
-  private static final long SILENT_RETRY_MILLIS = 150;
-
-  /** Maximum duration of a long poll, in ms; a lost response delays run ends by about this time. */
-  private static final int HOLD_WAIT_MILLIS = 600;
-
   private final Map<String, WorkerState> byId = new HashMap<>();
   private final Map<String, List<WorkerState>> byService = new HashMap<>();
   private final RunEndHandler endHandler;
   private final OrderResultHandler orderResults;
   private final OccurrenceTable occurrenceTable;
+  private final LeaseHolders leaseHolders = new LeaseHolders();
   private final long maxLeaseMillis;
+  private final long earlierLeasesUntilMillis;
+  private boolean areEarlierLeasesOver;
   private boolean isListKnown;
 
-  WorkerTable(long maxLeaseMillis, OccurrenceTable occurrenceTable) {
+  /**
+   * Creates the table of a new owner.
+   *
+   * @param earlierLeasesUntilMillis monotonic time at which the last lease of earlier owners is
+   *     over
+   */
+  WorkerTable(long maxLeaseMillis, long earlierLeasesUntilMillis, OccurrenceTable occurrenceTable) {
     this.maxLeaseMillis = maxLeaseMillis;
+    this.earlierLeasesUntilMillis = earlierLeasesUntilMillis;
     this.occurrenceTable = occurrenceTable;
     endHandler = new RunEndHandler(occurrenceTable);
     orderResults = new OrderResultHandler(endHandler);
@@ -79,11 +71,7 @@
 
   /** Returns whether an unreported worker of the service may run tasks of an earlier owner. */
   boolean hasUnreportedWorker(String service) {
-    return ofService(service).stream().anyMatch(WorkerTable::mayRunTasksOfEarlierOwner);
-  }
-
-  private static boolean mayRunTasksOfEarlierOwner(WorkerState worker) {
-    return worker.isFromPreviousTerm && !worker.hasReported && !worker.isTerminated;
+    return ofService(service).stream().anyMatch(WorkerState::mayRunEarlierTasks);
   }
 
   /** Returns the unreachable workers that may run tasks of an earlier owner. */
@@ -101,7 +89,7 @@
   }
 
   private static boolean isSilentFromPreviousTerm(WorkerState worker) {
-    return mayRunTasksOfEarlierOwner(worker) && !worker.isReachable;
+    return worker.mayRunEarlierTasks() && !worker.isReachable;
   }
 
   /** Returns whether the list of workers has been read. */
@@ -109,33 +97,74 @@
     return isListKnown;
   }
 
+  /** See {@link FleetScheduler#leaseHoldersLoaded}. */
+  void leaseHoldersLoaded(Collection<WorkerFacts> recorded) {
+    leaseHolders.load(recorded);
+    for (WorkerFacts facts : recorded) {
+      WorkerState worker = new WorkerState(facts, maxLeaseMillis, true);
+      worker.isRecorded = true;
+      byId.put(facts.id(), worker);
+    }
+    indexByService();
+  }
+
+  /** See {@link FleetScheduler#takeLeaseHolders}. */
+  LeaseHolderBatch takeLeaseHolders() {
+    return leaseHolders.take();
+  }
+
+  void leaseHoldersRecorded(LeaseHolderBatch batch) {
+    leaseHolders.recorded(batch);
+    byId.values().forEach(worker -> worker.isRecorded = leaseHolders.isRecorded(worker.facts));
+  }
+
   void workersListed(Collection<WorkerFacts> listed, long nowMillis) {
     boolean isFirstList = !isListKnown;
     isListKnown = true;
     Set<String> present = new HashSet<>();
     for (WorkerFacts facts : listed) {
       present.add(facts.id());
-      WorkerState known = byId.get(facts.id());
-      if (known == null) {
-        byId.put(facts.id(), new WorkerState(facts, maxLeaseMillis, isFirstList));
-      } else if (hasRestarted(known, facts.bornMillis())) {
-        dropRuns(known);
-        byId.put(facts.id(), new WorkerState(facts, maxLeaseMillis, false));
-      } else {
-        Resources used = known.facts.capacity().minus(known.free);
-        known.facts = facts;
-        known.free = facts.capacity().minus(used);
-        known.isListed = !known.isTerminated;
+      workerListed(facts, isFirstList);
+    }
+    for (WorkerState worker : byId.values()) {
+      worker.isPublished = present.contains(worker.facts.id());
+      if (worker.isListed()) {
+        leaseHolders.add(worker.facts);
       }
+      worker.isRecorded = leaseHolders.isRecorded(worker.facts);
+    }
+    removeGoneWorkers();
+    indexByService();
+  }
+
+  private void workerListed(WorkerFacts facts, boolean isFirstList) {
+    WorkerState known = byId.get(facts.id());
+    if (known == null) {
+      // The first list also counts, since earlier versions recorded no workers.
+      byId.put(facts.id(), new WorkerState(facts, maxLeaseMillis, isFirstList));
+    } else if (hasRestarted(known, facts.bornMillis())) {
+      // An earlier owner may have used the new process under the record of the old one.
+      boolean mayRunEarlierTasks = known.mayRunEarlierTasks();
+      dropRuns(known);
+      byId.put(facts.id(), new WorkerState(facts, maxLeaseMillis, mayRunEarlierTasks));
+    } else {
+      Resources used = known.facts.capacity().minus(known.free);
+      known.facts = facts;
+      known.free = facts.capacity().minus(used);
     }
+  }
+
+  /** Removes the workers that are not in the published list and on which nothing can run. */
+  private void removeGoneWorkers() {
     for (WorkerState worker : List.copyOf(byId.values())) {
-      if (!present.contains(worker.facts.id())) {
-        worker.isListed = false;
-        if (worker.runs.isEmpty()) {
-          byId.remove(worker.facts.id());
-        }
+      if (!worker.isPublished && worker.runs.isEmpty() && !worker.mayRunEarlierTasks()) {
+        byId.remove(worker.facts.id());
+        leaseHolders.remove(worker.facts.id());
       }
     }
+  }
+
+  private void indexByService() {
     byService.clear();
     for (WorkerState worker : byId.values()) {
       byService.computeIfAbsent(worker.facts.service(), key -> new ArrayList<>()).add(worker);
@@ -259,14 +288,15 @@
     WorkerState worker = byId.get(id);
     if (worker != null && worker.isTerminated) {
       worker.isTerminated = false;
-      worker.isListed = true;
+      leaseHolders.add(worker.facts);
     }
   }
 
   private void terminate(WorkerState worker) {
     dropRuns(worker);
-    worker.isListed = false;
     worker.isTerminated = true;
+    worker.isRecorded = false;
+    leaseHolders.remove(worker.facts.id());
   }
 
   /** Removes the runs of a worker whose process has ended; its tasks may start elsewhere. */
@@ -277,6 +307,12 @@
   }
 
   void expireLeases(long nowMillis) {
+    if (!areEarlierLeasesOver && nowMillis >= earlierLeasesUntilMillis) {
+      areEarlierLeasesOver = true;
+      byId.values().forEach(worker -> worker.isFromPreviousTerm = false);
+      removeGoneWorkers();
+      indexByService();
+    }
     for (WorkerState worker : byId.values()) {
       if (!worker.isReachable && !worker.runs.isEmpty() && worker.lease.isExpired(nowMillis)) {
         dropRuns(worker);
@@ -284,54 +320,6 @@
     }
   }
 
-  List<HoldOrder> dueHolds(Set<String> inFlight, long nowMillis) {
-    List<HoldOrder> due = new ArrayList<>();
-    long intervalMillis = pollIntervalMillis();
-    for (WorkerState worker : byId.values()) {
-      if (!inFlight.contains(worker.facts.id()) && isHoldDue(worker, intervalMillis, nowMillis)) {
-        worker.holdSentMillis = nowMillis;
-        due.add(holdOrder(worker, nowMillis));
-      }
-    }
-    return due;
-  }
-
-  /** Returns the minimum interval between polls of a busy worker, in ms. */
-  private long pollIntervalMillis() {
-    long busy = byId.values().stream().filter(worker -> !worker.runs.isEmpty()).count();
-    return Math.max(COALESCE_MILLIS, busy * 1_000 / MAX_POLLS_PER_SECOND);
-  }
-
-  private boolean isHoldDue(WorkerState worker, long intervalMillis, long nowMillis) {
-    long sinceHoldSent = nowMillis - worker.holdSentMillis;
-    if (!worker.isListed && worker.runs.isEmpty()) {
-      return false;
-    }
-    if (!worker.hasReported || !worker.isReachable) {
-      return sinceHoldSent >= SILENT_RETRY_MILLIS;
-    }
-    long sinceReport = nowMillis - worker.lastReportMillis;
-    if (worker.hasUnrecordedEnds()) {
-      return sinceReport >= UNRECORDED_POLL_MILLIS;
-    }
-    boolean isIdle = worker.runs.isEmpty() && worker.recordedEnd == worker.acknowledgedEnd;
-    return !isIdle && sinceReport >= intervalMillis;
-  }
-
-  private HoldOrder holdOrder(WorkerState worker, long nowMillis) {
-    boolean mayWait =
-        worker.hasReported
-            && worker.isReachable
-            && !worker.hasUnrecordedEnds()
-            && worker.runs.values().stream().allMatch(run -> run.phase == TaskRun.Phase.RUNNING);
-    // The lease of an unreachable worker must expire before its tasks can start elsewhere.
-    boolean mayExtend = worker.lease.isKnown() && worker.isReachable;
-    long leaseUntilMillis = mayExtend ? worker.lease.grant(nowMillis) : 0;
-    worker.acknowledgedEnd = worker.recordedEnd;
-    return new HoldOrder(
-        worker.facts, leaseUntilMillis, worker.recordedEnd, mayWait ? HOLD_WAIT_MILLIS : 0);
-  }
-
   /** Returns whether a start should still be sent; removes its run if not. */
   boolean isStartStillValid(Order order, long nowMillis) {
     TaskRun run = unsentRun(order);
--- a/core/src/test/java/org/persimmonloom/core/scheduling/DecisionEqualityTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/DecisionEqualityTest.java
@@ -120,7 +120,9 @@
 
   private void listWorkers() {
     scheduler.workersListed(workers.values(), now);
+    scheduler.leaseHoldersRecorded(scheduler.takeLeaseHolders());
     reference.workers.workersListed(workers.values(), now);
+    reference.workers.leaseHoldersRecorded(reference.workers.takeLeaseHolders());
   }
 
   private void change() {
--- a/core/src/test/java/org/persimmonloom/core/scheduling/ReferenceScheduler.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/ReferenceScheduler.java
@@ -26,7 +26,7 @@
     this.takeoverOffset = takeoverOffset;
     this.services = services;
     blockedUntilMillis = nowMillis + settings.takeoverBlockMillis();
-    workers = new WorkerTable(settings.maxLeaseMillis(), occurrenceTable);
+    workers = new WorkerTable(settings.maxLeaseMillis(), blockedUntilMillis, occurrenceTable);
   }
 
   List<Order> decide(long nowMillis, long wallMillis) {
--- a/core/src/test/java/org/persimmonloom/core/scheduling/SchedulerFixture.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/SchedulerFixture.java
@@ -28,6 +28,11 @@
   final SchedulingSettings settings = new SchedulingSettings(6_000, 8_000, 3_000, 900, 120_000);
   final WorkflowTable table = new WorkflowTable();
   final WorkflowRecords records = new WorkflowRecords();
+  private final LeaseHolderRecords leaseHolderRecords = new LeaseHolderRecords();
+
+  /** Workers that owners have recorded because they may hold leases. */
+  private final Map<String, WorkerFacts> leaseHolders = new HashMap<>();
+
   final Map<String, WorkerFacts> workers = new HashMap<>();
   final Map<String, Map<TaskId, Integer>> running = new HashMap<>();
   final Map<String, List<EndedTask>> ended = new HashMap<>();
@@ -42,12 +47,14 @@
   void takeOver() {
     takeOverUnlisted();
     scheduler.workersListed(workers.values(), now);
+    recordLeaseHolders();
   }
 
   /** Starts the term of a new owner after a planned stop of the previous owner. */
   void handOver() {
     takeOverUnlisted(now);
     scheduler.workersListed(workers.values(), now);
+    recordLeaseHolders();
   }
 
   /** Starts the term of a new owner that has not read the list of workers yet. */
@@ -61,6 +68,7 @@
         Map.of(POLICY.queue(), POLICY, PERMIT_POLICY.queue(), PERMIT_POLICY),
         Set.of(POLICY.service()),
         Set.of("spare"));
+    scheduler.leaseHoldersLoaded(leaseHolders.values());
     table.all().forEach(entry -> scheduler.workflowChanged(entry.copy(), now, now, true));
   }
 
@@ -69,6 +77,17 @@
   }
 
   WorkerFacts addWorker(String id, String rack) {
+    WorkerFacts facts = addUnrecordedWorker(id, rack);
+    recordLeaseHolders();
+    return facts;
+  }
+
+  /** Adds a worker that the owner has not recorded yet, so that it may not get starts. */
+  WorkerFacts addUnrecordedWorker(String id) {
+    return addUnrecordedWorker(id, "rack-1");
+  }
+
+  private WorkerFacts addUnrecordedWorker(String id, String rack) {
     WorkerFacts facts =
         new WorkerFacts(
             id,
@@ -199,6 +218,19 @@
             Map.copyOf(present).forEach((task, run) -> endRun(worker, task, run, cause)));
   }
 
+  void recordLeaseHolders() {
+    LeaseHolderBatch batch = scheduler.takeLeaseHolders();
+    for (TableRecord record : batch.records()) {
+      String worker = leaseHolderRecords.worker(record).orElseThrow();
+      if (record.value() == null) {
+        leaseHolders.remove(worker);
+      } else {
+        leaseHolders.put(worker, leaseHolderRecords.read(record.value()).get());
+      }
+    }
+    scheduler.leaseHoldersRecorded(batch);
+  }
+
   ProgressBatch recordProgress() {
     ProgressBatch batch = scheduler.takeProgress(now);
     batch.records().forEach(this::apply);
--- a/core/src/test/java/org/persimmonloom/core/scheduling/TakeoverTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/TakeoverTest.java
@@ -46,6 +46,96 @@
     assertThat(fleet.decideAndExecute()).isEmpty();
   }
 
+  /** Starts a task on one of two workers, then the term of a new owner; returns its worker. */
+  private String takeOverWhileATaskRuns() {
+    fleet.addWorker("w1");
+    fleet.addWorker("w2");
+    fleet.submit("f1", SchedulerFixture.step(1, 500, List.of()));
+    fleet.report();
+    String worker = fleet.decideAndExecute().get(0).worker().id();
+    fleet.takeOverUnlisted();
+    return worker;
+  }
+
+  private void listAllExcept(String worker) {
+    fleet.scheduler.workersListed(
+        fleet.workers.values().stream().filter(facts -> !facts.id().equals(worker)).toList(),
+        fleet.now);
+  }
+
+  /**
+   * Guards against a task that runs twice because the entry of its worker has lapsed while the
+   * store was down, so that the new owner's first list lacks the worker.
+   */
+  @Test
+  void workerWhoseEntryHasLapsedBlocksEarlierWorkflows() {
+    String worker = takeOverWhileATaskRuns();
+    listAllExcept(worker);
+    fleet.report(worker);
+
+    assertThat(fleet.decideAndExecute()).isEmpty();
+    assertThat(polledWorkers()).contains(worker);
+    fleet.report();
+    assertThat(fleet.decideAndExecute()).isEmpty();
+  }
+
+  /**
+   * Guards against a task that runs twice because its worker has no readable entry when its new
+   * process is listed again, and a new owner takes the process for unused.
+   */
+  @Test
+  void workerThatHasRestartedBeforeTheTakeoverBlocksEarlierWorkflows() {
+    String worker = takeOverWhileATaskRuns();
+    WorkerFacts first = fleet.workers.get(worker);
+    WorkerFacts second =
+        new WorkerFacts(
+            first.id(),
+            first.address(),
+            first.service(),
+            first.dataCentre(),
+            first.draining(),
+            first.capacity(),
+            first.labels(),
+            first.bornMillis() + 500);
+    fleet.workers.put(worker, second);
+    fleet.scheduler.workersListed(fleet.workers.values(), fleet.now);
+    fleet.report(worker);
+
+    assertThat(fleet.decideAndExecute()).isEmpty();
+  }
+
+  /** Guards against runs that no later owner can find, should the worker's entry lapse. */
+  @Test
+  void workerGetsNoStartBeforeItIsRecorded() {
+    fleet.addWorker("w1");
+    fleet.takeOverUnlisted();
+    WorkerFacts joined = fleet.addUnrecordedWorker("w2");
+    fleet.report();
+    fleet.submit("f1", SchedulerFixture.step(20, 500, List.of()));
+    assertThat(fleet.decideAndExecute())
+        .extracting(order -> order.worker().id())
+        .isNotEmpty()
+        .containsOnly("w1");
+
+    fleet.recordLeaseHolders();
+    fleet.report();
+    assertThat(fleet.decideAndExecute())
+        .extracting(order -> order.worker().id())
+        .contains(joined.id());
+  }
+
+  /** Guards against records of workers that are gone, for which each new owner would wait. */
+  @Test
+  void recordOfAWorkerThatIsGoneIsRemoved() {
+    fleet.addWorker("w1");
+    fleet.report();
+    fleet.scheduler.workersListed(List.of(), fleet.now);
+
+    assertThat(fleet.scheduler.takeLeaseHolders().records())
+        .singleElement()
+        .satisfies(record -> assertThat(record.value()).isNull());
+  }
+
   /**
    * Guards against earlier workflows that wait for workers which joined after the takeover and
    * cannot already run them. Up to 170 tasks waited for 5 s while workers were idle.
--- /dev/null
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/BatchRecorder.java
@@ -0,0 +1,59 @@
+package org.persimmonloom.runtime.workflow;
+
+import java.util.List;
+import java.util.function.Consumer;
+import org.persimmonloom.core.workflow.TableRecord;
+
+/**
+ * Records batches of an owner's changes, one at a time, and reports when a batch is durable. An
+ * owner whose batch cannot be written steps down. Confined to the owner's loop.
+ *
+ * @param <B> type of the batches
+ */
+final class BatchRecorder<B> {
+  private final TableWriter writer;
+  private final Consumer<Runnable> loop;
+  private final Runnable stepDown;
+  private final Consumer<B> whenDurable;
+  private boolean isRecording;
+
+  /**
+   * Creates the recorder of one term.
+   *
+   * @param loop runs a change on the owner's loop
+   * @param whenDurable receives each batch once its records are durable
+   */
+  BatchRecorder(
+      TableWriter writer, Consumer<Runnable> loop, Runnable stepDown, Consumer<B> whenDurable) {
+    this.writer = writer;
+    this.loop = loop;
+    this.stepDown = stepDown;
+    this.whenDurable = whenDurable;
+  }
+
+  /** Returns whether the records of the last batch are not durable yet. */
+  boolean isRecording() {
+    return isRecording;
+  }
+
+  /** Records a batch; a batch without records is durable at once. */
+  void record(B batch, List<TableRecord> records) {
+    if (records.isEmpty()) {
+      whenDurable.accept(batch);
+      return;
+    }
+    isRecording = true;
+    writer
+        .append(records, Long.MAX_VALUE)
+        .thenAccept(outcome -> loop.accept(() -> handleWritten(batch, outcome)));
+  }
+
+  private void handleWritten(B batch, TableWriter.Outcome outcome) {
+    isRecording = false;
+    if (outcome == TableWriter.Outcome.WRITTEN) {
+      whenDurable.accept(batch);
+    } else {
+      stepDown.run();
+    }
+  }
+}
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
@@ -60,7 +60,6 @@
   private final OwnerLoop loop;
   private final ThreadPoolExecutor callExecutor;
   private final TableWriter writer;
-  private final ProgressRecorder progressRecorder;
   private final TableFollower workerFollower;
   private final WorkerReplica workers;
   private final WorkerChannels channels;
@@ -68,6 +67,7 @@
   private final OwnerSummary summary;
   private final EndedWorkflowRemoval endedWorkflowRemoval;
   private FleetScheduler scheduler;
+  private ProgressRecorder progressRecorder;
   private volatile MachineOperations machines;
   private boolean isStopped;
   private boolean isPassPending;
@@ -94,7 +94,6 @@
     writer =
         new TableWriter(
             services.log(), Table.WORKFLOWS, PRODUCER, fence, services.metrics(), services.clock());
-    progressRecorder = new ProgressRecorder(services, writer, this::post, stepDown);
     endedWorkflowRemoval = new EndedWorkflowRemoval(services, writer);
     workers =
         new WorkerReplica(
@@ -209,6 +208,13 @@
             : settings.dutyLeaseMillis() - OwnerPermission.MIN_MILLIS_SINCE_EARLIER_HOST_ORDER;
     long hostOrdersFromMillis = now() + Math.max(0, hostOrderWaitMillis);
     scheduler = new FleetScheduler(settings, follower.end(), now(), hostOrdersFromMillis);
+    scheduler.leaseHoldersLoaded(services.workflows().leaseHolders());
+    progressRecorder =
+        new ProgressRecorder(
+            services,
+            scheduler,
+            new BatchRecorder<>(writer, this::post, stepDown, scheduler::progressRecorded),
+            new BatchRecorder<>(writer, this::post, stepDown, scheduler::leaseHoldersRecorded));
     machines =
         new MachineOperations(
             services,
@@ -325,7 +331,7 @@
     for (HoldOrder hold : scheduler.dueHolds(channels.workersInHold(), now)) {
       channels.hold(hold);
     }
-    progressRecorder.record(scheduler, now);
+    progressRecorder.record(now);
   }
 
   private void requestPermits(PermitRequest request) {
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/ProgressRecorder.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/ProgressRecorder.java
@@ -1,63 +1,45 @@
 package org.persimmonloom.runtime.workflow;
 
-import java.util.function.Consumer;
 import org.persimmonloom.core.scheduling.FleetScheduler;
+import org.persimmonloom.core.scheduling.LeaseHolderBatch;
 import org.persimmonloom.core.scheduling.ProgressBatch;
 
 /**
- * Records the progress of workflows, one batch at a time, and tells the scheduler when a batch is
- * durable. Confined to the owner's loop.
+ * Records what the scheduler of one term must keep: the progress of workflows, and the workers that
+ * may hold leases. Confined to the owner's loop.
  */
 final class ProgressRecorder {
   /** Minimum interval between two writes of progress. */
   private static final long RECORD_INTERVAL_MILLIS = 25;
 
   private final FleetServices services;
-  private final TableWriter writer;
-  private final Consumer<Runnable> loop;
-  private final Runnable stepDown;
-  private boolean isRecording;
+  private final FleetScheduler scheduler;
+  private final BatchRecorder<ProgressBatch> progress;
+  private final BatchRecorder<LeaseHolderBatch> leaseHolders;
   private long lastRecordMillis;
 
-  /**
-   * Creates the recorder of one term.
-   *
-   * @param loop runs a change on the owner's loop
-   */
   ProgressRecorder(
-      FleetServices services, TableWriter writer, Consumer<Runnable> loop, Runnable stepDown) {
+      FleetServices services,
+      FleetScheduler scheduler,
+      BatchRecorder<ProgressBatch> progress,
+      BatchRecorder<LeaseHolderBatch> leaseHolders) {
     this.services = services;
-    this.writer = writer;
-    this.loop = loop;
-    this.stepDown = stepDown;
+    this.scheduler = scheduler;
+    this.progress = progress;
+    this.leaseHolders = leaseHolders;
   }
 
-  void record(FleetScheduler scheduler, long nowMillis) {
-    if (isRecording || nowMillis - lastRecordMillis < RECORD_INTERVAL_MILLIS) {
-      return;
+  void record(long nowMillis) {
+    if (!leaseHolders.isRecording()) {
+      LeaseHolderBatch batch = scheduler.takeLeaseHolders();
+      leaseHolders.record(batch, batch.records());
     }
-    ProgressBatch batch = scheduler.takeProgress(services.wallClock().millis());
-    if (batch.isEmpty()) {
-      return;
-    }
-    lastRecordMillis = nowMillis;
-    if (batch.records().isEmpty()) {
-      scheduler.progressRecorded(batch);
-      return;
-    }
-    isRecording = true;
-    writer
-        .append(batch.records(), Long.MAX_VALUE)
-        .thenAccept(outcome -> loop.accept(() -> handleWritten(scheduler, batch, outcome)));
-  }
-
-  private void handleWritten(
-      FleetScheduler scheduler, ProgressBatch batch, TableWriter.Outcome outcome) {
-    isRecording = false;
-    if (outcome == TableWriter.Outcome.WRITTEN) {
-      scheduler.progressRecorded(batch);
-    } else {
-      stepDown.run();
+    if (!progress.isRecording() && nowMillis - lastRecordMillis >= RECORD_INTERVAL_MILLIS) {
+      ProgressBatch batch = scheduler.takeProgress(services.wallClock().millis());
+      if (!batch.isEmpty()) {
+        lastRecordMillis = nowMillis;
+        progress.record(batch, batch.records());
+      }
     }
   }
 }
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowReplica.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowReplica.java
@@ -1,15 +1,24 @@
 package org.persimmonloom.runtime.workflow;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.persimmonloom.core.scheduling.LeaseHolderRecords;
+import org.persimmonloom.core.scheduling.WorkerFacts;
 import org.persimmonloom.core.workflow.TableRecord;
 import org.persimmonloom.core.workflow.WorkflowEntry;
 import org.persimmonloom.core.workflow.WorkflowRecords;
 import org.persimmonloom.core.workflow.WorkflowState;
 import org.persimmonloom.core.workflow.WorkflowTable;
 
-/** Replica of the workflow table. Safe for any thread; the observer is called under the lock. */
+/**
+ * Replica of the workflow table, which also names the workers that may hold leases. Safe for any
+ * thread; the observer is called under the lock.
+ */
 public final class WorkflowReplica implements TableFollower.Listener {
   /** Receives changes of workflows. */
   @FunctionalInterface
@@ -24,9 +33,12 @@
     default void takeoverRead(long fence) {}
   }
 
+  private static final Logger LOG = LogManager.getLogger(WorkflowReplica.class);
   private static final Observer NO_OBSERVER = (entry, isBacklog) -> {};
 
   private final WorkflowRecords records = new WorkflowRecords();
+  private final LeaseHolderRecords leaseHolderRecords = new LeaseHolderRecords();
+  private final Map<String, WorkerFacts> leaseHolders = new HashMap<>();
   private WorkflowTable table = new WorkflowTable();
   private Observer observer = NO_OBSERVER;
 
@@ -53,14 +65,43 @@
       observer.takeoverRead(takeover.getAsLong());
       return;
     }
+    Optional<String> leaseHolder = leaseHolderRecords.worker(stored.record());
+    if (leaseHolder.isPresent()) {
+      applyLeaseHolder(leaseHolder.get(), stored);
+      return;
+    }
     table
         .apply(stored.record(), stored.offset())
         .ifPresent(entry -> observer.workflowChanged(entry, isBacklog));
   }
 
+  private void applyLeaseHolder(String worker, StoredRecord stored) {
+    byte[] value = stored.record().value();
+    if (value == null) {
+      leaseHolders.remove(worker);
+      return;
+    }
+    leaseHolderRecords
+        .read(value)
+        .peek(facts -> leaseHolders.put(worker, facts))
+        .peekLeft(
+            failure ->
+                LOG.warn(
+                    "event=lease_holder_unreadable worker={} offset={} cause={}",
+                    worker,
+                    stored.offset(),
+                    failure));
+  }
+
   @Override
   public synchronized void reset() {
     table = new WorkflowTable();
+    leaseHolders.clear();
+  }
+
+  /** Returns the workers that owners have recorded because they may hold leases. */
+  public synchronized List<WorkerFacts> leaseHolders() {
+    return List.copyOf(leaseHolders.values());
   }
 
   /** Returns the state of a workflow; empty if it is unknown. */
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/TableRecordFieldsTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/TableRecordFieldsTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.persimmonloom.core.scheduling.WaveProgress;
+import org.persimmonloom.core.scheduling.WorkerFacts;
 import org.persimmonloom.core.workflow.OccurrenceProgress;
 import org.persimmonloom.core.workflow.WorkflowSpec;
 import org.persimmonloom.runtime.EncodedFields;
@@ -29,6 +30,8 @@
     fields.addAll(EncodedFields.of("(append)", PeerClient.Records.class));
     fields.addAll(EncodedFields.of("(state)", PeerClient.State.class));
 
+    fields.addAll(EncodedFields.of("(lease holder)", WorkerFacts.class));
+
     assertThat(fields).isEqualTo(EncodedFields.recorded("table-records.txt"));
   }
 }
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/WorkflowReplicaTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/WorkflowReplicaTest.java
@@ -4,7 +4,11 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.persimmonloom.core.scheduling.LeaseHolderRecords;
+import org.persimmonloom.core.scheduling.WorkerFacts;
+import org.persimmonloom.core.workflow.Resources;
 import org.persimmonloom.core.workflow.TableRecord;
 import org.persimmonloom.core.workflow.WorkflowRecords;
 
@@ -31,4 +35,29 @@
     apply(records.cancellation("later"));
     assertThat(passed).contains("later");
   }
+
+  /**
+   * Guards against a new owner that does not know of a worker without an entry in the published
+   * list. The record of a worker stays in force until it is removed, and over a load of the table.
+   */
+  @Test
+  void recordedWorkersAreKnownUntilTheirRecordsAreRemoved() {
+    LeaseHolderRecords holders = new LeaseHolderRecords();
+    WorkerFacts worker =
+        new WorkerFacts(
+            "w1",
+            "10.0.0.1:80",
+            "s",
+            "a",
+            false,
+            new Resources(4_000, 8_000, 0),
+            Set.of("kind-a"),
+            1);
+    replica.reset();
+    replica.apply(new StoredRecord(offset++, holders.record(worker)), true);
+    apply(new TableRecord("w.w2", new byte[] {1}));
+    assertThat(replica.leaseHolders()).containsExactly(worker);
+    apply(holders.removal("w1"));
+    assertThat(replica.leaseHolders()).isEmpty();
+  }
 }
--- a/tool/src/main/java/org/persimmonloom/tool/measure/PassFleet.java
+++ b/tool/src/main/java/org/persimmonloom/tool/measure/PassFleet.java
@@ -65,6 +65,7 @@
       addWorker(i);
     }
     scheduler.workersListed(workers, now);
+    scheduler.leaseHoldersRecorded(scheduler.takeLeaseHolders());
     scheduler.machines().machinesListed(workers.stream().map(PassFleet::machine).toList());
     workers.forEach(worker -> report(worker, List.of()));
     for (int i = 0; i < workflows; i++) {
