--- a/core/src/test/java/org/persimmonloom/core/scheduling/TakeoverTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/TakeoverTest.java
@@ -79,6 +79,23 @@
     assertThat(fleet.decideAndExecute()).isEmpty();
   }
 
+  /**
+   * Guards against a task that runs twice because the entry of its silent worker is removed after
+   * the takeover, while the worker runs on under its lease.
+   */
+  @Test
+  void silentWorkerBlocksEarlierWorkflowsAfterItsEntryIsGone() {
+    String worker = takeOverWhileATaskRuns();
+    fleet.scheduler.workersListed(fleet.workers.values(), fleet.now);
+    fleet.report(worker);
+    listAllExcept(worker);
+    assertThat(fleet.decideAndExecute()).isEmpty();
+
+    fleet.now += fleet.settings.takeoverBlockMillis();
+    fleet.report(worker);
+    assertThat(fleet.decideAndExecute()).hasSize(1);
+  }
+
   /**
    * Guards against a task that runs twice because its worker has no readable entry when its new
    * process is listed again, and a new owner takes the process for unused.
