Keep one lost worker from holding up the starts of all others

Cause: an unanswered stop was ordered again each 300 ms although the one before was still queued, stops of ended runs stayed queued, and the queue of all workers together limits the starts. 24 runs added 80 stops a second, 5 were sent, and above 128 queued orders nothing starts. Ruled out: calls in progress (2 of 64) and unreachable workers (the idle ones report).

Change: a run has one stop at a time; a stop of an ended run is dropped; one worker counts with eight orders at most towards the limit of starts, a silent one with none.

--- a/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
@@ -139,17 +139,18 @@
 
   /**
    * Returns whether a queued order should still be sent. A start is withdrawn, and its run removed,
-   * if the task has since ended or runs elsewhere, or if the lease in the order has expired.
+   * if the task has since ended or runs elsewhere, or if the lease in the order has expired. Other
+   * orders are obsolete once their run is over.
    */
   public boolean isStillValid(Order order, long nowMillis) {
-    return !(order instanceof Order.Start) || workers.isStartStillValid(order, nowMillis);
+    return order instanceof Order.Start
+        ? workers.isStartStillValid(order, nowMillis)
+        : workers.run(order) != null;
   }
 
   /** Withdraws a queued order that this owner may not send any more. */
   public void withdraw(Order order) {
-    if (order instanceof Order.Start) {
-      workers.withdraw(order);
-    }
+    workers.withdraw(order);
   }
 
   /** Applies the result of an order. */
--- a/core/src/main/java/org/persimmonloom/core/scheduling/OrderResultHandler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/OrderResultHandler.java
@@ -55,10 +55,14 @@
   }
 
   private static void stopAnswered(TaskRun run, CallResult result, long nowMillis) {
+    run.isStopPending = false;
+    run.lastOrderMillis = nowMillis;
     switch (result) {
       case UNKNOWN, NOT_SENT -> run.worker.isReachable = false;
       case ACCEPTED, RUN_SUPERSEDED -> run.orderAnsweredMillis = nowMillis;
-      default -> run.lastOrderMillis = nowMillis;
+      default -> {
+        // The stop is repeated.
+      }
     }
   }
 }
--- a/core/src/main/java/org/persimmonloom/core/scheduling/TaskRun.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/TaskRun.java
@@ -28,7 +28,12 @@
    */
   long orderAnsweredMillis = Long.MAX_VALUE;
 
+  /** When the last order was decided, or ended without a confirmation. */
   long lastOrderMillis;
+
+  /** Whether a stop order is queued or in flight; it is not repeated before it has a result. */
+  boolean isStopPending;
+
   String checkpoint = "";
 
   /** Speed that the worker last reported; see {@link RunningTask#percent}. */
@@ -65,6 +70,7 @@
    */
   Order.Stop stop(long nowMillis) {
     phase = Phase.STOPPING;
+    isStopPending = true;
     orderAnsweredMillis = Long.MAX_VALUE;
     lastOrderMillis = nowMillis;
     return new Order.Stop(worker.facts, task, number);
--- a/core/src/test/java/org/persimmonloom/core/scheduling/FleetSchedulerTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/FleetSchedulerTest.java
@@ -263,6 +263,36 @@
     assertThat(fleet.decide()).containsExactly(stop);
   }
 
+  /**
+   * Guards against stops that fill the queue of orders: 24 runs on a lost worker had 80 stops a
+   * second ordered, 5 were sent, and no task started on any worker for 50 s.
+   */
+  @Test
+  void stopIsNotRepeatedWhileItIsQueuedOrInFlight() {
+    runOneTask();
+    fleet.apply(fleet.records.cancellation("f1"));
+    Order stop = fleet.decide().get(0);
+    for (int pass = 0; pass < 10; pass++) {
+      fleet.now += 500;
+      assertThat(fleet.decide()).isEmpty();
+    }
+    fleet.scheduler.orderAnswered(stop, CallResult.UNKNOWN, fleet.now);
+    assertThat(fleet.decide()).isEmpty();
+    fleet.now += 300;
+    assertThat(fleet.decide()).containsExactly(stop);
+  }
+
+  /** Guards against a task that is never stopped, because its stop was withdrawn unsent. */
+  @Test
+  void stopThatWasWithdrawnIsRepeated() {
+    runOneTask();
+    fleet.apply(fleet.records.cancellation("f1"));
+    Order stop = fleet.decide().get(0);
+    fleet.scheduler.withdraw(stop);
+    fleet.now += 300;
+    assertThat(fleet.decide()).containsExactly(stop);
+  }
+
   private static StepSpec gang(int tasks, boolean sameRack) {
     return StepBuilder.step(tasks).cpuMillis(3_000).gang(sameRack).build();
   }
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
@@ -321,7 +321,7 @@
       return;
     }
     long wall = services.wallClock().millis();
-    int maxStarts = Math.max(0, MAX_UNSENT_ORDERS - channels.queuedCount());
+    int maxStarts = Math.max(0, MAX_UNSENT_ORDERS - channels.backlog());
     List<Order> orders = scheduler.decide(now, wall, maxStarts);
     if (permission.mayOrderHosts()) {
       machines.pass(now, wall, orders);
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/WorkerChannelsTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/WorkerChannelsTest.java
@@ -2,9 +2,11 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
@@ -162,6 +164,75 @@
     }
   }
 
+  /**
+   * Guards against one lost worker that keeps all others from getting starts: the orders that wait
+   * for it counted as a backlog of the owner, which may then order no more starts.
+   */
+  @Test
+  void ordersThatWaitForOneWorkerAreNoBacklogOfAll() {
+    HangingGateway gateway = new HangingGateway();
+    WorkerChannels shared =
+        new WorkerChannels(
+            gateway, 1, Runnable::run, () -> 0, new CountingListener(new Semaphore(0)));
+    for (int index = 0; index < 100; index++) {
+      shared.send(new Order.Stop(worker("lost"), new TaskId("f1", 0, 0, index), 1));
+    }
+    assertThat(shared.backlog()).isEqualTo(WorkerChannels.MAX_BACKLOG_OF_ONE_WORKER);
+
+    gateway.answerNext(CallResult.UNKNOWN);
+    assertThat(shared.backlog()).isZero();
+    gateway.answerNext(CallResult.ACCEPTED);
+    assertThat(shared.backlog()).isEqualTo(WorkerChannels.MAX_BACKLOG_OF_ONE_WORKER);
+  }
+
+  /** Guards against lost workers whose calls, which last until their time limits, take all room. */
+  @Test
+  void ordersToSilentWorkersLeaveRoomForOthers() {
+    HangingGateway gateway = new HangingGateway();
+    WorkerChannels shared =
+        new WorkerChannels(
+            gateway, 1, Runnable::run, () -> 0, new CountingListener(new Semaphore(0)));
+    for (int lost = 0; lost < WorkerChannels.MAX_ORDERS_IN_PROGRESS; lost++) {
+      for (int index = 0; index < 4; index++) {
+        shared.send(new Order.Stop(worker("lost" + lost), new TaskId("f1", 0, lost, index), 1));
+      }
+    }
+    for (int call = 0; call < 3 * WorkerChannels.MAX_ORDERS_IN_PROGRESS; call++) {
+      gateway.answerNext(CallResult.UNKNOWN);
+    }
+    assertThat(shared.callsInProgress()).isEqualTo(WorkerChannels.MAX_ORDERS_TO_SILENT_WORKERS);
+
+    shared.send(new Order.Stop(worker("sound"), new TaskId("f2", 0, 0, 0), 1));
+    assertThat(gateway.lastCalled()).isEqualTo("sound");
+  }
+
+  /** Answers orders only when it is told to, in the order of the calls. */
+  private static final class HangingGateway implements WorkerGateway {
+    private final Queue<CompletableFuture<CallResult>> calls = new ArrayDeque<>();
+    private String lastCalled = "";
+
+    @Override
+    public CompletableFuture<CallResult> send(Order order, long fence) {
+      CompletableFuture<CallResult> answer = new CompletableFuture<>();
+      calls.add(answer);
+      lastCalled = order.worker().id();
+      return answer;
+    }
+
+    @Override
+    public CompletableFuture<HoldAnswer> hold(HoldOrder order, long fence) {
+      throw new AssertionError("no hold was sent");
+    }
+
+    void answerNext(CallResult result) {
+      calls.remove().complete(result);
+    }
+
+    String lastCalled() {
+      return lastCalled;
+    }
+  }
+
   private static WorkerFacts worker(String id) {
     return new WorkerFacts(
         id, "10.0.0.1:80", "s", "a", false, new Resources(4_000, 8_000, 0), Set.of(), 1);
