Write large batches in parts, and give up alone what the store refuses for good

Cause: the records of 21,900 cancelled occurrences were one append over the size of a call. The writer repeated the refused append without end, and all later records of the owner waited behind it. Ruled out: a new owner each time (the term goes on), and a busy loop, which passes.

Change: groups and batches are bounded by 512 KiB; refusals for good are told apart, and what is refused so is divided until the records that cannot be stored are alone.

--- a/core/src/main/java/org/persimmonloom/core/workflow/TableRecord.java
+++ b/core/src/main/java/org/persimmonloom/core/workflow/TableRecord.java
@@ -21,6 +21,15 @@
 
   /** Returns whether the store can hold the key. */
   public boolean hasStorableKey() {
-    return key.getBytes(StandardCharsets.UTF_8).length <= MAX_KEY_BYTES;
+    return keyBytes() <= MAX_KEY_BYTES;
+  }
+
+  /** Returns the size of the key and the value, in bytes. */
+  public int sizeBytes() {
+    return keyBytes() + (value == null ? 0 : value.length);
+  }
+
+  private int keyBytes() {
+    return key.getBytes(StandardCharsets.UTF_8).length;
   }
 }
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/AppendResult.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/AppendResult.java
@@ -11,11 +11,18 @@
   record Appended(long offset, long end) implements AppendResult {}
 
   /**
-   * The records were rejected and will not be appended later.
+   * The records were refused and will not be appended later.
    *
    * @param reason error text of the platform
+   * @param isPermanent whether the same records would be refused again, since they are too large or
+   *     malformed; parts of them may be accepted
    */
-  record Refused(String reason) implements AppendResult {}
+  record Refused(String reason, boolean isPermanent) implements AppendResult {
+    /** Creates the result of a refusal that need not be repeated. */
+    public Refused(String reason) {
+      this(reason, false);
+    }
+  }
 
   /**
    * Nothing was appended: the table did not end at the expected offset.
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/BatchRecorder.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/BatchRecorder.java
@@ -6,7 +6,9 @@
 
 /**
  * Records batches of an owner's changes, one at a time, and reports when a batch is durable. An
- * owner whose batch cannot be written steps down. Confined to the owner's loop.
+ * owner whose batch cannot be written steps down, unless the store rejects a record for good: each
+ * later owner would fail at the same record, and no work of others would be recorded any more. Such
+ * a record is given up alone. Confined to the owner's loop.
  *
  * @param <B> type of the batches
  */
@@ -44,13 +46,13 @@
     }
     isRecording = true;
     writer
-        .append(records, Long.MAX_VALUE)
+        .appendInParts(records)
         .thenAccept(outcome -> loop.accept(() -> handleWritten(batch, outcome)));
   }
 
   private void handleWritten(B batch, TableWriter.Outcome outcome) {
     isRecording = false;
-    if (outcome == TableWriter.Outcome.WRITTEN) {
+    if (outcome == TableWriter.Outcome.WRITTEN || outcome == TableWriter.Outcome.REJECTED) {
       whenDurable.accept(batch);
     } else {
       stepDown.run();
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/EndedWorkflowRemoval.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/EndedWorkflowRemoval.java
@@ -36,7 +36,7 @@
         services.workflows().removals(services.wallClock().millis(), retentionMillis);
     if (!removals.isEmpty()) {
       LOG.info("event=ended_removed records={}", removals.size());
-      writer.append(removals, Long.MAX_VALUE);
+      writer.appendInParts(removals);
     }
   }
 }
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/SubmissionService.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/SubmissionService.java
@@ -26,7 +26,9 @@
     /** The workflow is unknown. */
     UNKNOWN_WORKFLOW,
     /** Nothing was recorded, and nothing will be recorded later. */
-    REFUSED
+    REFUSED,
+    /** Nothing was recorded, and the store would reject the same records again. */
+    REJECTED
   }
 
   private static final Logger LOG = LogManager.getLogger(SubmissionService.class);
@@ -119,6 +121,8 @@
         outcome -> {
           if (outcome == TableWriter.Outcome.WRITTEN) {
             result.complete(Result.ACCEPTED);
+          } else if (outcome == TableWriter.Outcome.REJECTED) {
+            result.complete(Result.REJECTED);
           }
         });
     long delay = writer.isFailing() ? 0 : limits.peerDelayMillis();
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/TableWriter.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/TableWriter.java
@@ -18,7 +18,11 @@
  *
  * <p>An append without a result is repeated with the same sequence number until its result is
  * known, which appends its records exactly once. Records are reported as not written only if they
- * were never sent or every attempt was definitely refused. Safe for any thread.
+ * were never sent or every attempt was definitely refused.
+ *
+ * <p>A group is bounded in size. One that the store rejects for good is divided until the records
+ * that cannot be stored are alone; only these are given up, and the others are written. Safe for
+ * any thread.
  */
 public final class TableWriter {
   /** Result of an append. */
@@ -26,12 +30,21 @@
     WRITTEN,
     /** Nothing was written, and nothing will be written later. */
     NOT_WRITTEN,
+    /** Nothing was written, and the store would reject the same records again. */
+    REJECTED,
     /** A newer epoch of this writer exists. */
     FENCED
   }
 
   private static final Logger LOG = LogManager.getLogger(TableWriter.class);
   private static final int MAX_GROUP_APPENDS = 200;
+
+  /**
+   * Size up to which records are sent together. It bounds the time for which an append occupies the
+   * table, and is within what stores accept in a call.
+   */
+  static final int MAX_GROUP_BYTES = 512 * 1_024;
+
   private static final long INITIAL_RETRY_DELAY_MILLIS = 40;
   private static final long MAX_RETRY_DELAY_MILLIS = 400;
 
@@ -49,8 +62,29 @@
   /** Sequence number of the last written append. A group that is given up does not use a number. */
   private long lastSequence;
 
+  /**
+   * An append that waits for its outcome.
+   *
+   * @param isDivisible whether its records may be appended in parts
+   */
   private record PendingAppend(
-      List<TableRecord> records, long deadlineMillis, CompletableFuture<Outcome> outcome) {}
+      List<TableRecord> records,
+      boolean isDivisible,
+      long deadlineMillis,
+      CompletableFuture<Outcome> outcome) {
+    PendingAppend(List<TableRecord> records, boolean isDivisible, long deadlineMillis) {
+      this(records, isDivisible, deadlineMillis, new CompletableFuture<>());
+    }
+
+    /** Returns one half of the records as an append of its own. */
+    PendingAppend half(int from, int to) {
+      return new PendingAppend(records.subList(from, to), true, deadlineMillis);
+    }
+
+    long sizeBytes() {
+      return RecordParts.sizeBytes(records);
+    }
+  }
 
   /**
    * Creates a writer.
@@ -92,13 +126,36 @@
     return isFailing;
   }
 
+  /**
+   * Appends records that need not be appended together, in their order and in parts of bounded
+   * size.
+   *
+   * @return a future that completes once the outcomes of all parts are known, with the worst of
+   *     them
+   */
+  CompletableFuture<Outcome> appendInParts(List<TableRecord> records) {
+    CompletableFuture<Outcome> worst = CompletableFuture.completedFuture(Outcome.WRITTEN);
+    for (List<TableRecord> part : RecordParts.of(records, MAX_GROUP_BYTES)) {
+      CompletableFuture<Outcome> outcome = enqueue(new PendingAppend(part, true, Long.MAX_VALUE));
+      worst = worst.thenCombine(outcome, TableWriter::worse);
+    }
+    return worst;
+  }
+
+  private static Outcome worse(Outcome first, Outcome second) {
+    return first.compareTo(second) > 0 ? first : second;
+  }
+
   /**
    * Appends records atomically.
    *
    * @param deadlineMillis monotonic time in ms after which a refused append is not retried
    */
   public CompletableFuture<Outcome> append(List<TableRecord> records, long deadlineMillis) {
-    PendingAppend pending = new PendingAppend(records, deadlineMillis, new CompletableFuture<>());
+    return enqueue(new PendingAppend(records, false, deadlineMillis));
+  }
+
+  private CompletableFuture<Outcome> enqueue(PendingAppend pending) {
     queue.add(pending);
     return pending.outcome();
   }
@@ -106,16 +163,29 @@
   private void run() {
     try {
       while (!isStopped) {
-        List<PendingAppend> group = new ArrayList<>();
-        group.add(queue.take());
-        queue.drainTo(group, MAX_GROUP_APPENDS - 1);
-        writeGroup(group);
+        writeGroup(takeGroup());
       }
     } catch (InterruptedException e) {
       LOG.debug("event=writer_stopped producer={}", producer);
     }
   }
 
+  /** Waits for an append and returns it with those that follow it, up to the size of a group. */
+  private List<PendingAppend> takeGroup() throws InterruptedException {
+    PendingAppend first = queue.take();
+    List<PendingAppend> group = new ArrayList<>();
+    group.add(first);
+    long bytes = first.sizeBytes();
+    while (group.size() < MAX_GROUP_APPENDS && !queue.isEmpty()) {
+      bytes += queue.element().sizeBytes();
+      if (bytes > MAX_GROUP_BYTES) {
+        break;
+      }
+      group.add(queue.remove());
+    }
+    return group;
+  }
+
   private void writeGroup(List<PendingAppend> group) throws InterruptedException {
     boolean isUncertain = false;
     long delay = INITIAL_RETRY_DELAY_MILLIS;
@@ -139,6 +209,10 @@
         completeGroup(group, Outcome.FENCED);
         return;
       }
+      if (result instanceof AppendResult.Refused refused && refused.isPermanent()) {
+        divide(group, result);
+        return;
+      }
       isUncertain |= !(result instanceof AppendResult.Refused);
       if (!isUncertain) {
         dropExpired(group, result);
@@ -154,6 +228,39 @@
     }
   }
 
+  /**
+   * Writes the halves of a rejected group, or of a divisible append, one after the other; gives up
+   * what cannot be divided.
+   */
+  private void divide(List<PendingAppend> group, AppendResult result) throws InterruptedException {
+    if (group.size() > 1) {
+      int middle = group.size() / 2;
+      writeGroup(new ArrayList<>(group.subList(0, middle)));
+      writeGroup(new ArrayList<>(group.subList(middle, group.size())));
+      return;
+    }
+    PendingAppend rejected = group.get(0);
+    int count = rejected.records().size();
+    if (rejected.isDivisible() && count > 1) {
+      PendingAppend first = rejected.half(0, count / 2);
+      PendingAppend second = rejected.half(count / 2, count);
+      first
+          .outcome()
+          .thenCombine(second.outcome(), TableWriter::worse)
+          .thenAccept(rejected.outcome()::complete);
+      divide(new ArrayList<>(List.of(first, second)), result);
+    } else {
+      LOG.error(
+          "event=append_rejected producer={} first_key={} records={} bytes={} cause={}",
+          producer,
+          rejected.records().get(0).key(),
+          count,
+          rejected.sizeBytes(),
+          result);
+      completeGroup(group, Outcome.REJECTED);
+    }
+  }
+
   /** Appends records; after an exception they may be appended, so the append is repeated. */
   private AppendResult append(List<TableRecord> records) {
     try {
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/FakeKeyedLog.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/FakeKeyedLog.java
@@ -26,6 +26,12 @@
 
   boolean isDown;
 
+  /** Maximum size of the records of an append; a larger one is refused for good. */
+  long maxAppendBytes = Long.MAX_VALUE;
+
+  /** Size of the largest append so far. */
+  long largestAppendBytes;
+
   /** Number of following appends that take effect and then throw an exception. */
   int failingAppends;
 
@@ -94,6 +100,11 @@
     if (takeRefusal()) {
       return new AppendResult.Refused("busy");
     }
+    long bytes = records.stream().mapToLong(TableRecord::sizeBytes).sum();
+    largestAppendBytes = Math.max(largestAppendBytes, bytes);
+    if (bytes > maxAppendBytes) {
+      return new AppendResult.Refused("too large", true);
+    }
     String writer = table + sequence.producer();
     if (sequence.epoch() < epochs.getOrDefault(writer, 0L)) {
       return new AppendResult.Fenced();
