Remove the record of a lost worker once its lease is over

Cause: a worker that had left the published list was looked at only with the next list.

Change: gone workers are looked for in each pass.

Evidence: TakeoverTest.recordOfALostWorkerIsRemovedOnceItsLeaseIsOver fails without the change and passes.

--- a/core/src/main/java/org/persimmonloom/core/scheduling/LeaseHolders.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/LeaseHolders.java
@@ -56,6 +56,15 @@
     }
   }
 
+  /** Lets the records of all other workers be removed. */
+  void retain(Set<String> ids) {
+    for (String id : List.copyOf(wanted.keySet())) {
+      if (!ids.contains(id)) {
+        remove(id);
+      }
+    }
+  }
+
   /** Returns whether the worker is recorded durably under its present address. */
   boolean isRecorded(WorkerFacts facts) {
     WorkerFacts known = durable.get(facts.id());
--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
@@ -133,8 +133,8 @@
       }
       worker.isRecorded = leaseHolders.isRecorded(worker.facts);
     }
-    removeGoneWorkers();
     indexByService();
+    removeGoneWorkers();
   }
 
   private void workerListed(WorkerFacts facts, boolean isFirstList) {
@@ -154,16 +154,21 @@
     }
   }
 
-  /** Removes the workers that are not in the published list and on which nothing can run. */
+  /**
+   * Removes the workers that are not in the published list and on which nothing can run, so that no
+   * later owner waits for them.
+   */
   private void removeGoneWorkers() {
-    for (WorkerState worker : List.copyOf(byId.values())) {
-      if (!worker.isPublished && worker.runs.isEmpty() && !worker.mayRunEarlierTasks()) {
-        byId.remove(worker.facts.id());
-        leaseHolders.remove(worker.facts.id());
-      }
+    if (isListKnown && byId.values().removeIf(WorkerTable::isGone)) {
+      indexByService();
+      leaseHolders.retain(byId.keySet());
     }
   }
 
+  private static boolean isGone(WorkerState worker) {
+    return !worker.isPublished && worker.runs.isEmpty() && !worker.mayRunEarlierTasks();
+  }
+
   private void indexByService() {
     byService.clear();
     for (WorkerState worker : byId.values()) {
@@ -310,14 +315,13 @@
     if (!areEarlierLeasesOver && nowMillis >= earlierLeasesUntilMillis) {
       areEarlierLeasesOver = true;
       byId.values().forEach(worker -> worker.isFromPreviousTerm = false);
-      removeGoneWorkers();
-      indexByService();
     }
     for (WorkerState worker : byId.values()) {
       if (!worker.isReachable && !worker.runs.isEmpty() && worker.lease.isExpired(nowMillis)) {
         dropRuns(worker);
       }
     }
+    removeGoneWorkers();
   }
 
   /** Returns whether a start should still be sent; removes its run if not. */
--- a/core/src/test/java/org/persimmonloom/core/scheduling/TakeoverTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/TakeoverTest.java
@@ -153,6 +153,25 @@
         .satisfies(record -> assertThat(record.value()).isNull());
   }
 
+  /**
+   * Guards against records of lost workers that stay until the next change of the published list,
+   * and for which each new owner would wait.
+   */
+  @Test
+  void recordOfALostWorkerIsRemovedOnceItsLeaseIsOver() {
+    WorkerFacts lost = fleet.addWorker("w1");
+    fleet.submit("f1", SchedulerFixture.step(1, 500, List.of()));
+    fleet.report();
+    fleet.decideAndExecute();
+    fleet.scheduler.holdFailed(lost, CallResult.UNKNOWN);
+    fleet.scheduler.workersListed(List.of(), fleet.now);
+    assertThat(fleet.scheduler.takeLeaseHolders().records()).isEmpty();
+
+    fleet.now += 6_500;
+    fleet.decide();
+    assertThat(fleet.scheduler.takeLeaseHolders().records()).hasSize(1);
+  }
+
   /**
    * Guards against earlier workflows that wait for workers which joined after the takeover and
    * cannot already run them. Up to 170 tasks waited for 5 s while workers were idle.
