Count the leases of earlier owners on a worker that falls silent after its first report

Cause: a lease that this owner had not granted itself counted as over. A worker that reported to a new owner and fell silent before its first lease lost its runs at once, and their tasks started elsewhere while the earlier owner's leases lasted. Found by reading, while looking for work of silent workers that is started again.

Change: the first report counts as a grant, since earlier owners can grant nothing later.

Evidence: TakeoverTest.adoptedRunKeepsTheLeaseOfAnEarlierOwner fails without the change and passes.

--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
@@ -206,6 +206,8 @@
     worker.lastReportMillis = nowMillis;
     worker.lastReportSentMillis = sentMillis;
     if (!worker.hasReported) {
+      // Earlier owners may have granted leases until now, but none later under their lower fences.
+      worker.lease.grant(nowMillis);
       worker.hasReported = true;
       worker.firstReportMillis = nowMillis;
     }
--- a/core/src/test/java/org/persimmonloom/core/scheduling/TakeoverTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/TakeoverTest.java
@@ -121,6 +121,24 @@
     assertThat(fleet.decideAndExecute()).isEmpty();
   }
 
+  /**
+   * Guards against a task that runs twice because its worker falls silent right after its first
+   * report to a new owner, which has granted no lease yet.
+   */
+  @Test
+  void adoptedRunKeepsTheLeaseOfAnEarlierOwner() {
+    String worker = takeOverWhileATaskRuns();
+    fleet.scheduler.workersListed(fleet.workers.values(), fleet.now);
+    fleet.report();
+    fleet.scheduler.holdFailed(fleet.workers.get(worker), CallResult.NOT_SENT);
+    fleet.now += 5_900;
+    fleet.report(worker);
+    assertThat(fleet.decideAndExecute()).isEmpty();
+
+    fleet.now += 500;
+    assertThat(fleet.decideAndExecute()).hasSize(1);
+  }
+
   /** Guards against runs that no later owner can find, should the worker's entry lapse. */
   @Test
   void workerGetsNoStartBeforeItIsRecorded() {
