Place the queued starts of a worker that falls silent elsewhere

Cause: starts that waited for a worker were still sent after a call to it had got no answer, one after the other. Each became a run that may exist, and its task waited until the worker's lease was over.

Change: a start that is not sent yet is withdrawn if its worker is unreachable. The marks of recorded ends move to a class of their own, without other changes.

Evidence: OrderValidityTest.startQueuedForAWorkerThatFallsSilentIsPlacedElsewhere.

--- a/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
@@ -140,8 +140,8 @@
 
   /**
    * Returns whether a queued order should still be sent. A start is withdrawn, and its run removed,
-   * if the task has since ended or runs elsewhere, or if the lease in the order has expired. Other
-   * orders are obsolete once their run is over.
+   * if the task has since ended or runs elsewhere, if its worker has become unreachable, or if the
+   * lease in the order has expired. Other orders are obsolete once their run is over.
    */
   public boolean isStillValid(Order order, long nowMillis) {
     return order instanceof Order.Start
--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
@@ -330,7 +330,10 @@
   boolean isStartStillValid(Order order, long nowMillis) {
     TaskRun run = unsentRun(order);
     boolean isValid =
-        run != null && run.isNeeded() && nowMillis - run.lastOrderMillis < maxLeaseMillis;
+        run != null
+            && run.isNeeded()
+            && run.worker.isReachable
+            && nowMillis - run.lastOrderMillis < maxLeaseMillis;
     if (!isValid) {
       withdraw(order);
     }
@@ -377,23 +380,10 @@
   }
 
   List<ProgressBatch.EndMark> takeEndMarks() {
-    List<ProgressBatch.EndMark> marks = new ArrayList<>();
-    for (WorkerState worker : byId.values()) {
-      if (worker.processedEnd > worker.batchedEnd) {
-        worker.batchedEnd = worker.processedEnd;
-        marks.add(
-            new ProgressBatch.EndMark(worker.facts.id(), worker.bornMillis, worker.processedEnd));
-      }
-    }
-    return marks;
+    return RunEndMarks.take(byId.values());
   }
 
   void endsRecorded(List<ProgressBatch.EndMark> marks) {
-    for (ProgressBatch.EndMark mark : marks) {
-      WorkerState worker = byId.get(mark.worker());
-      if (worker != null && worker.bornMillis == mark.bornMillis()) {
-        worker.recordedEnd = Math.max(worker.recordedEnd, mark.number());
-      }
-    }
+    RunEndMarks.recorded(marks, byId);
   }
 }
--- a/core/src/test/java/org/persimmonloom/core/scheduling/OrderValidityTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/OrderValidityTest.java
@@ -57,6 +57,23 @@
     assertThat(fleet.decideAndExecute()).singleElement().extracting(Order::run).isEqualTo(2);
   }
 
+  /**
+   * Guards against starts that are sent to a lost worker one after the other, while they could run
+   * elsewhere: their tasks would wait until the worker's lease is over.
+   */
+  @Test
+  void startQueuedForAWorkerThatFallsSilentIsPlacedElsewhere() {
+    Order first = fleet.decide().get(0);
+    fleet.scheduler.holdFailed(first.worker(), CallResult.UNKNOWN);
+    assertThat(isStillValid(first)).isFalse();
+    fleet.addWorker("w2");
+    fleet.report("w1");
+    assertThat(fleet.decideAndExecute())
+        .singleElement()
+        .extracting(order -> order.worker().id())
+        .isEqualTo("w2");
+  }
+
   /** Guards against dropped stop orders; an unneeded run ends only when its stop is executed. */
   @Test
   void stopIsValidAsLongAsItsRunMayExist() {
