Let a step whose permit request failed give way to others

Cause: permits are requested for one step at a time, always for the most urgent one. A step whose requests always fail would hold up all others.

Change: a step whose last request failed has its next turn after all others.

Evidence: PermitCacheTest.stepWhoseRequestFailsGivesWayToOthers fails without the change and passes.

--- a/core/src/main/java/org/persimmonloom/core/scheduling/PermitCache.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/PermitCache.java
@@ -3,9 +3,11 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.persimmonloom.core.workflow.QueuePolicy;
@@ -31,6 +33,10 @@
 
   private final OccurrenceTable occurrenceTable;
   private final Map<StepId, Map<String, PolicyDecision>> decisions = new HashMap<>();
+
+  /** Steps whose last request failed; the others come first. */
+  private final Set<StepId> failedSteps = new HashSet<>();
+
   private boolean isRequestInFlight;
   private long nextRequestMillis;
 
@@ -82,7 +88,8 @@
   /**
    * Returns the request to send now, if any. Permits are requested for a step with waiting tasks,
    * for workers that have capacity but no current decision. Must follow placement: the tasks that
-   * still wait then fit on no permitted worker.
+   * still wait then fit on no permitted worker. A step whose last request failed has its next turn
+   * after all others, so that one that always fails does not hold them up.
    *
    * @param occurrences occurrences that may start tasks, most urgent first
    */
@@ -92,15 +99,25 @@
       return Optional.empty();
     }
     decisions.keySet().removeIf(step -> occurrenceTable.occurrence(step) == null);
-    Optional<PermitRequest> request =
-        occurrences.stream()
-            .filter(PermitCache::requiresPermit)
-            .flatMap(occurrence -> requests(occurrence, workers, nowMillis))
-            .findFirst();
+    failedSteps.removeIf(step -> occurrenceTable.occurrence(step) == null);
+    Optional<PermitRequest> request = firstRequest(occurrences, workers, nowMillis);
+    if (request.isEmpty() && !failedSteps.isEmpty()) {
+      failedSteps.clear();
+      request = firstRequest(occurrences, workers, nowMillis);
+    }
     isRequestInFlight = request.isPresent();
     return request;
   }
 
+  private Optional<PermitRequest> firstRequest(
+      List<OccurrenceState> occurrences, WorkerTable workers, long nowMillis) {
+    return occurrences.stream()
+        .filter(PermitCache::requiresPermit)
+        .flatMap(occurrence -> requests(occurrence, workers, nowMillis))
+        .filter(request -> !failedSteps.contains(request.step()))
+        .findFirst();
+  }
+
   /** Returns a request for each step with waiting tasks and workers without a current decision. */
   private Stream<PermitRequest> requests(
       OccurrenceState occurrence, WorkerTable workers, long nowMillis) {
@@ -153,6 +170,7 @@
     isRequestInFlight = false;
     if (granted.isEmpty()) {
       nextRequestMillis = nowMillis + RETRY_MILLIS;
+      failedSteps.add(request.step());
       return;
     }
     Map<String, PolicyDecision> known =
--- a/core/src/test/java/org/persimmonloom/core/scheduling/PermitCacheTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/PermitCacheTest.java
@@ -68,6 +68,19 @@
     assertThat(request().workers()).hasSize(2);
   }
 
+  /** Guards against a step whose requests always fail and that holds up the others for good. */
+  @Test
+  void stepWhoseRequestFailsGivesWayToOthers() {
+    fleet.submit("f2", SchedulerFixture.PERMIT_POLICY, ONE_TASK);
+    for (String next : List.of("f1", "f2", "f1", "f2")) {
+      fleet.decideAndExecute();
+      PermitRequest request = request();
+      assertThat(request.step()).hasToString(next + ".0.0");
+      fleet.scheduler.permitsAnswered(request, Optional.empty(), fleet.now, fleet.now);
+      fleet.now += 300;
+    }
+  }
+
   /** Guards against starts with a permit that has expired or that the worker has rejected. */
   @Test
   void expiredAndRejectedPermitsAreRenewed() {
