Derive the state of a workflow from its newest records alone

Cause: WorkflowEntry kept the offset at which the state had first become final. A load reads the records in the order of the keys, so the progress comes before the submission: the end of the first occurrence counted as the end of the series and was never taken back. A later cancellation then came 'after the end'. The offset of a cancellation was that of the first record too, which a load cannot know.

Change: an entry keeps the offset of the newest record of each occurrence and of the cancellation, and derives from them when the state became final. If a cancellation is recorded twice around the end of its workflow, all hosts now go by the newer record.

--- a/core/src/main/java/org/persimmonloom/core/scheduling/OccurrenceTable.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/OccurrenceTable.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.persimmonloom.core.workflow.OccurrenceProgress;
@@ -90,16 +91,14 @@
     WorkflowSpec spec = entry.spec().orElseThrow();
     List<OccurrenceState> occurrences = new ArrayList<>();
     for (int number = 0; number < spec.occurrences(); number++) {
-      OccurrenceProgress progress = entry.progress().get(number);
-      if (progress != null && progress.state().isFinal()) {
+      Optional<OccurrenceProgress> progress = entry.progress(number);
+      if (progress.filter(recorded -> recorded.state().isFinal()).isPresent()) {
         continue;
       }
       OccurrenceState occurrence =
           new OccurrenceState(spec, number, entry.submittedOffset(), submitted);
       occurrence.policy = policy(spec);
-      if (progress != null) {
-        occurrence.restore(progress);
-      }
+      progress.ifPresent(occurrence::restore);
       occurrences.add(occurrence);
     }
     workflows.put(entry.id(), occurrences);
--- a/core/src/main/java/org/persimmonloom/core/workflow/WorkflowEntry.java
+++ b/core/src/main/java/org/persimmonloom/core/workflow/WorkflowEntry.java
@@ -3,12 +3,31 @@
 import java.util.EnumMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
-
-/** Entry of a workflow in a {@link WorkflowTable}, which owns it. Not thread-safe. */
+import java.util.function.Predicate;
+import java.util.stream.LongStream;
+
+/**
+ * Entry of a workflow in a {@link WorkflowTable}, which owns it.
+ *
+ * <p>The state is derived from the newest record of each key and their offsets alone, so that it
+ * does not depend on which older records were read, nor on the order of reading. Not thread-safe.
+ */
 public final class WorkflowEntry {
+  /** The newest progress record of an occurrence. */
+  private record RecordedProgress(OccurrenceProgress progress, long offset) {
+    WorkflowState state() {
+      return progress.state();
+    }
+
+    boolean isUnsuccessful() {
+      return state() == WorkflowState.FAILED || state() == WorkflowState.CANCELLED;
+    }
+  }
+
   private final String id;
-  private final TreeMap<Integer, OccurrenceProgress> progress = new TreeMap<>();
+  private final TreeMap<Integer, RecordedProgress> progress = new TreeMap<>();
 
   /** Number of occurrences in each state; kept so that a record takes no scan of all of them. */
   private final Map<WorkflowState, Integer> counts = new EnumMap<>(WorkflowState.class);
@@ -16,7 +35,6 @@
   private WorkflowSpec spec;
   private long submittedOffset;
   private long cancelledOffset = -1;
-  private long finalOffset = -1;
 
   WorkflowEntry(String id) {
     this.id = id;
@@ -30,7 +48,6 @@
     copy.spec = spec;
     copy.submittedOffset = submittedOffset;
     copy.cancelledOffset = cancelledOffset;
-    copy.finalOffset = finalOffset;
     return copy;
   }
 
@@ -44,7 +61,7 @@
     return Optional.ofNullable(spec);
   }
 
-  /** Returns the log offset of the submission; 0 if it was never read. */
+  /** Returns the log offset of the first submission that was read; 0 if none was. */
   public long submittedOffset() {
     return submittedOffset;
   }
@@ -54,11 +71,22 @@
     return cancelledOffset >= 0;
   }
 
-  /**
-   * Returns the recorded progress by occurrence number; only occurrences that began are present.
-   */
-  public Map<Integer, OccurrenceProgress> progress() {
-    return progress;
+  /** Returns the recorded progress of an occurrence; empty if it has not begun. */
+  public Optional<OccurrenceProgress> progress(int occurrence) {
+    return Optional.ofNullable(progress.get(occurrence)).map(RecordedProgress::progress);
+  }
+
+  /** Returns the numbers of the occurrences that have begun. */
+  public Set<Integer> begunOccurrences() {
+    return progress.keySet();
+  }
+
+  /** Returns the Unix time of the latest change of any occurrence, in ms; 0 if none has begun. */
+  long updatedMillis() {
+    return progress.values().stream()
+        .mapToLong(recorded -> recorded.progress().updatedMillis())
+        .max()
+        .orElse(0);
   }
 
   /** Returns the name of the queue; empty if no record contains it. */
@@ -66,7 +94,7 @@
     if (spec != null) {
       return Optional.of(spec.policy().queue());
     }
-    return progress.values().stream().findFirst().map(OccurrenceProgress::queue);
+    return progress.values().stream().findFirst().map(recorded -> recorded.progress().queue());
   }
 
   /**
@@ -75,11 +103,18 @@
    */
   public WorkflowState state() {
     WorkflowState recorded = recordedState();
-    boolean endedBeforeCancellation = finalOffset >= 0 && finalOffset < cancelledOffset;
-    if (isCancelled() && !(recorded.isFinal() && endedBeforeCancellation)) {
-      return WorkflowState.CANCELLED;
-    }
-    return recorded;
+    boolean endedBeforeCancellation = recorded.isFinal() && finalOffset() < cancelledOffset;
+    return isCancelled() && !endedBeforeCancellation ? WorkflowState.CANCELLED : recorded;
+  }
+
+  /** Returns the offset of the record with which the recorded state became final. */
+  private long finalOffset() {
+    LongStream unsuccessful = offsets(RecordedProgress::isUnsuccessful);
+    return unsuccessful.min().orElseGet(() -> offsets(recorded -> true).max().orElseThrow());
+  }
+
+  private LongStream offsets(Predicate<RecordedProgress> chosen) {
+    return progress.values().stream().filter(chosen).mapToLong(RecordedProgress::offset);
   }
 
   private WorkflowState recordedState() {
@@ -97,8 +132,8 @@
 
   private WorkflowState firstUnsuccessfulState() {
     return progress.values().stream()
-        .map(OccurrenceProgress::state)
-        .filter(state -> state == WorkflowState.FAILED || state == WorkflowState.CANCELLED)
+        .filter(RecordedProgress::isUnsuccessful)
+        .map(RecordedProgress::state)
         .findFirst()
         .orElseThrow();
   }
@@ -119,9 +154,7 @@
   }
 
   void cancel(long offset) {
-    if (cancelledOffset < 0) {
-      cancelledOffset = offset;
-    }
+    cancelledOffset = offset;
   }
 
   void removeCancellation() {
@@ -129,18 +162,15 @@
   }
 
   void record(int occurrence, OccurrenceProgress recorded, long offset) {
-    OccurrenceProgress previous = progress.put(occurrence, recorded);
+    RecordedProgress previous = progress.put(occurrence, new RecordedProgress(recorded, offset));
     if (previous != null) {
       counts.merge(previous.state(), -1, Integer::sum);
     }
     counts.merge(recorded.state(), 1, Integer::sum);
-    if (finalOffset < 0 && recordedState().isFinal()) {
-      finalOffset = offset;
-    }
   }
 
   void removeProgress(int occurrence) {
-    OccurrenceProgress removed = progress.remove(occurrence);
+    RecordedProgress removed = progress.remove(occurrence);
     if (removed != null) {
       counts.merge(removed.state(), -1, Integer::sum);
     }
--- a/core/src/main/java/org/persimmonloom/core/workflow/WorkflowTable.java
+++ b/core/src/main/java/org/persimmonloom/core/workflow/WorkflowTable.java
@@ -90,8 +90,8 @@
   public int pendingCount(String queue) {
     int pending = 0;
     for (WorkflowEntry entry : entries.values()) {
-      if (entry.state() == WorkflowState.PENDING
-          && entry.spec().isPresent()
+      if (entry.spec().isPresent()
+          && entry.state() == WorkflowState.PENDING
           && queue.equals(entry.queue().orElse(""))) {
         pending++;
       }
@@ -108,18 +108,14 @@
   public List<TableRecord> removals(long wallMillis, long keptMillis) {
     List<TableRecord> removals = new ArrayList<>();
     for (WorkflowEntry entry : entries.values()) {
-      if (entry.spec().isPresent() || entry.progress().isEmpty() || !entry.state().isFinal()) {
+      if (entry.spec().isPresent()
+          || entry.begunOccurrences().isEmpty()
+          || !entry.state().isFinal()) {
         continue;
       }
-      long newest =
-          entry.progress().values().stream()
-              .mapToLong(OccurrenceProgress::updatedMillis)
-              .max()
-              .orElseThrow();
-      if (wallMillis - newest > keptMillis) {
+      if (wallMillis - entry.updatedMillis() > keptMillis) {
         entry
-            .progress()
-            .keySet()
+            .begunOccurrences()
             .forEach(number -> removals.add(records.progressRemoval(entry.id(), number)));
         if (entry.isCancelled()) {
           removals.add(records.cancellationRemoval(entry.id()));
--- a/core/src/test/java/org/persimmonloom/core/scheduling/FleetSchedulerTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/FleetSchedulerTest.java
@@ -201,7 +201,7 @@
   }
 
   private int[] failedRuns() {
-    return fleet.table.find("f1").orElseThrow().progress().get(0).failedRuns()[0];
+    return fleet.table.find("f1").orElseThrow().progress(0).orElseThrow().failedRuns()[0];
   }
 
   /**
--- a/core/src/test/java/org/persimmonloom/core/workflow/WorkflowTableTest.java
+++ b/core/src/test/java/org/persimmonloom/core/workflow/WorkflowTableTest.java
@@ -22,13 +22,24 @@
   }
 
   private static WorkflowSpec spec(String id) {
+    return series(id, 1);
+  }
+
+  private static WorkflowSpec series(String id, int occurrences) {
     StepSpec step = StepBuilder.step(2).build();
-    return new WorkflowSpec(id, POLICY, "", List.of(step), 0, 0, 0, 0);
+    int repeatCount = occurrences > 1 ? occurrences : 0;
+    return new WorkflowSpec(id, POLICY, "", List.of(step), repeatCount, 0, 1_000, 0);
   }
 
   private TableRecord progress(String id, WorkflowState state) {
+    return progress(id, 0, state);
+  }
+
+  private TableRecord progress(String id, int occurrence, WorkflowState state) {
     return records.progress(
-        id, 0, new OccurrenceProgress("q", state, new byte[0], new int[0], new int[0][], 1_000));
+        id,
+        occurrence,
+        new OccurrenceProgress("q", state, new byte[0], new int[0], new int[0][], 1_000));
   }
 
   private WorkflowState state(String id) {
@@ -72,6 +83,20 @@
     }
   }
 
+  /**
+   * Guards against a restarted host that shows a series as complete for good, while all others show
+   * it as cancelled: it took the end of the first occurrence, read before the submission, for the
+   * end of the series.
+   */
+  @Test
+  void seriesThatIsLoadedInTheOrderOfItsKeysEndsWithItsLastOccurrence() {
+    table.apply(records.cancellation("a"), 3);
+    table.apply(progress("a", 0, WorkflowState.COMPLETE), 1);
+    table.apply(records.submission(series("a", 2)), 0);
+    table.apply(progress("a", 1, WorkflowState.COMPLETE), 4);
+    assertThat(state("a")).isEqualTo(WorkflowState.CANCELLED);
+  }
+
   /** Guards against a table that grows without bound and against states removed too early. */
   @Test
   void endedWorkflowsAreRemovedAfterTheirRetentionTime() {
