Show a loaded table only as a whole, at one position of the log

Cause: TableFollower reset its listener and applied the newest records to it one by one, in the order of the keys, while others read it: progress before submissions, so that a series with one ended time counted as complete. The lock of the follower does not cover readers. The pages of a load are not of one position either: what is appended between two of them shows in the later ones only.

Ruled out: a late record of the cancelling (none is sent), and another host's answer (the restarted one answers from its own replica; without the kill the case holds).

Change: a load is built aside (TableFollower.Load) and published at once. Before that it reads the log up to the position that the last page observed (NewestRecords), and never goes behind the replaced replica. The same for the directory of hosts, the workers and the operators' records, which were reset in place as well; the configuration does not wait for the log, as its records stand alone and may be large.

--- a/core/src/main/java/org/persimmonloom/core/workflow/WorkflowEntry.java
+++ b/core/src/main/java/org/persimmonloom/core/workflow/WorkflowEntry.java
@@ -36,7 +36,8 @@
   private long submittedOffset;
   private long cancelledOffset = -1;
 
-  WorkflowEntry(String id) {
+  /** Creates the entry of a workflow without records. */
+  public WorkflowEntry(String id) {
     this.id = id;
   }
 
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/HostDirectory.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/HostDirectory.java
@@ -21,7 +21,7 @@
 
   private final String ownName;
   private final Codec codec = new Codec(Map.of());
-  private final TreeMap<String, HostRecord> hosts = new TreeMap<>();
+  private TreeMap<String, HostRecord> hosts = new TreeMap<>();
   private String preferredAddress = "";
 
   HostDirectory(String ownName) {
@@ -39,11 +39,15 @@
   }
 
   @Override
-  public synchronized void apply(StoredRecord stored, boolean isBacklog) {
+  public synchronized void apply(StoredRecord stored) {
+    applyTo(hosts, stored);
+  }
+
+  private void applyTo(Map<String, HostRecord> target, StoredRecord stored) {
     String name = stored.record().key();
     byte[] value = stored.record().value();
     if (value == null) {
-      hosts.remove(name);
+      target.remove(name);
       return;
     }
     codec
@@ -51,13 +55,28 @@
         .filterOrElse(
             HostRecord::hasValidAddress,
             host -> Failure.of(ResultCode.DECODE_FAILED, "address " + host.address()))
-        .peek(host -> hosts.put(name, host))
+        .peek(host -> target.put(name, host))
         .peekLeft(failure -> LOG.warn("event=host_unreadable name={} cause={}", name, failure));
   }
 
   @Override
-  public synchronized void reset() {
-    hosts.clear();
+  public TableFollower.Load beginLoad() {
+    TreeMap<String, HostRecord> loaded = new TreeMap<>();
+    return new TableFollower.Load() {
+      @Override
+      public void add(StoredRecord stored) {
+        applyTo(loaded, stored);
+      }
+
+      @Override
+      public void publish() {
+        replaceHosts(loaded);
+      }
+    };
+  }
+
+  private synchronized void replaceHosts(TreeMap<String, HostRecord> loaded) {
+    hosts = loaded;
   }
 
   /** Returns the addresses of the other hosts; the preferred one comes first. */
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/KeyedLog.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/KeyedLog.java
@@ -23,7 +23,9 @@
 
   /**
    * Reads the newest record of every key. A read from the result's end offset misses no later
-   * record.
+   * record. The records need not be those of one position: some may be newer than the end, and
+   * others, which were removed meanwhile, be missing. They are complete together with the records
+   * from the end to the observed end.
    */
   LogReadResult readNewest(Table table);
 
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/LogReadResult.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/LogReadResult.java
@@ -5,12 +5,19 @@
 /** Result of a read of a table's log. */
 public sealed interface LogReadResult {
   /**
-   * Records in the order of their offsets.
+   * Records of a table.
    *
-   * @param records the records; empty if none exist at or after the requested offset
-   * @param end offset of the next record to be appended
+   * @param records the records; in the order of their offsets if they are read from an offset
+   * @param end offset from which a read misses no later record
+   * @param observedEnd offset before which a read of the newest records may have observed changes;
+   *     beyond {@code end} if they were read in several steps, between which records were appended
    */
-  record Records(List<StoredRecord> records, long end) implements LogReadResult {}
+  record Records(List<StoredRecord> records, long end, long observedEnd) implements LogReadResult {
+    /** Creates the result of a read that observed the table at one position. */
+    public Records(List<StoredRecord> records, long end) {
+      this(records, end, end);
+    }
+  }
 
   /** The requested records have expired; the reader must load the newest record of each key. */
   record Expired() implements LogReadResult {}
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/OperationsReplica.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/OperationsReplica.java
@@ -1,6 +1,7 @@
 package org.persimmonloom.runtime.workflow;
 
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
@@ -40,20 +41,26 @@
   }
 
   @Override
-  public void apply(StoredRecord stored, boolean isBacklog) {
-    decoder
-        .configuration(stored.record())
-        .filter(candidate -> current == null || candidate.version() > current.version())
-        .ifPresent(candidate -> accept(candidate, stored.offset()));
-    decoder
-        .wave(stored.record())
-        .ifPresent(
-            wave -> {
-              if (!wave.equals(waves.put(wave.number(), wave))) {
-                LOG.info("event=wave_ordered wave={}", wave);
-                observer.run();
-              }
-            });
+  public void apply(StoredRecord stored) {
+    Contents changed = new Contents();
+    changed.add(stored);
+    accept(changed);
+  }
+
+  @Override
+  public TableFollower.Load beginLoad() {
+    Contents loaded = new Contents();
+    return new TableFollower.Load() {
+      @Override
+      public void add(StoredRecord stored) {
+        loaded.add(stored);
+      }
+
+      @Override
+      public void publish() {
+        accept(loaded);
+      }
+    };
   }
 
   @Override
@@ -61,13 +68,49 @@
     return false;
   }
 
-  private void accept(FleetConfiguration candidate, long offset) {
-    current = candidate;
-    LOG.info(
-        "event=configuration version={} routes={} offset={}",
-        candidate.version(),
-        candidate.routes().size(),
-        offset);
-    observer.run();
+  /** Configuration and waves of some records, before any of them takes effect. */
+  private final class Contents {
+    final Map<Integer, WaveOrder> waves = new HashMap<>();
+    FleetConfiguration configuration;
+    long configurationOffset;
+
+    void add(StoredRecord stored) {
+      decoder
+          .configuration(stored.record())
+          .filter(candidate -> isNewer(candidate, configuration))
+          .ifPresent(
+              candidate -> {
+                configuration = candidate;
+                configurationOffset = stored.offset();
+              });
+      decoder.wave(stored.record()).ifPresent(wave -> waves.put(wave.number(), wave));
+    }
+  }
+
+  private static boolean isNewer(FleetConfiguration candidate, FleetConfiguration known) {
+    return known == null || candidate.version() > known.version();
+  }
+
+  private void accept(Contents accepted) {
+    boolean isChanged = false;
+    for (WaveOrder wave : accepted.waves.values()) {
+      if (!wave.equals(waves.put(wave.number(), wave))) {
+        LOG.info("event=wave_ordered wave={}", wave);
+        isChanged = true;
+      }
+    }
+    FleetConfiguration candidate = accepted.configuration;
+    if (candidate != null && isNewer(candidate, current)) {
+      current = candidate;
+      LOG.info(
+          "event=configuration version={} routes={} offset={}",
+          candidate.version(),
+          candidate.routes().size(),
+          accepted.configurationOffset);
+      isChanged = true;
+    }
+    if (isChanged) {
+      observer.run();
+    }
   }
 }
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/TableFollower.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/TableFollower.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.Condition;
 import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -10,27 +11,39 @@
 /**
  * Maintains a replica of one table: loads the newest record of each key, then reads later records.
  *
- * <p>The listener receives records in the order of their offsets, under the follower's lock. No
- * record is delivered twice, except after a reset. Safe for any thread.
+ * <p>A load is built aside and replaces the replica as a whole, at a position that is not before
+ * that of the replaced one, so that no reader sees a part of it or an earlier state again. The
+ * listener receives records in the order of their offsets, under the follower's lock. No record is
+ * delivered twice, except in another load. Safe for any thread.
  */
 public final class TableFollower {
   /** Receives the records of a table. */
   public interface Listener {
-    /** Applies a record; {@code isBacklog} is true for records of a load of the whole table. */
-    void apply(StoredRecord stored, boolean isBacklog);
+    /** Applies a record that follows all earlier ones in the log. */
+    void apply(StoredRecord stored);
 
-    /** Discards all records; called before each load of the whole table. */
-    default void reset() {}
+    /** Begins a load of the whole table. */
+    Load beginLoad();
 
     /**
-     * Returns whether each record matters, or only the newest one of each key. Reading only the
-     * newest keeps up on a slow link if many large records follow each other, also after an outage.
+     * Returns whether each record matters, or only the newest one of each key, whatever the records
+     * of other keys. Reading only the newest keeps up on a slow link if many large records follow
+     * each other, also after an outage.
      */
     default boolean needsEveryRecord() {
       return true;
     }
   }
 
+  /** A load of the whole table, which has no effect until it is published. */
+  public interface Load {
+    /** Adds the newest record of a key. */
+    void add(StoredRecord stored);
+
+    /** Replaces all records that were loaded or applied before, for all readers at once. */
+    void publish();
+  }
+
   private static final Logger LOG = LogManager.getLogger(TableFollower.class);
   private static final long RETRY_DELAY_MILLIS = 100;
 
@@ -168,14 +181,14 @@
     long sentMillis = clock.getAsLong();
     boolean mayHaveMissedMany = !wasAvailable && !listener.needsEveryRecord();
     if (!isLoaded || mayHaveMissedMany) {
-      load(log.readNewest(table), sentMillis);
+      load(sentMillis);
       return;
     }
     long previousEnd = end();
     Progress progress = applyRead(log.read(table, previousEnd, waitMillis), sentMillis);
     boolean hasNew = end() > previousEnd;
     if (progress == Progress.BEHIND && !listener.needsEveryRecord()) {
-      load(log.readNewest(table), sentMillis);
+      load(sentMillis);
       return;
     }
     if (progress == Progress.AT_END && hasNew) {
@@ -197,31 +210,47 @@
     }
   }
 
-  private void load(LogReadResult result, long sentMillis) throws InterruptedException {
+  private void load(long sentMillis) throws InterruptedException {
+    LogReadResult result = log.readNewest(table);
     logAvailabilityChange(result);
     if (!(result instanceof LogReadResult.Records records)) {
       TimeUnit.MILLISECONDS.sleep(RETRY_DELAY_MILLIS);
       return;
     }
+    NewestRecords newest = new NewestRecords(records);
+    long requiredEnd = listener.needsEveryRecord() ? records.observedEnd() : records.end();
+    if (!newest.readTo(Math.max(requiredEnd, end()), log, table)) {
+      TimeUnit.MILLISECONDS.sleep(RETRY_DELAY_MILLIS);
+      return;
+    }
+    Load load = listener.beginLoad();
+    newest.inOrder().forEach(stored -> skipOnFailure(load::add, stored));
+    if (publish(load, newest.end(), sentMillis)) {
+      LOG.info("event=table_loaded table={} end={}", table, newest.end());
+    }
+  }
+
+  /** Publishes a load unless a read has gone beyond its position meanwhile. */
+  private boolean publish(Load load, long loadedEnd, long sentMillis) {
     lock.lock();
     try {
-      listener.reset();
-      for (StoredRecord stored : records.records()) {
-        apply(stored, true);
+      if (loadedEnd < nextOffset) {
+        return false;
       }
-      nextOffset = records.end();
+      load.publish();
+      nextOffset = loadedEnd;
       isLoaded = true;
       caughtUpMillis = sentMillis;
+      return true;
     } finally {
       lock.unlock();
     }
-    LOG.info("event=table_loaded table={} end={}", table, records.end());
   }
 
-  /** Applies a record; one on which the listener fails is skipped, as it would fail again. */
-  private void apply(StoredRecord stored, boolean isBacklog) {
+  /** Passes on a record; one on which the listener fails is skipped, as it would fail again. */
+  private void skipOnFailure(Consumer<StoredRecord> target, StoredRecord stored) {
     try {
-      listener.apply(stored, isBacklog);
+      target.accept(stored);
     } catch (RuntimeException e) {
       LOG.error(
           "event=record_skipped table={} offset={} key={}",
@@ -245,7 +274,7 @@
     try {
       for (StoredRecord stored : records.records()) {
         if (stored.offset() >= nextOffset) {
-          apply(stored, false);
+          skipOnFailure(listener::apply, stored);
           nextOffset = stored.offset() + 1;
         }
       }
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkerReplica.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkerReplica.java
@@ -21,13 +21,17 @@
   private static final Logger LOG = LogManager.getLogger(WorkerReplica.class);
 
   private final PlatformDecoder decoder;
-  private final Map<String, WorkerFacts> workers = new HashMap<>();
   private final Consumer<Collection<WorkerFacts>> observer;
+  private Contents contents = new Contents();
+  private boolean isPublished;
 
-  /** Keys whose newest entry cannot be read; logged once each. */
-  private final Set<String> unreadable = new HashSet<>();
+  /** What the newest entries of the table add up to. */
+  private static final class Contents {
+    final Map<String, WorkerFacts> workers = new HashMap<>();
 
-  private boolean isPublished;
+    /** Keys whose newest entry cannot be read; logged once each. */
+    final Set<String> unreadable = new HashSet<>();
+  }
 
   public WorkerReplica(PlatformDecoder decoder, Consumer<Collection<WorkerFacts>> observer) {
     this.decoder = decoder;
@@ -35,27 +39,46 @@
   }
 
   @Override
-  public synchronized void apply(StoredRecord stored, boolean isBacklog) {
+  public synchronized void apply(StoredRecord stored) {
+    if (applyTo(contents, stored)) {
+      publish();
+    }
+  }
+
+  /** Applies an entry and returns whether that changes the list. */
+  private boolean applyTo(Contents target, StoredRecord stored) {
     String key = stored.record().key();
     Optional<WorkerFacts> facts = decoder.worker(stored.record());
     boolean isUnreadable = facts.isEmpty() && stored.record().value() != null;
-    if (isUnreadable && unreadable.add(key)) {
+    if (isUnreadable && target.unreadable.add(key)) {
       LOG.info("event=worker_entry_unreadable worker={} offset={}", key, stored.offset());
     } else if (!isUnreadable) {
-      unreadable.remove(key);
-    }
-    WorkerFacts previous = facts.isPresent() ? workers.put(key, facts.get()) : workers.remove(key);
-    boolean isChanged = !Objects.equals(previous, workers.get(key));
-    if (isChanged && !isBacklog) {
-      publish();
+      target.unreadable.remove(key);
     }
+    WorkerFacts previous =
+        facts.isPresent() ? target.workers.put(key, facts.get()) : target.workers.remove(key);
+    return !Objects.equals(previous, target.workers.get(key));
   }
 
   @Override
-  public synchronized void reset() {
+  public TableFollower.Load beginLoad() {
+    Contents loaded = new Contents();
+    return new TableFollower.Load() {
+      @Override
+      public void add(StoredRecord stored) {
+        applyTo(loaded, stored);
+      }
+
+      @Override
+      public void publish() {
+        replaceContents(loaded);
+      }
+    };
+  }
+
+  private synchronized void replaceContents(Contents loaded) {
+    contents = loaded;
     isPublished = false;
-    workers.clear();
-    unreadable.clear();
   }
 
   /**
@@ -70,6 +93,6 @@
 
   private void publish() {
     isPublished = true;
-    observer.accept(new ArrayList<>(workers.values()));
+    observer.accept(new ArrayList<>(contents.workers.values()));
   }
 }
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowReplica.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowReplica.java
@@ -25,7 +25,7 @@
   public interface Observer {
     /**
      * A workflow was submitted, cancelled or removed; {@code isBacklog} is true for workflows that
-     * existed before the observer was set or were read in a load of the whole table.
+     * existed before the observer was set or belong to a load of the whole table.
      */
     void workflowChanged(WorkflowEntry entry, boolean isBacklog);
 
@@ -33,13 +33,21 @@
     default void takeoverRead(long fence) {}
   }
 
+  /** What the records of the table add up to. */
+  private static final class Contents {
+    final WorkflowTable table = new WorkflowTable();
+    final Map<String, WorkerFacts> leaseHolders = new HashMap<>();
+
+    /** Highest fence of the takeover records; 0 if there is none. */
+    long takeoverFence;
+  }
+
   private static final Logger LOG = LogManager.getLogger(WorkflowReplica.class);
   private static final Observer NO_OBSERVER = (entry, isBacklog) -> {};
 
   private final WorkflowRecords records = new WorkflowRecords();
   private final LeaseHolderRecords leaseHolderRecords = new LeaseHolderRecords();
-  private final Map<String, WorkerFacts> leaseHolders = new HashMap<>();
-  private WorkflowTable table = new WorkflowTable();
+  private Contents contents = new Contents();
   private Observer observer = NO_OBSERVER;
 
   /**
@@ -48,7 +56,7 @@
    */
   public synchronized void setObserver(Observer newObserver) {
     observer = newObserver;
-    table.all().stream()
+    contents.table.all().stream()
         .filter(entry -> entry.spec().isPresent())
         .forEach(entry -> newObserver.workflowChanged(entry, true));
   }
@@ -59,26 +67,36 @@
   }
 
   @Override
-  public synchronized void apply(StoredRecord stored, boolean isBacklog) {
+  public synchronized void apply(StoredRecord stored) {
+    long earlierFence = contents.takeoverFence;
+    Optional<WorkflowEntry> changed = applyTo(contents, stored);
+    if (contents.takeoverFence > earlierFence) {
+      observer.takeoverRead(contents.takeoverFence);
+    }
+    // An owner knows the progress that it has recorded, and may record it for each of many
+    // occurrences of a workflow.
+    if (!records.isProgress(stored.record())) {
+      changed.ifPresent(entry -> observer.workflowChanged(entry, false));
+    }
+  }
+
+  /** Applies a record and returns the workflow that it belongs to; empty for other records. */
+  private Optional<WorkflowEntry> applyTo(Contents target, StoredRecord stored) {
     OptionalLong takeover = records.takeoverFence(stored.record());
     if (takeover.isPresent()) {
-      observer.takeoverRead(takeover.getAsLong());
-      return;
+      target.takeoverFence = Math.max(target.takeoverFence, takeover.getAsLong());
+      return Optional.empty();
     }
     Optional<String> leaseHolder = leaseHolderRecords.worker(stored.record());
     if (leaseHolder.isPresent()) {
-      applyLeaseHolder(leaseHolder.get(), stored);
-      return;
-    }
-    Optional<WorkflowEntry> changed = table.apply(stored.record(), stored.offset());
-    // An owner knows the progress that it has recorded, and may record it for each of many
-    // occurrences of a workflow.
-    if (!records.isProgress(stored.record())) {
-      changed.ifPresent(entry -> observer.workflowChanged(entry, isBacklog));
+      applyLeaseHolder(target.leaseHolders, leaseHolder.get(), stored);
+      return Optional.empty();
     }
+    return target.table.apply(stored.record(), stored.offset());
   }
 
-  private void applyLeaseHolder(String worker, StoredRecord stored) {
+  private void applyLeaseHolder(
+      Map<String, WorkerFacts> leaseHolders, String worker, StoredRecord stored) {
     byte[] value = stored.record().value();
     if (value == null) {
       leaseHolders.remove(worker);
@@ -97,28 +115,50 @@
   }
 
   @Override
-  public synchronized void reset() {
-    table = new WorkflowTable();
-    leaseHolders.clear();
+  public TableFollower.Load beginLoad() {
+    Contents loaded = new Contents();
+    return new TableFollower.Load() {
+      @Override
+      public void add(StoredRecord stored) {
+        applyTo(loaded, stored);
+      }
+
+      @Override
+      public void publish() {
+        replaceContents(loaded);
+      }
+    };
+  }
+
+  private synchronized void replaceContents(Contents loaded) {
+    Contents replaced = contents;
+    contents = loaded;
+    if (loaded.takeoverFence > replaced.takeoverFence) {
+      observer.takeoverRead(loaded.takeoverFence);
+    }
+    loaded.table.all().forEach(entry -> observer.workflowChanged(entry, true));
+    replaced.table.all().stream()
+        .filter(entry -> loaded.table.find(entry.id()).isEmpty())
+        .forEach(entry -> observer.workflowChanged(new WorkflowEntry(entry.id()), true));
   }
 
   /** Returns the workers that owners have recorded because they may hold leases. */
   public synchronized List<WorkerFacts> leaseHolders() {
-    return List.copyOf(leaseHolders.values());
+    return List.copyOf(contents.leaseHolders.values());
   }
 
   /** Returns the state of a workflow; empty if it is unknown. */
   public synchronized Optional<WorkflowState> state(String id) {
-    return table.find(id).map(WorkflowEntry::state);
+    return contents.table.find(id).map(WorkflowEntry::state);
   }
 
   /** Returns the records that remove workflows which ended longer ago than {@code keptMillis}. */
   public synchronized List<TableRecord> removals(long wallMillis, long keptMillis) {
-    return table.removals(wallMillis, keptMillis);
+    return contents.table.removals(wallMillis, keptMillis);
   }
 
   /** Returns the number of workflows of a queue without a started task. */
   public synchronized int pendingCount(String queue) {
-    return table.pendingCount(queue);
+    return contents.table.pendingCount(queue);
   }
 }
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnerSessionTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnerSessionTest.java
@@ -141,7 +141,7 @@
    */
   @Test
   void takeoverRefusesAppendsOfEarlierOwners() throws Exception {
-    operations.apply(new StoredRecord(0, RECORD), true);
+    operations.apply(new StoredRecord(0, RECORD));
     follower.start();
     session.start();
     KeyedLog.Sequence late = new KeyedLog.Sequence("fleet-owner", 1, 1);
@@ -159,7 +159,7 @@
    */
   @Test
   void ownerStepsDownWhenItReadsNewerTakeover() throws Exception {
-    operations.apply(new StoredRecord(0, RECORD), true);
+    operations.apply(new StoredRecord(0, RECORD));
     follower.start();
     session.start();
     while (log.records(Table.WORKFLOWS).isEmpty()) {
@@ -185,7 +185,7 @@
     try {
       TableRecord submission = new WorkflowRecords().submission(PeerAppendTest.workflow());
       log.append(Table.WORKFLOWS, new KeyedLog.Sequence("host", 1, 1), List.of(submission));
-      operations.apply(new StoredRecord(0, RECORD), true);
+      operations.apply(new StoredRecord(0, RECORD));
       follower.start();
       session.start();
       assertThat(appender.lines.poll(5, TimeUnit.SECONDS))
@@ -211,7 +211,7 @@
             awaitUninterruptibly(answer);
           }
         };
-    operations.apply(new StoredRecord(0, RECORD), true);
+    operations.apply(new StoredRecord(0, RECORD));
     follower.start();
     session.start();
     assertThat(reading.await(5, TimeUnit.SECONDS)).isTrue();
@@ -222,7 +222,7 @@
     TimeUnit.MILLISECONDS.sleep(300);
 
     TableRecord cancellation = new WorkflowRecords().cancellation("f1");
-    workflows.apply(new StoredRecord(7, cancellation), false);
+    workflows.apply(new StoredRecord(7, cancellation));
     assertThat(changes).hasValue(1);
   }
 
@@ -243,7 +243,7 @@
             startedDeciding.countDown();
           }
         };
-    operations.apply(new StoredRecord(0, RECORD), true);
+    operations.apply(new StoredRecord(0, RECORD));
     follower.start();
     session.start();
     assertThat(startedDeciding.await(5, TimeUnit.SECONDS)).isTrue();
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnershipPlacementTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnershipPlacementTest.java
@@ -15,7 +15,7 @@
 
   private void register(String name, String address, double processors) {
     HostRecord host = new HostRecord(address, processors);
-    hosts.apply(new StoredRecord(0, new HostDirectory(name).registration(host)), false);
+    hosts.apply(new StoredRecord(0, new HostDirectory(name).registration(host)));
   }
 
   @Test
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/PeerAppendTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/PeerAppendTest.java
@@ -77,7 +77,7 @@
     helperAddress = "127.0.0.1:" + address.getPort();
     TableRecord registration =
         new HostDirectory("helper").registration(new HostRecord(helperAddress, 1));
-    directory.apply(new StoredRecord(0, registration), false);
+    directory.apply(new StoredRecord(0, registration));
   }
 
   @AfterEach
@@ -191,7 +191,7 @@
   void hostWithAnOddAddressIsNotCalled() throws Exception {
     for (String address : List.of("nowhere:99999", "", "a b", "10.0.0.1:-1")) {
       TableRecord odd = new HostDirectory("a").registration(new HostRecord(address, 1));
-      directory.apply(new StoredRecord(1, odd), false);
+      directory.apply(new StoredRecord(1, odd));
       assertThat(directory.otherAddresses()).containsExactly(helperAddress);
     }
     assertThat(isolated.submissions.submit(workflow()).get(20, TimeUnit.SECONDS))
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/TableFollowerTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/TableFollowerTest.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.persimmonloom.core.workflow.TableRecord;
@@ -20,13 +21,42 @@
   private final FakeKeyedLog log = new FakeKeyedLog();
   private final AtomicLong clock = new AtomicLong(1_000);
   private final TableFollower follower =
-      new TableFollower(log, Table.WORKFLOWS, (stored, isBacklog) -> {}, clock::get, 0, 0);
+      new TableFollower(log, Table.WORKFLOWS, listener(true, stored -> {}), clock::get, 0, 0);
 
   @AfterEach
   void stop() {
     follower.stop();
   }
 
+  /** Returns a listener that passes on the records of loads and those that follow alike. */
+  private static TableFollower.Listener listener(
+      boolean needsEveryRecord, Consumer<StoredRecord> target) {
+    return new TableFollower.Listener() {
+      @Override
+      public void apply(StoredRecord stored) {
+        target.accept(stored);
+      }
+
+      @Override
+      public TableFollower.Load beginLoad() {
+        return new TableFollower.Load() {
+          @Override
+          public void add(StoredRecord stored) {
+            target.accept(stored);
+          }
+
+          @Override
+          public void publish() {}
+        };
+      }
+
+      @Override
+      public boolean needsEveryRecord() {
+        return needsEveryRecord;
+      }
+    };
+  }
+
   /** Loads the empty table, then appends records and limits the number that one read returns. */
   private void fallBehind(int maxRecordsPerRead) throws InterruptedException {
     follower.start();
@@ -84,13 +114,15 @@
   void recordOnWhichTheListenerFailsIsSkipped() throws InterruptedException {
     List<String> applied = new CopyOnWriteArrayList<>();
     TableFollower.Listener failing =
-        (stored, isBacklog) -> {
-          String key = stored.record().key();
-          if (key.startsWith("odd")) {
-            throw new IllegalStateException("cannot apply " + key);
-          }
-          applied.add(key);
-        };
+        listener(
+            true,
+            stored -> {
+              String key = stored.record().key();
+              if (key.startsWith("odd")) {
+                throw new IllegalStateException("cannot apply " + key);
+              }
+              applied.add(key);
+            });
     TableFollower reader = new TableFollower(log, Table.WORKERS, failing, clock::get, 0, 0);
     append("odd1", "a");
     reader.start();
@@ -141,17 +173,7 @@
     CutOffLog way = new CutOffLog(log);
     List<Byte> applied = new CopyOnWriteArrayList<>();
     TableFollower.Listener newestOnly =
-        new TableFollower.Listener() {
-          @Override
-          public void apply(StoredRecord stored, boolean isBacklog) {
-            applied.add(stored.record().value()[0]);
-          }
-
-          @Override
-          public boolean needsEveryRecord() {
-            return false;
-          }
-        };
+        listener(false, stored -> applied.add(stored.record().value()[0]));
     TableFollower configuration =
         new TableFollower(way, Table.OPERATIONS, newestOnly, clock::get, 0, 0);
     configuration.start();
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/WorkerReplicaTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/WorkerReplicaTest.java
@@ -50,7 +50,7 @@
   }
 
   private void apply(String key, byte[] value) {
-    replica.apply(new StoredRecord(offset++, new TableRecord(key, value)), false);
+    replica.apply(new StoredRecord(offset++, new TableRecord(key, value)));
   }
 
   /**
@@ -71,4 +71,22 @@
         .extracting(WorkerFacts::id)
         .containsExactlyInAnyOrder("i-1", "i-2");
   }
+
+  /**
+   * Guards against an owner that takes workers for gone whose entries are still to be read, because
+   * its list is published in the middle of a load.
+   */
+  @Test
+  void listIsPublishedWholeDuringALoad() {
+    apply("i-1", READABLE);
+    apply("i-2", READABLE);
+    TableFollower.Load load = replica.beginLoad();
+    load.add(new StoredRecord(offset++, new TableRecord("i-1", READABLE)));
+    replica.publishOnce(true);
+    apply("i-3", READABLE);
+    assertThat(published.get(published.size() - 1)).hasSize(3);
+    load.publish();
+    replica.publishOnce(true);
+    assertThat(published.get(published.size() - 1)).hasSize(1);
+  }
 }
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/WorkflowReplicaTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/WorkflowReplicaTest.java
@@ -21,7 +21,7 @@
   private long offset;
 
   private void apply(TableRecord record) {
-    replica.apply(new StoredRecord(offset++, record), false);
+    replica.apply(new StoredRecord(offset++, record));
   }
 
   /**
@@ -78,8 +78,9 @@
             new Resources(4_000, 8_000, 0),
             Set.of("kind-a"),
             1);
-    replica.reset();
-    replica.apply(new StoredRecord(offset++, holders.record(worker)), true);
+    TableFollower.Load load = replica.beginLoad();
+    load.add(new StoredRecord(offset++, holders.record(worker)));
+    load.publish();
     apply(new TableRecord("w.w2", new byte[] {1}));
     assertThat(replica.leaseHolders()).containsExactly(worker);
     apply(holders.removal("w1"));
