Decide from one view of the table whether a workflow is unknown

A query or a cancelling of an accepted workflow could get 410 (no such workflow) from a host that starts or falls behind.

Cause: the search for the workflow and the question whether the replica is current were two steps. Between them the host asks other hosts, for up to a second; if its table was loaded meanwhile, the table of the search was empty and the replica current. PeerServer did the same in shorter time, and a caller's host believes its 404.

Evidence: workflowThatIsLoadedDuringTheSearchIsNotUnknown fails on the code before (UNKNOWN_WORKFLOW).

Change: WorkflowLookup holds the state that was found and whether its absence proves anything, which is determined before the search. If no other host knows more, the host searches its own replica once more.

Measured: TableLoadTest, PeerAppendTest and the tests of platform pass.

--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/PeerServer.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/PeerServer.java
@@ -10,12 +10,10 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import org.persimmonloom.core.wire.Codec;
-import org.persimmonloom.core.workflow.WorkflowState;
 
 /**
  * HTTP server for metrics and for requests of other entry hosts that cannot use the platform's log;
@@ -153,11 +151,11 @@
   }
 
   private void sendState(HttpServerExchange exchange, String workflow) {
-    Optional<WorkflowState> state = submissions.localState(workflow);
-    if (state.isPresent()) {
-      send(exchange, new PeerClient.State(state.get()));
+    WorkflowLookup lookup = submissions.lookUpLocally(workflow);
+    if (lookup.state().isPresent()) {
+      send(exchange, new PeerClient.State(lookup.state().get()));
     } else {
-      exchange.setStatusCode(submissions.isCurrent() ? 404 : 503).endExchange();
+      exchange.setStatusCode(lookup.isUnknown() ? 404 : 503).endExchange();
     }
   }
 }
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/SubmissionService.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/SubmissionService.java
@@ -96,12 +96,12 @@
 
   /** Cancels a workflow; no effect if it has ended. */
   public CompletableFuture<Result> cancel(String id) {
-    Optional<WorkflowState> state = currentState(id);
-    if (state.isEmpty()) {
-      Result result = isCurrent() ? Result.UNKNOWN_WORKFLOW : Result.REFUSED;
+    WorkflowLookup lookup = lookUp(id);
+    if (lookup.state().isEmpty()) {
+      Result result = lookup.isUnknown() ? Result.UNKNOWN_WORKFLOW : Result.REFUSED;
       return CompletableFuture.completedFuture(result);
     }
-    if (state.get().isFinal()) {
+    if (lookup.state().get().isFinal()) {
       return CompletableFuture.completedFuture(Result.ACCEPTED);
     }
     return append(id, "cancel", List.of(records.cancellation(id)));
@@ -180,33 +180,42 @@
     }
   }
 
-  /** Returns the state of a workflow in this host's replica. */
-  Optional<WorkflowState> localState(String id) {
-    return workflows.state(id);
+  /** Looks a workflow up in this host's replica. */
+  WorkflowLookup lookUpLocally(String id) {
+    // Before the search: a replica that becomes current later may not have been so during it.
+    boolean isConclusive = isCurrent();
+    return new WorkflowLookup(workflows.state(id), isConclusive);
   }
 
   /**
-   * Returns the state of a workflow. If this host's replica does not have it, the log is read once
-   * more; if the replica is not current, other hosts are queried.
+   * Looks a workflow up. If this host's replica does not have it, the log is read once more; if the
+   * replica is not current, other hosts are queried.
    */
-  public Optional<WorkflowState> currentState(String id) {
-    Optional<WorkflowState> state = workflows.state(id);
-    if (state.isPresent() && (state.get().isFinal() || isCurrent())) {
-      return state;
+  public WorkflowLookup lookUp(String id) {
+    WorkflowLookup local = lookUpLocally(id);
+    Optional<WorkflowState> state = local.state();
+    if (state.isPresent() && (state.get().isFinal() || local.isConclusive())) {
+      return local;
     }
     if (state.isEmpty() && follower.refresh()) {
-      return workflows.state(id);
+      return lookUpLocally(id);
     }
+    return lookUpAtPeers(id)
+        .map(found -> new WorkflowLookup(Optional.of(found), false))
+        .orElseGet(() -> lookUpLocally(id));
+  }
+
+  private Optional<WorkflowState> lookUpAtPeers(String id) {
     List<String> addresses = hosts.otherAddresses();
     for (String address : addresses.subList(0, Math.min(MAX_PEERS_TRIED, addresses.size()))) {
       PeerClient.StateAnswer answer = peers.state(address, id);
       if (answer.isAnswered()) {
         hosts.recordSuccess(address);
-        return answer.state().isPresent() ? answer.state() : state;
+        return answer.state();
       }
       hosts.recordFailure(address);
     }
-    return state;
+    return Optional.empty();
   }
 
   /** Returns the number of workflows of a queue without a started task. */
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/PeerAppendTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/PeerAppendTest.java
@@ -128,7 +128,7 @@
     while (helper.workflows.state("f1").isEmpty() && CLOCK.getAsLong() < until) {
       TimeUnit.MILLISECONDS.sleep(10);
     }
-    assertThat(isolated.submissions.currentState("f1")).contains(WorkflowState.PENDING);
+    assertThat(isolated.submissions.lookUp("f1").state()).contains(WorkflowState.PENDING);
   }
 
   /** Guards against a wrong refusal, and against a caller that waits although no host can write. */
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/TableLoadTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/TableLoadTest.java
@@ -2,6 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.util.AbstractList;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -166,14 +170,14 @@
     List<SubmissionService.Result> cancelled = new CopyOnWriteArrayList<>();
     beforeRecord =
         () -> {
-          shown.add(submissions.localState(series.id()));
-          shown.add(submissions.currentState(series.id()));
+          shown.add(submissions.lookUpLocally(series.id()).state());
+          shown.add(submissions.lookUp(series.id()).state());
           cancelled.add(submissions.cancel(series.id()).getNow(null));
         };
     load();
     assertThat(shown).isNotEmpty().containsOnly(Optional.empty());
     assertThat(cancelled).containsOnly(SubmissionService.Result.REFUSED);
-    assertThat(submissions.currentState(series.id())).contains(WorkflowState.ACTIVE);
+    assertThat(submissions.lookUp(series.id()).state()).contains(WorkflowState.ACTIVE);
   }
 
   /**
@@ -196,7 +200,7 @@
     beforeRead =
         () -> {
           if (follower.isLoaded()) {
-            shown.add(submissions.localState(series.id()));
+            shown.add(submissions.lookUpLocally(series.id()).state());
           }
         };
     load();
@@ -213,7 +217,7 @@
     append(records.submission(series), progress(0, WorkflowState.COMPLETE));
     load();
     List<Optional<WorkflowState>> shown = new CopyOnWriteArrayList<>();
-    beforeRecord = () -> shown.add(submissions.localState(series.id()));
+    beforeRecord = () -> shown.add(submissions.lookUpLocally(series.id()).state());
     log.expiredReads = 1;
     await(() -> shown.size() >= 2 && follower.isLoaded());
     assertThat(shown).containsOnly(Optional.of(WorkflowState.ACTIVE));
@@ -247,4 +251,40 @@
     load.publish();
     assertThat(directory.otherAddresses()).containsExactly("10.0.0.2:80");
   }
+
+  /**
+   * Guards against an accepted workflow that is called unknown, because the table is loaded between
+   * the search for it and the question whether the table is current.
+   */
+  @Test
+  void workflowThatIsLoadedDuringTheSearchIsNotUnknown() throws IOException {
+    append(records.submission(series));
+    writer.start();
+    HttpServer peer =
+        HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+    peer.createContext(
+        "/",
+        exchange -> {
+          load();
+          exchange.sendResponseHeaders(503, -1);
+          exchange.close();
+        });
+    peer.start();
+    try {
+      HostRecord registration = new HostRecord("127.0.0.1:" + peer.getAddress().getPort(), 1);
+      append(Table.HOSTS, new HostDirectory("peer").registration(registration));
+      TableFollower hosts = new TableFollower(log, Table.HOSTS, directory, CLOCK, 0, 0);
+      hosts.start();
+      await(() -> !directory.otherAddresses().isEmpty());
+      hosts.stop();
+      assertThat(submissions.cancel(series.id()).join())
+          .isNotEqualTo(SubmissionService.Result.UNKNOWN_WORKFLOW);
+    } finally {
+      peer.stop(0);
+    }
+  }
+
+  private void append(Table table, TableRecord record) {
+    log.append(table, new KeyedLog.Sequence("peer", 1, 1), List.of(record));
+  }
 }
