Tell an owner of a takeover that was read before it observes the replica

Cause: an owner sets its observer after it has read its table, the hosts' orders and the progress of waves. A takeover record of a newer owner that the replica reads between the two went to no observer, so the older owner did not stop for it but only when its ownership table or a worker told it.

Evidence: takeoverThatWasReadBeforeIsPassedToTheObserver fails on the code before.

--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowReplica.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowReplica.java
@@ -51,11 +51,15 @@
   private Observer observer = NO_OBSERVER;
 
   /**
-   * Sets the observer, passes all workflows to it whose submission is still stored, and then each
-   * change. The others have ended; they are kept to show their state, and may be many.
+   * Sets the observer, passes the newest takeover and all workflows to it whose submission is still
+   * stored, and then each change. The others have ended; they are kept to show their state, and may
+   * be many.
    */
   public synchronized void setObserver(Observer newObserver) {
     observer = newObserver;
+    if (contents.takeoverFence > 0) {
+      newObserver.takeoverRead(contents.takeoverFence);
+    }
     contents.table.all().stream()
         .filter(entry -> entry.spec().isPresent())
         .forEach(entry -> newObserver.workflowChanged(entry, true));
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/WorkflowReplicaTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/WorkflowReplicaTest.java
@@ -11,6 +11,7 @@
 import org.persimmonloom.core.workflow.OccurrenceProgress;
 import org.persimmonloom.core.workflow.Resources;
 import org.persimmonloom.core.workflow.TableRecord;
+import org.persimmonloom.core.workflow.WorkflowEntry;
 import org.persimmonloom.core.workflow.WorkflowRecords;
 import org.persimmonloom.core.workflow.WorkflowSpec;
 import org.persimmonloom.core.workflow.WorkflowState;
@@ -86,4 +87,30 @@
     apply(holders.removal("w1"));
     assertThat(replica.leaseHolders()).isEmpty();
   }
+
+  /**
+   * Guards against an owner that goes on with its orders although a newer one has taken over: the
+   * takeover was read after the owner had loaded its table and before it observed the replica.
+   */
+  @Test
+  void takeoverThatWasReadBeforeIsPassedToTheObserver() {
+    apply(records.takeover(7));
+    List<Long> fences = new ArrayList<>();
+    replica.setObserver(
+        new WorkflowReplica.Observer() {
+          @Override
+          public void workflowChanged(WorkflowEntry entry, boolean isBacklog) {}
+
+          @Override
+          public void takeoverRead(long fence) {
+            fences.add(fence);
+          }
+        });
+    assertThat(fences).containsExactly(7L);
+    TableFollower.Load load = replica.beginLoad();
+    load.add(new StoredRecord(offset++, records.takeover(9)));
+    assertThat(fences).containsExactly(7L);
+    load.publish();
+    assertThat(fences).containsExactly(7L, 9L);
+  }
 }
