Show a workflow as active only once a worker has begun a task

Cause: a workflow became active with the decision on its first start, and nothing set that back.

Evidence: workflowIsPendingUntilAWorkerHasBegunATask fails on (0 waiting in place of 1).

Change: active once a start is confirmed, or a worker reports the run or its end. The decision is recorded as before, since it fixes the number of the run, but as pending.

--- a/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
@@ -10,7 +10,6 @@
 import org.persimmonloom.core.workflow.TableRecord;
 import org.persimmonloom.core.workflow.TaskId;
 import org.persimmonloom.core.workflow.WorkflowEntry;
-import org.persimmonloom.core.workflow.WorkflowState;
 
 /**
  * Decides which tasks run on which workers, on behalf of the current fleet owner.
@@ -376,8 +375,8 @@
             leaseUntilMillis,
             task.checkpoint,
             permit));
-    if (occurrence.state == WorkflowState.PENDING) {
-      occurrence.state = WorkflowState.ACTIVE;
+    if (!occurrence.isStartOrdered) {
+      occurrence.isStartOrdered = true;
       occurrenceTable.markDirty(occurrence);
     }
   }
--- a/core/src/main/java/org/persimmonloom/core/scheduling/OccurrenceTable.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/OccurrenceTable.java
@@ -147,6 +147,19 @@
     ended.add(workflow);
   }
 
+  /**
+   * Marks that a task of the occurrence has begun, as its worker confirms; an ordered start may
+   * still be refused.
+   *
+   * @param occurrence the occurrence; null if it has ended or is unknown
+   */
+  void markBegun(OccurrenceState occurrence) {
+    if (occurrence != null && occurrence.state == WorkflowState.PENDING) {
+      occurrence.state = WorkflowState.ACTIVE;
+      markDirty(occurrence);
+    }
+  }
+
   void markDirty(OccurrenceState occurrence) {
     if (dirty.add(occurrence)) {
       dirtyCounts.merge(occurrence.spec.id(), 1, Integer::sum);
--- a/core/src/main/java/org/persimmonloom/core/scheduling/OrderResultHandler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/OrderResultHandler.java
@@ -7,9 +7,11 @@
   private static final long AVOID_UNHEALTHY_MILLIS = 1_000;
 
   private final RunEndHandler endHandler;
+  private final OccurrenceTable occurrenceTable;
 
-  OrderResultHandler(RunEndHandler endHandler) {
+  OrderResultHandler(RunEndHandler endHandler, OccurrenceTable occurrenceTable) {
     this.endHandler = endHandler;
+    this.occurrenceTable = occurrenceTable;
   }
 
   /** Applies the result of an order whose run still exists. */
@@ -27,6 +29,7 @@
   private void startAnswered(TaskRun run, CallResult result, long nowMillis) {
     switch (result) {
       case ACCEPTED, RUN_SUPERSEDED -> {
+        occurrenceTable.markBegun(occurrenceTable.occurrence(run.task));
         // A stopping run has had a stop order since, which is repeated until it is confirmed.
         if (run.phase != TaskRun.Phase.STOPPING) {
           run.orderAnsweredMillis = nowMillis;
--- a/core/src/main/java/org/persimmonloom/core/scheduling/RunEndHandler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/RunEndHandler.java
@@ -26,6 +26,7 @@
     if (task == null) {
       return;
     }
+    occurrenceTable.markBegun(occurrence);
     task.lastRun = Math.max(task.lastRun, ended.run());
     if (!ended.checkpoint().isEmpty()) {
       task.checkpoint = ended.checkpoint();
--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
@@ -39,7 +39,7 @@
     this.earlierLeasesUntilMillis = earlierLeasesUntilMillis;
     this.occurrenceTable = occurrenceTable;
     endHandler = new RunEndHandler(occurrenceTable);
-    orderResults = new OrderResultHandler(endHandler);
+    orderResults = new OrderResultHandler(endHandler, occurrenceTable);
   }
 
   Collection<WorkerState> all() {
@@ -230,6 +230,7 @@
       if (run == null || run.number != running.run()) {
         run = adopt(worker, running, nowMillis);
       }
+      occurrenceTable.markBegun(occurrenceTable.occurrence(running.task()));
       run.speedPercent = running.percent();
       run.load = running.load();
       run.checkpoint = running.checkpoint();
--- a/core/src/main/java/org/persimmonloom/core/workflow/WorkflowEntry.java
+++ b/core/src/main/java/org/persimmonloom/core/workflow/WorkflowEntry.java
@@ -119,7 +119,7 @@
   }
 
   private WorkflowState recordedState() {
-    if (progress.isEmpty()) {
+    if (count(WorkflowState.PENDING) == progress.size()) {
       return WorkflowState.PENDING;
     }
     if (count(WorkflowState.FAILED) + count(WorkflowState.CANCELLED) > 0) {
--- a/core/src/test/java/org/persimmonloom/core/scheduling/FleetSchedulerTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/FleetSchedulerTest.java
@@ -67,6 +67,28 @@
     assertThat(fleet.table.find("f1").orElseThrow().state()).isEqualTo(WorkflowState.COMPLETE);
   }
 
+  /**
+   * Guards against jobs that are shown as active, and are missing from the number of waiting jobs,
+   * while all workers with room refuse their starts.
+   */
+  @Test
+  void workflowIsPendingUntilAWorkerHasBegunATask() {
+    fleet.addWorker("w1");
+    fleet.submit("f1", SchedulerFixture.step(1, 500, List.of()));
+    fleet.report();
+    Order refused = fleet.decide().get(0);
+    fleet.scheduler.orderAnswered(refused, CallResult.REJECTED, fleet.now);
+    fleet.recordProgress();
+    assertThat(fleet.table.pendingCount(SchedulerFixture.POLICY.queue())).isEqualTo(1);
+
+    fleet.now += 2_000;
+    fleet.report();
+    assertThat(fleet.decideAndExecute()).hasSize(1);
+    fleet.recordProgress();
+    assertThat(fleet.table.pendingCount(SchedulerFixture.POLICY.queue())).isZero();
+    assertThat(fleet.table.find("f1").orElseThrow().state()).isEqualTo(WorkflowState.ACTIVE);
+  }
+
   /** Guards against a task that starts elsewhere while a silent worker may still run it. */
   @Test
   void silentWorkerKeepsItsTasksUntilTheLeaseHasExpired() {
--- a/core/src/test/java/org/persimmonloom/core/scheduling/ReferenceScheduler.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/ReferenceScheduler.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import org.persimmonloom.core.workflow.WorkflowState;
 
 /**
  * Reference implementation of {@link FleetScheduler#decide}, which scans all workers and tasks
@@ -159,8 +158,8 @@
             until,
             task.checkpoint,
             permit));
-    if (occurrence.state == WorkflowState.PENDING) {
-      occurrence.state = WorkflowState.ACTIVE;
+    if (!occurrence.isStartOrdered) {
+      occurrence.isStartOrdered = true;
       occurrenceTable.markDirty(occurrence);
     }
   }
