Record the number of each run with its start

Cause: failures are counted by run numbers. Numbers were recorded with the first start of a workflow and with ends; a new owner without a report of a later run used its number again, and two failures counted as one.

Evidence: numberOfAnUnconfirmedStartIsNotUsedAgain fails on (run 2 twice).

Change: each start marks its occurrence as changed, so that its number goes out with the next batch of progress.

--- a/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
@@ -375,9 +375,7 @@
             leaseUntilMillis,
             task.checkpoint,
             permit));
-    if (!occurrence.isStartOrdered) {
-      occurrence.isStartOrdered = true;
-      occurrenceTable.markDirty(occurrence);
-    }
+    // Records the number of the run, which no later owner may use again.
+    occurrenceTable.markDirty(occurrence);
   }
 }
--- a/core/src/main/java/org/persimmonloom/core/scheduling/OccurrenceState.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/OccurrenceState.java
@@ -33,9 +33,6 @@
   final boolean isLongRunning;
   WorkflowState state = WorkflowState.PENDING;
 
-  /** Whether this owner has ordered a start, which is recorded with the number of its run. */
-  boolean isStartOrdered;
-
   /** Whether this occurrence has ended, or another occurrence of the workflow has failed. */
   boolean isEnded;
 
--- a/core/src/test/java/org/persimmonloom/core/scheduling/FleetSchedulerTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/FleetSchedulerTest.java
@@ -89,6 +89,26 @@
     assertThat(fleet.table.find("f1").orElseThrow().state()).isEqualTo(WorkflowState.ACTIVE);
   }
 
+  /**
+   * Guards against a new owner that uses the number of a run again whose start was ordered but not
+   * confirmed, so that two failures count as one.
+   */
+  @Test
+  void numberOfAnUnconfirmedStartIsNotUsedAgain() {
+    fleet.addWorker("w1");
+    fleet.submit("f1", SchedulerFixture.step(1, 500, List.of()));
+    fleet.report();
+    fleet.decideAndExecute();
+    fleet.endAllRuns(EndCause.FAILED);
+    fleet.report();
+    fleet.recordProgress();
+    assertThat(fleet.decide()).singleElement().extracting(Order::run).isEqualTo(2);
+    fleet.recordProgress();
+    fleet.takeOver();
+    fleet.report();
+    assertThat(fleet.decide()).singleElement().extracting(Order::run).isEqualTo(3);
+  }
+
   /** Guards against a task that starts elsewhere while a silent worker may still run it. */
   @Test
   void silentWorkerKeepsItsTasksUntilTheLeaseHasExpired() {
--- a/core/src/test/java/org/persimmonloom/core/scheduling/ReferenceScheduler.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/ReferenceScheduler.java
@@ -158,9 +158,6 @@
             until,
             task.checkpoint,
             permit));
-    if (!occurrence.isStartOrdered) {
-      occurrence.isStartOrdered = true;
-      occurrenceTable.markDirty(occurrence);
-    }
+    occurrenceTable.markDirty(occurrence);
   }
 }
