Append no empty batches of recorded workers

Cause: the owner recorded an empty batch of workers in each pass, after which it compared all workers with what is recorded: 372 workers, about 190 passes a second on the large deployment.

Change: a batch without records is not passed on.

--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/ProgressRecorder.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/ProgressRecorder.java
@@ -32,7 +32,9 @@
   void record(long nowMillis) {
     if (!leaseHolders.isRecording()) {
       LeaseHolderBatch batch = scheduler.takeLeaseHolders();
-      leaseHolders.record(batch, batch.records());
+      if (!batch.records().isEmpty()) {
+        leaseHolders.record(batch, batch.records());
+      }
     }
     if (!progress.isRecording() && nowMillis - lastRecordMillis >= RECORD_INTERVAL_MILLIS) {
       ProgressBatch batch = scheduler.takeProgress(services.wallClock().millis());
