Read the change of the loads as a newcomer: one load of two actions, no scans that nobody needs

No behaviour changes but two: after a load an owner is passed the workflows that are or were submitted, not all ended ones again; and the position of the end is looked for only if a cancelling is recorded. The four anonymous loads are one factory; recordedOccurrences says what it returns, since pending progress is recorded as well.

Measured: the tests of core and runtime that touch it pass; loadPassesWorkflowsThatAreOrWereSubmitted is new.

--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
@@ -230,7 +230,8 @@
       if (run == null || run.number != running.run()) {
         run = adopt(worker, running, nowMillis);
       }
-      occurrenceTable.markBegun(occurrenceTable.occurrence(running.task()));
+      OccurrenceState occurrence = occurrenceTable.occurrence(running.task());
+      occurrenceTable.markBegun(occurrence);
       run.speedPercent = running.percent();
       run.load = running.load();
       run.checkpoint = running.checkpoint();
@@ -239,7 +240,7 @@
         run.orderAnsweredMillis = nowMillis;
         run.isUnanswered = false;
       }
-      TaskState task = occurrenceTable.task(running.task());
+      TaskState task = occurrence == null ? null : occurrence.task(running.task());
       if (task != null && !running.checkpoint().isEmpty()) {
         task.checkpoint = running.checkpoint();
       }
--- a/core/src/main/java/org/persimmonloom/core/workflow/WorkflowEntry.java
+++ b/core/src/main/java/org/persimmonloom/core/workflow/WorkflowEntry.java
@@ -72,17 +72,17 @@
     return cancelledOffset >= 0;
   }
 
-  /** Returns the recorded progress of an occurrence; empty if it has not begun. */
+  /** Returns the recorded progress of an occurrence; empty if none is recorded. */
   public Optional<OccurrenceProgress> progress(int occurrence) {
     return Optional.ofNullable(progress.get(occurrence)).map(RecordedProgress::progress);
   }
 
-  /** Returns the numbers of the occurrences that have begun. */
-  public Set<Integer> begunOccurrences() {
+  /** Returns the numbers of the occurrences whose progress is recorded. */
+  public Set<Integer> recordedOccurrences() {
     return progress.keySet();
   }
 
-  /** Returns the Unix time of the latest change of any occurrence, in ms; 0 if none has begun. */
+  /** Returns the Unix time of the latest change of any occurrence, in ms; 0 if none is recorded. */
   long updatedMillis() {
     return progress.values().stream()
         .mapToLong(recorded -> recorded.progress().updatedMillis())
@@ -104,8 +104,11 @@
    */
   public WorkflowState state() {
     WorkflowState recorded = recordedState();
+    if (!isCancelled()) {
+      return recorded;
+    }
     boolean endedBeforeCancellation = recorded.isFinal() && finalOffset() < cancelledOffset;
-    return isCancelled() && !endedBeforeCancellation ? WorkflowState.CANCELLED : recorded;
+    return endedBeforeCancellation ? recorded : WorkflowState.CANCELLED;
   }
 
   /** Returns the offset of the record with which the recorded state became final. */
--- a/core/src/main/java/org/persimmonloom/core/workflow/WorkflowTable.java
+++ b/core/src/main/java/org/persimmonloom/core/workflow/WorkflowTable.java
@@ -109,13 +109,13 @@
     List<TableRecord> removals = new ArrayList<>();
     for (WorkflowEntry entry : entries.values()) {
       if (entry.spec().isPresent()
-          || entry.begunOccurrences().isEmpty()
+          || entry.recordedOccurrences().isEmpty()
           || !entry.state().isFinal()) {
         continue;
       }
       if (wallMillis - entry.updatedMillis() > keptMillis) {
         entry
-            .begunOccurrences()
+            .recordedOccurrences()
             .forEach(number -> removals.add(records.progressRemoval(entry.id(), number)));
         if (entry.isCancelled()) {
           removals.add(records.cancellationRemoval(entry.id()));
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/HostDirectory.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/HostDirectory.java
@@ -62,17 +62,7 @@
   @Override
   public TableFollower.Load beginLoad() {
     TreeMap<String, HostRecord> loaded = new TreeMap<>();
-    return new TableFollower.Load() {
-      @Override
-      public void add(StoredRecord stored) {
-        applyTo(loaded, stored);
-      }
-
-      @Override
-      public void publish() {
-        replaceHosts(loaded);
-      }
-    };
+    return TableFollower.Load.of(stored -> applyTo(loaded, stored), () -> replaceHosts(loaded));
   }
 
   private synchronized void replaceHosts(TreeMap<String, HostRecord> loaded) {
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/OperationsReplica.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/OperationsReplica.java
@@ -50,17 +50,7 @@
   @Override
   public TableFollower.Load beginLoad() {
     Contents loaded = new Contents();
-    return new TableFollower.Load() {
-      @Override
-      public void add(StoredRecord stored) {
-        loaded.add(stored);
-      }
-
-      @Override
-      public void publish() {
-        accept(loaded);
-      }
-    };
+    return TableFollower.Load.of(loaded::add, () -> accept(loaded));
   }
 
   @Override
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/TableFollower.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/TableFollower.java
@@ -42,6 +42,21 @@
 
     /** Replaces all records that were loaded or applied before, for all readers at once. */
     void publish();
+
+    /** Returns a load that consists of the two actions. */
+    static Load of(Consumer<StoredRecord> add, Runnable publish) {
+      return new Load() {
+        @Override
+        public void add(StoredRecord stored) {
+          add.accept(stored);
+        }
+
+        @Override
+        public void publish() {
+          publish.run();
+        }
+      };
+    }
   }
 
   private static final Logger LOG = LogManager.getLogger(TableFollower.class);
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkerReplica.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkerReplica.java
@@ -63,17 +63,7 @@
   @Override
   public TableFollower.Load beginLoad() {
     Contents loaded = new Contents();
-    return new TableFollower.Load() {
-      @Override
-      public void add(StoredRecord stored) {
-        applyTo(loaded, stored);
-      }
-
-      @Override
-      public void publish() {
-        replaceContents(loaded);
-      }
-    };
+    return TableFollower.Load.of(stored -> applyTo(loaded, stored), () -> replaceContents(loaded));
   }
 
   private synchronized void replaceContents(Contents loaded) {
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowReplica.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowReplica.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.stream.Stream;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.persimmonloom.core.scheduling.LeaseHolderRecords;
@@ -60,9 +61,12 @@
     if (contents.takeoverFence > 0) {
       newObserver.takeoverRead(contents.takeoverFence);
     }
-    contents.table.all().stream()
-        .filter(entry -> entry.spec().isPresent())
-        .forEach(entry -> newObserver.workflowChanged(entry, true));
+    submitted(contents).forEach(entry -> newObserver.workflowChanged(entry, true));
+  }
+
+  /** Returns the workflows whose submission is still stored. */
+  private static Stream<WorkflowEntry> submitted(Contents contents) {
+    return contents.table.all().stream().filter(entry -> entry.spec().isPresent());
   }
 
   /** Removes the observer, which receives no more changes. */
@@ -121,17 +125,7 @@
   @Override
   public TableFollower.Load beginLoad() {
     Contents loaded = new Contents();
-    return new TableFollower.Load() {
-      @Override
-      public void add(StoredRecord stored) {
-        applyTo(loaded, stored);
-      }
-
-      @Override
-      public void publish() {
-        replaceContents(loaded);
-      }
-    };
+    return TableFollower.Load.of(stored -> applyTo(loaded, stored), () -> replaceContents(loaded));
   }
 
   private synchronized void replaceContents(Contents loaded) {
@@ -140,10 +134,11 @@
     if (loaded.takeoverFence > replaced.takeoverFence) {
       observer.takeoverRead(loaded.takeoverFence);
     }
-    loaded.table.all().forEach(entry -> observer.workflowChanged(entry, true));
-    replaced.table.all().stream()
-        .filter(entry -> loaded.table.find(entry.id()).isEmpty())
-        .forEach(entry -> observer.workflowChanged(new WorkflowEntry(entry.id()), true));
+    submitted(loaded).forEach(entry -> observer.workflowChanged(entry, true));
+    submitted(replaced)
+        .map(entry -> loaded.table.find(entry.id()).orElseGet(() -> new WorkflowEntry(entry.id())))
+        .filter(entry -> entry.spec().isEmpty())
+        .forEach(entry -> observer.workflowChanged(entry, true));
   }
 
   /** Returns the workers that owners have recorded because they may hold leases. */
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/TableFollowerTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/TableFollowerTest.java
@@ -39,15 +39,7 @@
 
       @Override
       public TableFollower.Load beginLoad() {
-        return new TableFollower.Load() {
-          @Override
-          public void add(StoredRecord stored) {
-            target.accept(stored);
-          }
-
-          @Override
-          public void publish() {}
-        };
+        return TableFollower.Load.of(target, () -> {});
       }
 
       @Override
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/WorkflowReplicaTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/WorkflowReplicaTest.java
@@ -113,4 +113,22 @@
     load.publish();
     assertThat(fences).containsExactly(7L, 9L);
   }
+
+  /**
+   * Guards against an owner that is passed all ended workflows again after a load, and against one
+   * that goes on with a workflow whose submission was removed before the load.
+   */
+  @Test
+  void loadPassesWorkflowsThatAreOrWereSubmitted() {
+    apply(records.cancellation("ended"));
+    apply(records.submission(PeerAppendTest.workflow()));
+    List<String> passed = new ArrayList<>();
+    replica.setObserver(
+        (entry, isBacklog) -> passed.add(entry.id() + " " + entry.spec().isPresent()));
+    passed.clear();
+    TableFollower.Load load = replica.beginLoad();
+    load.add(new StoredRecord(0, records.cancellation("ended")));
+    load.publish();
+    assertThat(passed).containsExactly(PeerAppendTest.workflow().id() + " false");
+  }
 }
