Log the life of runs: why a task was free, what released a run, when ends were read and acknowledged

The users' record of the tasks that ran twice has no line that tells the hypotheses apart. Each release of a run now carries what shows that it is over and the age of that evidence; starts name the release before them; ends are written when they are first read and when they are acknowledged. Starts of a pass and ends of a report share a line. A counter persimmonloom_released_runs_total has the releases by proof. No decision is changed: the times that decide are now arguments of holdFailed, machinesListed and withdraw as well.

Shown by RunLogTest.

--- a/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
@@ -28,6 +28,7 @@
   private final WorkerTable workers;
   private final NotStartedReport notStarted;
   private final MachineScheduler machines;
+  private RunListener runListener = RunListener.NONE;
 
   /** Occurrences that may start tasks, most urgent first. */
   private final List<OccurrenceState> startable = new ArrayList<>();
@@ -72,6 +73,12 @@
     machines.configure(services, spareServices);
   }
 
+  /** Sets the receiver of decisions and conclusions about runs. */
+  public void setRunListener(RunListener listener) {
+    runListener = listener;
+    workers.setRunListener(listener);
+  }
+
   /** Returns the scheduler of worker hosts. */
   public MachineScheduler machines() {
     return machines;
@@ -121,10 +128,10 @@
    * Applies the failure of a hold request: the worker did not respond, or another process responds
    * at its address.
    */
-  public void holdFailed(WorkerFacts polled, CallResult result) {
-    workers.holdFailed(polled, result);
+  public void holdFailed(WorkerFacts polled, CallResult result, long nowMillis) {
+    workers.holdFailed(polled, result, nowMillis);
     if (workers.isSilentFromPreviousTerm(polled)) {
-      machines.workerUnreachable(polled.id());
+      machines.workerUnreachable(polled.id(), nowMillis);
     }
   }
 
@@ -149,8 +156,8 @@
   }
 
   /** Withdraws a queued order that this owner may not send any more. */
-  public void withdraw(Order order) {
-    workers.withdraw(order);
+  public void withdraw(Order order, long nowMillis) {
+    workers.withdraw(order, nowMillis);
   }
 
   /** Applies the result of an order. */
@@ -366,7 +373,7 @@
     worker.add(started);
     long leaseUntilMillis = worker.lease.grant(nowMillis);
     String permit = permits.permit(occurrence, task.step, worker, nowMillis);
-    orders.add(
+    Order.Start order =
         new Order.Start(
             worker.facts,
             id,
@@ -374,7 +381,9 @@
             occurrence.spec.payload(),
             leaseUntilMillis,
             task.checkpoint,
-            permit));
+            permit);
+    orders.add(order);
+    runListener.runOrdered(order, Optional.ofNullable(task.lastReleased));
     // Records the number of the run, which no later owner may use again.
     occurrenceTable.markDirty(occurrence);
   }
--- a/core/src/main/java/org/persimmonloom/core/scheduling/MachineScheduler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/MachineScheduler.java
@@ -36,6 +36,9 @@
    */
   private boolean areAllWorkersNamed;
 
+  /** When the present host list was requested. */
+  private long listSentMillis;
+
   private final Set<MachineOrder> inFlight = new HashSet<>();
   private final long notBeforeMillis;
   private boolean areEarlierOrdersKnown;
@@ -75,8 +78,11 @@
    * Applies the platform's host list. A worker has terminated if its host is moving, is in
    * maintenance, or has another worker. A silent worker from the previous term has also terminated
    * if no host has it, because the worker list is read before the host list.
+   *
+   * @param sentMillis monotonic time at which the list was requested
    */
-  public void machinesListed(Collection<MachineFacts> listed) {
+  public void machinesListed(Collection<MachineFacts> listed, long sentMillis, long nowMillis) {
+    listSentMillis = sentMillis;
     machines.clear();
     namedWorkers.clear();
     areAllWorkersNamed = true;
@@ -85,7 +91,7 @@
       boolean isUp = facts.state() == MachineFacts.State.UP;
       String previous = lastWorkers.getOrDefault(facts.id(), "");
       if (!previous.isEmpty() && hasTerminated(previous, facts)) {
-        workers.workerTerminated(previous);
+        workers.workerTerminated(previous, sentMillis, nowMillis);
         lastWorkers.remove(facts.id());
       }
       if (isUp && !facts.worker().isEmpty()) {
@@ -95,13 +101,13 @@
       namedWorkers.add(facts.worker());
       areAllWorkersNamed &= facts.state() != MachineFacts.State.DOWN || !facts.worker().isEmpty();
     }
-    workers.silentFromPreviousTerm().forEach(this::workerUnreachable);
+    workers.silentFromPreviousTerm().forEach(worker -> workerUnreachable(worker, nowMillis));
   }
 
   /** Handles a worker from the previous term that does not respond. */
-  void workerUnreachable(String worker) {
+  void workerUnreachable(String worker, long nowMillis) {
     if (!machines.isEmpty() && areAllWorkersNamed && !namedWorkers.contains(worker)) {
-      workers.workerTerminated(worker);
+      workers.workerTerminated(worker, listSentMillis, nowMillis);
     }
   }
 
--- a/core/src/main/java/org/persimmonloom/core/scheduling/OrderResultHandler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/OrderResultHandler.java
@@ -43,16 +43,16 @@
       }
       case NOT_SENT -> {
         run.worker.isReachable = false;
-        endHandler.removeRun(run);
+        endHandler.release(run, RunRelease.NOT_SENT, nowMillis, nowMillis);
       }
-      case PERMISSION_EXPIRED -> endHandler.removeRun(run);
+      case PERMISSION_EXPIRED -> endHandler.release(run, RunRelease.REFUSED, nowMillis, nowMillis);
       case NO_ROOM -> {
         run.worker.avoidUntilMillis = nowMillis + AVOID_FULL_MILLIS;
-        endHandler.removeRun(run);
+        endHandler.release(run, RunRelease.REFUSED, nowMillis, nowMillis);
       }
       default -> {
         run.worker.avoidUntilMillis = nowMillis + AVOID_UNHEALTHY_MILLIS;
-        endHandler.removeRun(run);
+        endHandler.release(run, RunRelease.REFUSED, nowMillis, nowMillis);
       }
     }
   }
--- a/core/src/main/java/org/persimmonloom/core/scheduling/RunEndHandler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/RunEndHandler.java
@@ -11,15 +11,21 @@
   private static final long AVOID_FAILING_MILLIS = 4_000;
 
   private final OccurrenceTable occurrenceTable;
+  private RunListener listener = RunListener.NONE;
 
   RunEndHandler(OccurrenceTable occurrenceTable) {
     this.occurrenceTable = occurrenceTable;
   }
 
-  void runEnded(WorkerState worker, EndedTask ended, long nowMillis) {
+  void setListener(RunListener listener) {
+    this.listener = listener;
+  }
+
+  /** Applies a reported end; {@code sentMillis} is when the report was requested. */
+  void runEnded(WorkerState worker, EndedTask ended, long sentMillis, long nowMillis) {
     TaskRun run = worker.runs.get(ended.task());
     if (run != null && run.number <= ended.run()) {
-      removeRun(run);
+      release(run, RunRelease.END_REPORTED, sentMillis, nowMillis);
     }
     OccurrenceState occurrence = occurrenceTable.occurrence(ended.task());
     TaskState task = occurrence == null ? null : occurrence.task(ended.task());
@@ -74,13 +80,28 @@
     }
   }
 
-  /** Removes a run; its task may start again if it has no other active run. */
-  void removeRun(TaskRun run) {
+  /**
+   * Removes a run; its task may start again if it has no other active run.
+   *
+   * @param evidenceMillis monotonic time at which the evidence for the release was requested
+   */
+  void release(TaskRun run, RunRelease release, long evidenceMillis, long nowMillis) {
     run.worker.remove(run);
+    ReleasedRun released =
+        new ReleasedRun(
+            run.task,
+            run.number,
+            run.worker.facts.id(),
+            release,
+            evidenceMillis,
+            run.worker.lastReportMillis,
+            nowMillis);
     OccurrenceState occurrence = occurrenceTable.occurrence(run.task);
     TaskState task = occurrence == null ? null : occurrence.task(run.task);
     if (task != null) {
       occurrence.removeRun(task, run);
+      task.lastReleased = released;
     }
+    listener.runReleased(released);
   }
 }
--- a/core/src/main/java/org/persimmonloom/core/scheduling/TaskState.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/TaskState.java
@@ -32,6 +32,9 @@
 
   String checkpoint = "";
 
+  /** The run that was released last; null if this owner has released none. */
+  ReleasedRun lastReleased;
+
   TaskState(int position, int step, int index) {
     this.position = position;
     this.step = step;
--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
@@ -42,6 +42,10 @@
     orderResults = new OrderResultHandler(endHandler, occurrenceTable);
   }
 
+  void setRunListener(RunListener listener) {
+    endHandler.setListener(listener);
+  }
+
   Collection<WorkerState> all() {
     return byId.values();
   }
@@ -124,7 +128,7 @@
     Set<String> present = new HashSet<>();
     for (WorkerFacts facts : listed) {
       present.add(facts.id());
-      workerListed(facts, isFirstList);
+      workerListed(facts, isFirstList, nowMillis);
     }
     for (WorkerState worker : byId.values()) {
       worker.isPublished = present.contains(worker.facts.id());
@@ -137,7 +141,7 @@
     removeGoneWorkers();
   }
 
-  private void workerListed(WorkerFacts facts, boolean isFirstList) {
+  private void workerListed(WorkerFacts facts, boolean isFirstList, long nowMillis) {
     WorkerState known = byId.get(facts.id());
     if (known == null) {
       // The first list also counts, since earlier versions recorded no workers.
@@ -145,7 +149,7 @@
     } else if (hasRestarted(known, facts.bornMillis())) {
       // An earlier owner may have used the new process under the record of the old one.
       boolean mayRunEarlierTasks = known.mayRunEarlierTasks();
-      dropRuns(known);
+      dropRuns(known, RunRelease.PROCESS_REPLACED, nowMillis, nowMillis);
       byId.put(facts.id(), new WorkerState(facts, maxLeaseMillis, mayRunEarlierTasks));
     } else {
       Resources used = known.facts.capacity().minus(known.free);
@@ -192,7 +196,7 @@
       return;
     }
     if (hasRestarted(worker, report.bornMillis())) {
-      dropRuns(worker);
+      dropRuns(worker, RunRelease.PROCESS_REPLACED, sentMillis, nowMillis);
       worker.lease = new LeaseClock(maxLeaseMillis);
       worker.processedEnd = 0;
       worker.batchedEnd = 0;
@@ -215,7 +219,7 @@
     for (EndedTask ended : report.ended()) {
       if (ended.number() > worker.processedEnd) {
         worker.processedEnd = ended.number();
-        endHandler.runEnded(worker, ended, nowMillis);
+        endHandler.runEnded(worker, ended, sentMillis, nowMillis);
       }
     }
     updateRuns(worker, sentMillis, report, nowMillis);
@@ -228,7 +232,7 @@
       present.add(running.task());
       TaskRun run = worker.runs.get(running.task());
       if (run == null || run.number != running.run()) {
-        run = adopt(worker, running, nowMillis);
+        run = adopt(worker, running, sentMillis, nowMillis);
       }
       OccurrenceState occurrence = occurrenceTable.occurrence(running.task());
       occurrenceTable.markBegun(occurrence);
@@ -247,15 +251,15 @@
     }
     for (TaskRun run : List.copyOf(worker.runs.values())) {
       if (!present.contains(run.task) && sentMillis > run.orderAnsweredMillis) {
-        endHandler.removeRun(run);
+        endHandler.release(run, RunRelease.NOT_REPORTED, sentMillis, nowMillis);
       }
     }
   }
 
-  private TaskRun adopt(WorkerState worker, RunningTask running, long nowMillis) {
+  private TaskRun adopt(WorkerState worker, RunningTask running, long sentMillis, long nowMillis) {
     TaskRun previous = worker.runs.get(running.task());
     if (previous != null) {
-      endHandler.removeRun(previous);
+      endHandler.release(previous, RunRelease.OTHER_RUN_REPORTED, sentMillis, nowMillis);
     }
     OccurrenceState occurrence = occurrenceTable.occurrence(running.task());
     TaskState task = occurrence == null ? null : occurrence.task(running.task());
@@ -272,22 +276,26 @@
     return run;
   }
 
-  void holdFailed(WorkerFacts polled, CallResult result) {
+  void holdFailed(WorkerFacts polled, CallResult result, long nowMillis) {
     WorkerState worker = findSameProcess(polled);
     if (worker == null) {
       return;
     }
     if (result == CallResult.GONE) {
-      terminate(worker);
+      terminate(worker, RunRelease.ADDRESS_REUSED, nowMillis, nowMillis);
     }
     worker.isReachable = false;
   }
 
-  /** Handles the termination of a worker by the platform: none of its runs exist any more. */
-  void workerTerminated(String id) {
+  /**
+   * Handles the termination of a worker by the platform: none of its runs exist any more.
+   *
+   * @param listSentMillis when the list of hosts was requested that shows the termination
+   */
+  void workerTerminated(String id, long listSentMillis, long nowMillis) {
     WorkerState worker = byId.get(id);
     if (worker != null) {
-      terminate(worker);
+      terminate(worker, RunRelease.HOST_WITHOUT_WORKER, listSentMillis, nowMillis);
       worker.isReachable = false;
     }
   }
@@ -301,17 +309,19 @@
     }
   }
 
-  private void terminate(WorkerState worker) {
-    dropRuns(worker);
+  private void terminate(
+      WorkerState worker, RunRelease release, long evidenceMillis, long nowMillis) {
+    dropRuns(worker, release, evidenceMillis, nowMillis);
     worker.isTerminated = true;
     worker.isRecorded = false;
     leaseHolders.remove(worker.facts.id());
   }
 
   /** Removes the runs of a worker whose process has ended; its tasks may start elsewhere. */
-  private void dropRuns(WorkerState worker) {
+  private void dropRuns(
+      WorkerState worker, RunRelease release, long evidenceMillis, long nowMillis) {
     for (TaskRun run : List.copyOf(worker.runs.values())) {
-      endHandler.removeRun(run);
+      endHandler.release(run, release, evidenceMillis, nowMillis);
     }
   }
 
@@ -322,7 +332,7 @@
     }
     for (WorkerState worker : byId.values()) {
       if (!worker.isReachable && !worker.runs.isEmpty() && worker.lease.isExpired(nowMillis)) {
-        dropRuns(worker);
+        dropRuns(worker, RunRelease.LEASE_EXPIRED, worker.lastReportMillis, nowMillis);
       }
     }
     removeGoneWorkers();
@@ -337,20 +347,20 @@
             && run.worker.isReachable
             && nowMillis - run.lastOrderMillis < maxLeaseMillis;
     if (!isValid) {
-      withdraw(order);
+      withdraw(order, nowMillis);
     }
     return isValid;
   }
 
   /** Removes the run of a start that is not sent; a stop that is not sent may be repeated. */
-  void withdraw(Order order) {
+  void withdraw(Order order, long nowMillis) {
     TaskRun run = run(order);
     if (run != null && order instanceof Order.Stop) {
       run.isStopPending = false;
     }
     TaskRun unsent = order instanceof Order.Start ? unsentRun(order) : null;
     if (unsent != null) {
-      endHandler.removeRun(unsent);
+      endHandler.release(unsent, RunRelease.NOT_SENT, nowMillis, nowMillis);
     }
   }
 
@@ -372,7 +382,7 @@
 
   void orderAnswered(Order order, CallResult result, long nowMillis) {
     if (result == CallResult.GONE) {
-      holdFailed(order.worker(), result);
+      holdFailed(order.worker(), result, nowMillis);
       return;
     }
     TaskRun run = run(order);
--- a/core/src/test/java/org/persimmonloom/core/scheduling/DecisionEqualityTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/DecisionEqualityTest.java
@@ -155,8 +155,8 @@
   }
 
   private void fail(WorkerFacts worker, CallResult result) {
-    scheduler.holdFailed(worker, result);
-    reference.workers.holdFailed(worker, result);
+    scheduler.holdFailed(worker, result, now);
+    reference.workers.holdFailed(worker, result, now);
   }
 
   private void submit() {
--- a/core/src/test/java/org/persimmonloom/core/scheduling/EvacuationTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/EvacuationTest.java
@@ -61,7 +61,7 @@
     Set<String> waveHosts = new HashSet<>(machines.keySet());
     waveHosts.removeIf(id -> fleet.running.get(worker(id)).isEmpty());
     fleet.scheduler.machines().waveOrdered(new WaveOrder(1, waveHosts, 20_000, 5), null);
-    fleet.scheduler.machines().machinesListed(machines.values());
+    fleet.scheduler.machines().machinesListed(machines.values(), fleet.now, fleet.now);
   }
 
   /** Schedules the hosts and returns the orders, without those for the task being stopped. */
--- a/core/src/test/java/org/persimmonloom/core/scheduling/FleetSchedulerTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/FleetSchedulerTest.java
@@ -115,7 +115,7 @@
     WorkerFacts silent = runOneTask();
     fleet.addWorker("w2");
     fleet.report();
-    fleet.scheduler.holdFailed(silent, CallResult.UNKNOWN);
+    fleet.scheduler.holdFailed(silent, CallResult.UNKNOWN, fleet.now);
 
     fleet.now += 5_900;
     fleet.report("w1");
@@ -136,13 +136,13 @@
     WorkerFacts silent = runOneTask();
     fleet.addWorker("w2");
     fleet.report();
-    fleet.scheduler.holdFailed(silent, CallResult.UNKNOWN);
+    fleet.scheduler.holdFailed(silent, CallResult.UNKNOWN, fleet.now);
     for (int i = 0; i < 34; i++) {
       fleet.now += 200;
       for (HoldOrder hold : fleet.scheduler.dueHolds(Set.of(), fleet.now)) {
         if (hold.worker().id().equals("w1")) {
           assertThat(hold.leaseUntilMillis()).isZero();
-          fleet.scheduler.holdFailed(silent, CallResult.NOT_SENT);
+          fleet.scheduler.holdFailed(silent, CallResult.NOT_SENT, fleet.now);
         }
       }
     }
@@ -330,7 +330,7 @@
     runOneTask();
     fleet.apply(fleet.records.cancellation("f1"));
     Order stop = fleet.decide().get(0);
-    fleet.scheduler.withdraw(stop);
+    fleet.scheduler.withdraw(stop, fleet.now);
     fleet.now += 300;
     assertThat(fleet.decide()).containsExactly(stop);
   }
--- a/core/src/test/java/org/persimmonloom/core/scheduling/MachineSchedulerTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/MachineSchedulerTest.java
@@ -35,7 +35,7 @@
   private List<MachineOrder> decide() {
     fleet.now += 100;
     fleet.report();
-    fleet.scheduler.machines().machinesListed(machines.values());
+    fleet.scheduler.machines().machinesListed(machines.values(), fleet.now, fleet.now);
     List<Order> tasks = new ArrayList<>();
     List<MachineOrder> orders = fleet.scheduler.machines().decide(tasks, fleet.now, fleet.now);
     for (Order order : tasks) {
@@ -134,7 +134,7 @@
     addMachine("m9", "spare");
     fleet.takeOverUnlisted();
     fleet.scheduler.machines().waveOrdered(new WaveOrder(1, machines.keySet(), 20_000, 5), null);
-    fleet.scheduler.machines().machinesListed(machines.values());
+    fleet.scheduler.machines().machinesListed(machines.values(), fleet.now, fleet.now);
     List<MachineOrder> orders = new ArrayList<>();
     for (int round = 0; round < 80; round++) {
       fleet.now += 100;
@@ -219,7 +219,7 @@
     assertThat(orders).contains(maintain);
     answerDone(maintain);
     put(machine, SERVICE, MachineFacts.State.IN_MAINTENANCE, "");
-    fleet.scheduler.machines().machinesListed(machines.values());
+    fleet.scheduler.machines().machinesListed(machines.values(), fleet.now, fleet.now);
     assertThat(fleet.decide()).singleElement().extracting(Order::run).isEqualTo(2);
   }
 
--- a/core/src/test/java/org/persimmonloom/core/scheduling/MaintenanceWavesTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/MaintenanceWavesTest.java
@@ -18,7 +18,7 @@
   private List<MachineOrder> decide() {
     fleet.now += 100;
     fleet.report();
-    fleet.scheduler.machines().machinesListed(machines);
+    fleet.scheduler.machines().machinesListed(machines, fleet.now, fleet.now);
     List<MachineOrder> orders =
         fleet.scheduler.machines().decide(new ArrayList<>(), fleet.now, fleet.now);
     fleet.decideAndExecute();
--- a/core/src/test/java/org/persimmonloom/core/scheduling/NotStartedReportTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/NotStartedReportTest.java
@@ -67,7 +67,7 @@
     fleet.submit("f1", SchedulerFixture.longRunning(1, 0));
     assertThat(outline()).contains("NO_WORKER_USABLE=tasks:1,oldest:0");
     reportAndExecute();
-    fleet.scheduler.holdFailed(worker, CallResult.GONE);
+    fleet.scheduler.holdFailed(worker, CallResult.GONE, fleet.now);
     fleet.now += 5_000;
     assertThat(outline()).contains("NO_WORKER_USABLE=tasks:1,oldest:0");
   }
@@ -176,8 +176,8 @@
     WorkerFacts second = fleet.addWorker("w2");
     fleet.submit("f1", StepBuilder.step(2).cpuMillis(3_000).gang(false).build());
     reportAndExecute();
-    fleet.scheduler.holdFailed(first, CallResult.UNKNOWN);
-    fleet.scheduler.holdFailed(second, CallResult.GONE);
+    fleet.scheduler.holdFailed(first, CallResult.UNKNOWN, fleet.now);
+    fleet.scheduler.holdFailed(second, CallResult.GONE, fleet.now);
     fleet.decideAndExecute();
     assertThat(outline()).startsWith("laundry.GANG_MEMBER_ACTIVE=tasks:1");
   }
@@ -189,7 +189,7 @@
     fleet.submit("f1", SchedulerFixture.longRunning(1, 0));
     reportAndExecute();
     fleet.report();
-    fleet.scheduler.holdFailed(worker, CallResult.UNKNOWN);
+    fleet.scheduler.holdFailed(worker, CallResult.UNKNOWN, fleet.now);
     outline();
     fleet.now += 1_000;
     assertThat(outline())
@@ -239,7 +239,7 @@
     WorkerFacts worker = fleet.addWorker("w1");
     fleet.submit("f1", ONE_TASK);
     reportAndExecute();
-    fleet.scheduler.holdFailed(worker, CallResult.UNKNOWN);
+    fleet.scheduler.holdFailed(worker, CallResult.UNKNOWN, fleet.now);
     assertThat(outline()).isEmpty();
   }
 }
--- a/core/src/test/java/org/persimmonloom/core/scheduling/OrderValidityTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/OrderValidityTest.java
@@ -32,7 +32,7 @@
   void startOfATaskThatIsDoneMeanwhileIsWithdrawn() {
     fleet.decideAndExecute();
     fleet.endRun("w1", TASK, 1, EndCause.DONE);
-    fleet.scheduler.holdFailed(fleet.workers.get("w1"), CallResult.UNKNOWN);
+    fleet.scheduler.holdFailed(fleet.workers.get("w1"), CallResult.UNKNOWN, fleet.now);
     fleet.addWorker("w2");
     fleet.report("w1");
     fleet.now += 6_500;
@@ -64,7 +64,7 @@
   @Test
   void startQueuedForAWorkerThatFallsSilentIsPlacedElsewhere() {
     Order first = fleet.decide().get(0);
-    fleet.scheduler.holdFailed(first.worker(), CallResult.UNKNOWN);
+    fleet.scheduler.holdFailed(first.worker(), CallResult.UNKNOWN, fleet.now);
     assertThat(isStillValid(first)).isFalse();
     fleet.addWorker("w2");
     fleet.report("w1");
@@ -90,7 +90,7 @@
   void stopOfARunThatIsOverIsObsolete() {
     fleet.decideAndExecute();
     WorkerFacts worker = fleet.workers.get("w1");
-    fleet.scheduler.holdFailed(worker, CallResult.UNKNOWN);
+    fleet.scheduler.holdFailed(worker, CallResult.UNKNOWN, fleet.now);
     fleet.now += 6_500;
     fleet.decide();
     assertThat(isStillValid(new Order.Stop(worker, TASK, 1))).isFalse();
--- a/core/src/test/java/org/persimmonloom/core/scheduling/PoolGrowthTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/PoolGrowthTest.java
@@ -39,7 +39,7 @@
     }
     fleet.report();
     fleet.recordProgress();
-    fleet.scheduler.machines().machinesListed(machines.values());
+    fleet.scheduler.machines().machinesListed(machines.values(), fleet.now, fleet.now);
     List<MachineOrder> orders =
         fleet.scheduler.machines().decide(new ArrayList<>(), fleet.now, fleet.now);
     fleet.decideAndExecute();
--- a/core/src/test/java/org/persimmonloom/core/scheduling/TakeoverInBurstTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/TakeoverInBurstTest.java
@@ -34,7 +34,7 @@
   }
 
   private List<String> ordered() {
-    fleet.scheduler.machines().machinesListed(machines.values());
+    fleet.scheduler.machines().machinesListed(machines.values(), fleet.now, fleet.now);
     return fleet.scheduler.machines().decide(new ArrayList<>(), fleet.now, fleet.now).stream()
         .map(MachineOrder::machine)
         .toList();
--- a/core/src/test/java/org/persimmonloom/core/scheduling/TakeoverTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/TakeoverTest.java
@@ -25,7 +25,7 @@
   }
 
   private void listMachines(MachineFacts... machines) {
-    fleet.scheduler.machines().machinesListed(List.of(machines));
+    fleet.scheduler.machines().machinesListed(List.of(machines), fleet.now, fleet.now);
   }
 
   private Stream<String> polledWorkers() {
@@ -130,7 +130,7 @@
     String worker = takeOverWhileATaskRuns();
     fleet.scheduler.workersListed(fleet.workers.values(), fleet.now);
     fleet.report();
-    fleet.scheduler.holdFailed(fleet.workers.get(worker), CallResult.NOT_SENT);
+    fleet.scheduler.holdFailed(fleet.workers.get(worker), CallResult.NOT_SENT, fleet.now);
     fleet.now += 5_900;
     fleet.report(worker);
     assertThat(fleet.decideAndExecute()).isEmpty();
@@ -181,7 +181,7 @@
     fleet.submit("f1", SchedulerFixture.step(1, 500, List.of()));
     fleet.report();
     fleet.decideAndExecute();
-    fleet.scheduler.holdFailed(lost, CallResult.UNKNOWN);
+    fleet.scheduler.holdFailed(lost, CallResult.UNKNOWN, fleet.now);
     fleet.scheduler.workersListed(List.of(), fleet.now);
     assertThat(fleet.scheduler.takeLeaseHolders().records()).isEmpty();
 
@@ -219,7 +219,7 @@
     fleet.report("w2");
     listMachines(
         machine("m1", MachineFacts.State.UP, "w1"), machine("m2", MachineFacts.State.UP, "w3"));
-    fleet.scheduler.holdFailed(moved, CallResult.NOT_SENT);
+    fleet.scheduler.holdFailed(moved, CallResult.NOT_SENT, fleet.now);
 
     assertThat(fleet.decideAndExecute())
         .singleElement()
@@ -237,7 +237,7 @@
     WorkerFacts lost = fleet.addWorker("w2");
     submitBeforeTakeover();
     fleet.report("w2");
-    fleet.scheduler.holdFailed(lost, CallResult.UNKNOWN);
+    fleet.scheduler.holdFailed(lost, CallResult.UNKNOWN, fleet.now);
     listMachines(
         machine("m1", MachineFacts.State.UP, "w1"), machine("m2", MachineFacts.State.DOWN, ""));
 
@@ -264,7 +264,7 @@
   @Test
   void workerThatItsHostReportsIsPolledAgain() {
     WorkerFacts worker = fleet.addWorker("w1");
-    fleet.scheduler.holdFailed(worker, CallResult.GONE);
+    fleet.scheduler.holdFailed(worker, CallResult.GONE, fleet.now);
     listMachines(machine("m1", MachineFacts.State.UP, "w1"));
     fleet.now += 1_000;
 
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/MachineOperations.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/MachineOperations.java
@@ -130,12 +130,13 @@
   void pass(long nowMillis, long wallMillis, List<Order> taskOrders) {
     if (!isListInFlight && nowMillis >= nextListMillis && scheduler.canListMachines()) {
       isListInFlight = true;
+      long sent = nowMillis;
       callExecutor.execute(
           () -> {
             Optional<List<MachineFacts>> listed =
                 PlatformCalls.resultOr(
                     Optional.empty(), "machine list", () -> services.machines().list());
-            loopExecutor.execute(() -> handleList(listed));
+            loopExecutor.execute(() -> handleList(listed, sent));
           });
     }
     if (nowMillis >= nextDecisionMillis) {
@@ -148,10 +149,11 @@
     }
   }
 
-  private void handleList(Optional<List<MachineFacts>> listed) {
+  private void handleList(Optional<List<MachineFacts>> listed, long sentMillis) {
+    long now = services.clock().getAsLong();
     isListInFlight = false;
-    nextListMillis = services.clock().getAsLong() + LIST_INTERVAL_MILLIS;
-    listed.ifPresent(scheduler::machinesListed);
+    nextListMillis = now + LIST_INTERVAL_MILLIS;
+    listed.ifPresent(machines -> scheduler.machinesListed(machines, sentMillis, now));
   }
 
   private void announce(List<MachineOrder> orders, long nowMillis) {
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
@@ -65,6 +65,7 @@
   private final WorkerChannels channels;
   private final OwnerLoad load;
   private final OwnerSummary summary;
+  private final RunLog runLog;
   private final EndedWorkflowRemoval endedWorkflowRemoval;
   private FleetScheduler scheduler;
   private ProgressRecorder progressRecorder;
@@ -88,6 +89,7 @@
     load = new OwnerLoad(services.metrics());
     loop = new OwnerLoop(fence, load);
     summary = new OwnerSummary(fence, load);
+    runLog = new RunLog(fence, services.metrics());
     callExecutor =
         (ThreadPoolExecutor)
             Executors.newCachedThreadPool(task -> daemonThread(task, "owner-call"));
@@ -208,6 +210,7 @@
             : settings.dutyLeaseMillis() - OwnerPermission.MIN_MILLIS_SINCE_EARLIER_HOST_ORDER;
     long hostOrdersFromMillis = now() + Math.max(0, hostOrderWaitMillis);
     scheduler = new FleetScheduler(settings, follower.end(), now(), hostOrdersFromMillis);
+    scheduler.setRunListener(runLog);
     scheduler.leaseHoldersLoaded(services.workflows().leaseHolders());
     progressRecorder =
         new ProgressRecorder(
@@ -309,7 +312,7 @@
   private boolean isStillPermitted(Order order) {
     boolean isPermitted = permission.mayOrderWorkers();
     if (!isPermitted) {
-      scheduler.withdraw(order);
+      scheduler.withdraw(order, now());
     }
     return isPermitted;
   }
@@ -323,12 +326,14 @@
     long wall = services.wallClock().millis();
     int maxStarts = Math.max(0, MAX_UNSENT_ORDERS - channels.backlog());
     List<Order> orders = scheduler.decide(now, wall, maxStarts);
+    runLog.logOrdered();
     if (permission.mayOrderHosts()) {
       machines.pass(now, wall, orders);
     }
     orders.forEach(channels::send);
     scheduler.nextPermitRequest(now).ifPresent(this::requestPermits);
     for (HoldOrder hold : scheduler.dueHolds(channels.workersInHold(), now)) {
+      runLog.holdSent(hold);
       channels.hold(hold);
     }
     progressRecorder.record(now);
@@ -374,13 +379,14 @@
 
   private void handleHoldAnswer(HoldOrder order, long sentMillis, WorkerGateway.HoldAnswer answer) {
     if (answer.result() == CallResult.ACCEPTED) {
+      runLog.reportRead(order.worker().id(), answer.report());
       scheduler.workerReported(order.worker(), sentMillis, answer.report(), now());
     } else if (answer.result() == CallResult.FENCED) {
       stepDown.run();
       return;
     } else {
       LOG.info("event=worker_silent worker={} result={}", order.worker().id(), answer.result());
-      scheduler.holdFailed(order.worker(), answer.result());
+      scheduler.holdFailed(order.worker(), answer.result(), now());
     }
     requestPass();
   }
--- /dev/null
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/RunLog.java
@@ -0,0 +1,109 @@
+package org.persimmonloom.runtime.workflow;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.StringJoiner;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.persimmonloom.core.scheduling.EndedTask;
+import org.persimmonloom.core.scheduling.HoldOrder;
+import org.persimmonloom.core.scheduling.Order;
+import org.persimmonloom.core.scheduling.ReleasedRun;
+import org.persimmonloom.core.scheduling.RunListener;
+import org.persimmonloom.core.scheduling.RunRelease;
+import org.persimmonloom.core.scheduling.WorkerReport;
+
+/**
+ * Writes the life of the runs of one term to the log: why a task was free when its start was
+ * decided, what released a run, and when an end was read and acknowledged.
+ *
+ * <p>Starts of one pass, and ends of one report, share a line, which bounds the lines by the passes
+ * and the reports. Confined to the owner's loop.
+ */
+final class RunLog implements RunListener {
+  private static final Logger LOG = LogManager.getLogger(RunLog.class);
+
+  /** Runs in one line; a line of many would be cut by tools that collect logs. */
+  private static final int MAX_RUNS_PER_LINE = 32;
+
+  private final long fence;
+  private final Counter released;
+  private final List<String> ordered = new ArrayList<>();
+  private final Map<String, ReadEnds> readEnds = new HashMap<>();
+  private final Map<String, Long> acknowledgedEnds = new HashMap<>();
+
+  /** Ends of a worker's process that were read. */
+  private record ReadEnds(long bornMillis, long number) {}
+
+  RunLog(long fence, WorkflowMetrics metrics) {
+    this.fence = fence;
+    released = metrics.releasedRuns;
+  }
+
+  @Override
+  public void runOrdered(Order.Start start, Optional<ReleasedRun> previous) {
+    String free = previous.map(run -> " after #" + run.number() + ' ' + run.release()).orElse("");
+    ordered.add(start.task() + "#" + start.run() + " on " + start.worker().id() + free);
+  }
+
+  /** Writes the starts that were decided since the last call. */
+  void logOrdered() {
+    for (int from = 0; from < ordered.size(); from += MAX_RUNS_PER_LINE) {
+      List<String> part = ordered.subList(from, Math.min(ordered.size(), from + MAX_RUNS_PER_LINE));
+      LOG.info("event=runs_ordered fence={} runs={}", fence, part);
+    }
+    ordered.clear();
+  }
+
+  @Override
+  public void runReleased(ReleasedRun run) {
+    released.labelValues(run.release().name()).inc();
+    if (run.release() != RunRelease.END_REPORTED) {
+      LOG.info(
+          "event=run_released task={} run={} worker={} fence={} proof={} proof_age_ms={}"
+              + " reported_ms={}",
+          run.task(),
+          run.number(),
+          run.worker(),
+          fence,
+          run.release(),
+          run.releasedMillis() - run.evidenceMillis(),
+          run.lastReportMillis() == 0 ? -1 : run.releasedMillis() - run.lastReportMillis());
+    }
+  }
+
+  /** Writes the ends of a report that no earlier report of the same process has listed. */
+  void reportRead(String worker, WorkerReport report) {
+    ReadEnds earlier = readEnds.get(worker);
+    long read =
+        earlier != null && earlier.bornMillis() == report.bornMillis() ? earlier.number() : 0;
+    long highest = read;
+    StringJoiner ends = new StringJoiner(", ", "[", "]");
+    for (EndedTask end : report.ended()) {
+      if (end.number() > read) {
+        highest = Math.max(highest, end.number());
+        ends.add(end.number() + ":" + end.task() + '#' + end.run() + '=' + end.cause());
+      }
+    }
+    if (highest > read) {
+      readEnds.put(worker, new ReadEnds(report.bornMillis(), highest));
+      LOG.info("event=runs_ended worker={} fence={} ends={}", worker, fence, ends);
+    }
+  }
+
+  /** Writes up to which end a worker may forget its ends, if that has changed. */
+  void holdSent(HoldOrder hold) {
+    Long earlier = acknowledgedEnds.put(hold.worker().id(), hold.acknowledgedEnd());
+    if (hold.acknowledgedEnd() != (earlier == null ? 0 : earlier)) {
+      LOG.info(
+          "event=ends_acknowledged worker={} fence={} upto={}",
+          hold.worker().id(),
+          fence,
+          hold.acknowledgedEnd());
+    }
+  }
+}
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowMetrics.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowMetrics.java
@@ -36,6 +36,12 @@
           .help("answers of workers to orders")
           .labelNames("order", "result")
           .register(registry);
+  final Counter releasedRuns =
+      Counter.builder()
+          .name("persimmonloom_released_runs_total")
+          .help("runs that no longer occupy their task, by what shows that they are over")
+          .labelNames("proof")
+          .register(registry);
   final Counter machineOrders =
       Counter.builder()
           .name("persimmonloom_machine_orders_total")
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnerSessionTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnerSessionTest.java
@@ -8,18 +8,11 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.LongSupplier;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.core.LogEvent;
-import org.apache.logging.log4j.core.Logger;
-import org.apache.logging.log4j.core.appender.AbstractAppender;
-import org.apache.logging.log4j.core.config.Property;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.persimmonloom.core.scheduling.CallResult;
@@ -112,23 +105,6 @@
     }
   }
 
-  /** Collects the log lines about tasks that are not started. */
-  private static final class NotStartedLines extends AbstractAppender {
-    private final BlockingQueue<String> lines = new LinkedBlockingQueue<>();
-
-    NotStartedLines() {
-      super("not-started", null, null, true, Property.EMPTY_ARRAY);
-    }
-
-    @Override
-    public void append(LogEvent event) {
-      String line = event.getMessage().getFormattedMessage();
-      if (line.startsWith("event=not_started")) {
-        lines.add(line);
-      }
-    }
-  }
-
   @AfterEach
   void stop() {
     session.stop();
@@ -178,21 +154,15 @@
    */
   @Test
   void reasonsForWaitingTasksAreLogged() throws Exception {
-    NotStartedLines appender = new NotStartedLines();
-    appender.start();
-    Logger logger = (Logger) LogManager.getRootLogger();
-    logger.addAppender(appender);
-    try {
+    try (LogLines lines = new LogLines("event=not_started")) {
       TableRecord submission = new WorkflowRecords().submission(PeerAppendTest.workflow());
       log.append(Table.WORKFLOWS, new KeyedLog.Sequence("host", 1, 1), List.of(submission));
       operations.apply(new StoredRecord(0, RECORD));
       follower.start();
       session.start();
-      assertThat(appender.lines.poll(5, TimeUnit.SECONDS))
+      assertThat(lines.poll(5_000))
           .startsWith("event=not_started fence=5 s.NO_WORKER_USABLE=tasks:1,")
           .contains(",task:f1.0.0.0");
-    } finally {
-      logger.removeAppender(appender);
     }
   }
 
--- /dev/null
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/RunLogTest.java
@@ -0,0 +1,76 @@
+package org.persimmonloom.runtime.workflow;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.persimmonloom.core.scheduling.EndCause;
+import org.persimmonloom.core.scheduling.EndedTask;
+import org.persimmonloom.core.scheduling.HoldOrder;
+import org.persimmonloom.core.scheduling.Order;
+import org.persimmonloom.core.scheduling.ReleasedRun;
+import org.persimmonloom.core.scheduling.RunRelease;
+import org.persimmonloom.core.scheduling.WorkerFacts;
+import org.persimmonloom.core.scheduling.WorkerReport;
+import org.persimmonloom.core.workflow.Resources;
+import org.persimmonloom.core.workflow.TaskId;
+
+/** Tests that the log tells why a task ran again, which an incident could not tell (issue 36). */
+class RunLogTest {
+  private static final TaskId TASK = new TaskId("f1", 0, 1, 2);
+  private static final WorkerFacts FIRST = worker("w1");
+  private static final WorkerFacts SECOND = worker("w2");
+
+  private final WorkflowMetrics metrics = new WorkflowMetrics();
+  private final RunLog log = new RunLog(7, metrics);
+
+  private static WorkerFacts worker(String id) {
+    return new WorkerFacts(id, "10.0.0.1:80", "s", "a", false, Resources.NONE, Set.of(), 1_000);
+  }
+
+  private static Order.Start start(WorkerFacts worker, int run) {
+    return new Order.Start(worker, TASK, run, "", 6_000, "", "");
+  }
+
+  @Test
+  void startNamesWhatReleasedTheRunBefore() {
+    ReleasedRun released =
+        new ReleasedRun(TASK, 1, "w1", RunRelease.LEASE_EXPIRED, 1_000, 900, 1_020);
+    try (LogLines lines = new LogLines("event=run")) {
+      log.runOrdered(start(FIRST, 1), Optional.empty());
+      log.logOrdered();
+      log.runReleased(released);
+      log.runOrdered(start(SECOND, 2), Optional.of(released));
+      log.logOrdered();
+      assertThat(lines.rest())
+          .containsExactly(
+              "event=runs_ordered fence=7 runs=[f1.0.1.2#1 on w1]",
+              "event=run_released task=f1.0.1.2 run=1 worker=w1 fence=7 proof=LEASE_EXPIRED"
+                  + " proof_age_ms=20 reported_ms=120",
+              "event=runs_ordered fence=7 runs=[f1.0.1.2#2 on w2 after #1 LEASE_EXPIRED]");
+    }
+    assertThat(metrics.releasedRuns.labelValues("LEASE_EXPIRED").get()).isEqualTo(1);
+  }
+
+  @Test
+  void endIsWrittenWhenItIsReadAndWhenItIsAcknowledged() {
+    EndedTask end = new EndedTask(1, TASK, 1, EndCause.DONE, "");
+    WorkerReport report = new WorkerReport(5_000, 1_000, List.of(), List.of(end));
+    WorkerReport ofNextProcess = new WorkerReport(100, 2_000, List.of(), List.of(end));
+    try (LogLines lines = new LogLines("event=")) {
+      log.reportRead("w1", report);
+      log.reportRead("w1", report);
+      log.holdSent(new HoldOrder(FIRST, 0, 0, 0));
+      log.holdSent(new HoldOrder(FIRST, 0, 1, 0));
+      log.holdSent(new HoldOrder(FIRST, 0, 1, 0));
+      log.reportRead("w1", ofNextProcess);
+      assertThat(lines.rest())
+          .containsExactly(
+              "event=runs_ended worker=w1 fence=7 ends=[1:f1.0.1.2#1=DONE]",
+              "event=ends_acknowledged worker=w1 fence=7 upto=1",
+              "event=runs_ended worker=w1 fence=7 ends=[1:f1.0.1.2#1=DONE]");
+    }
+  }
+}
--- a/tool/src/main/java/org/persimmonloom/tool/measure/PassFleet.java
+++ b/tool/src/main/java/org/persimmonloom/tool/measure/PassFleet.java
@@ -66,7 +66,9 @@
     }
     scheduler.workersListed(workers, now);
     scheduler.leaseHoldersRecorded(scheduler.takeLeaseHolders());
-    scheduler.machines().machinesListed(workers.stream().map(PassFleet::machine).toList());
+    scheduler
+        .machines()
+        .machinesListed(workers.stream().map(PassFleet::machine).toList(), now, now);
     workers.forEach(worker -> report(worker, List.of()));
     for (int i = 0; i < workflows; i++) {
       boolean isLasting = i < SERVICES || i % 100 == 0;
