Keep a run until its worker has listed all ends

Callers would see a task start again after it had ended `done`. A worker lists 500 ends at a time, the oldest first. A run whose end came after those was in neither list of the report; it counted as over without an end, and its task was started at once. Its `done` was read later. After a takeover the same happened to tasks whose runs the new owner did not know: the first report of their worker ended the wait for it, although it listed a part of the ends only.

A run that an incomplete report lacks stays with its worker until its end is listed or a complete report lacks it. Meanwhile it is neither at work nor stopped. A worker of an earlier term blocks earlier workflows until it has listed all ends once, or is unreachable and its lease is over. It is polled as soon as the listed ends are recorded, without a long poll, and its host counts as one with unrecorded ends.

--- a/core/src/main/java/org/persimmonloom/core/scheduling/RunRelease.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/RunRelease.java
@@ -4,7 +4,7 @@
 public enum RunRelease {
   /** The worker lists the end of the run. */
   END_REPORTED,
-  /** A report that was requested after the last order of the run lacks the run. */
+  /** A report of all ends that was requested after the last order of the run lacks the run. */
   NOT_REPORTED,
   /** The worker reports another run of the task. */
   OTHER_RUN_REPORTED,
--- a/core/src/main/java/org/persimmonloom/core/scheduling/RunStops.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/RunStops.java
@@ -40,6 +40,6 @@
           && run.worker.isReachable
           && sinceOrder >= UNANSWERED_START_TIMEOUT_MILLIS;
     }
-    return !run.isNeeded();
+    return !run.isNeeded() && !run.mayHaveUnlistedEnd;
   }
 }
--- a/core/src/main/java/org/persimmonloom/core/scheduling/TaskRun.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/TaskRun.java
@@ -34,6 +34,12 @@
   /** Whether a stop order is queued or in flight; it is not repeated before it has a result. */
   boolean isStopPending;
 
+  /**
+   * Whether the last report lacks the run but does not list all ends, so that the end of the run
+   * may not be listed yet.
+   */
+  boolean mayHaveUnlistedEnd;
+
   String checkpoint = "";
 
   /** Speed that the worker last reported; see {@link RunningTask#percent}. */
@@ -83,6 +89,6 @@
 
   /** Returns whether the run is running at full speed. */
   boolean isAtFullSpeed() {
-    return phase == Phase.RUNNING && speedPercent >= 100;
+    return phase == Phase.RUNNING && !mayHaveUnlistedEnd && speedPercent >= 100;
   }
 }
--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerPolling.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerPolling.java
@@ -60,10 +60,13 @@
       return sinceHoldSent >= SILENT_RETRY_MILLIS;
     }
     long sinceReport = nowMillis - worker.lastReportMillis;
-    if (worker.hasUnrecordedEnds()) {
+    if (worker.hasUnrecordedProcessedEnds()) {
       return sinceReport >= UNRECORDED_POLL_MILLIS;
     }
-    boolean isIdle = worker.runs.isEmpty() && worker.recordedEnd == worker.acknowledgedEnd;
+    boolean isIdle =
+        worker.runs.isEmpty()
+            && worker.recordedEnd == worker.acknowledgedEnd
+            && !worker.hasUnlistedEnds;
     return !isIdle && sinceReport >= intervalMillis;
   }
 
--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerState.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerState.java
@@ -28,6 +28,15 @@
   /** Whether the worker process has ended; its entry may stay in the published list for a while. */
   boolean isTerminated;
 
+  /**
+   * Whether a report under the current owner's fence has listed all ends, so that the ends of runs
+   * of earlier owners are known as well.
+   */
+  boolean hasListedAllEnds;
+
+  /** Whether the last report did not list all ends. */
+  boolean hasUnlistedEnds;
+
   /** When the first report under the current owner's fence arrived. */
   long firstReportMillis;
 
@@ -76,12 +85,12 @@
   }
 
   /**
-   * Returns whether the worker may run tasks of an earlier owner that this owner does not know. A
-   * missing entry does not show that it runs nothing: its own report does, its termination, and the
-   * end of the longest lease.
+   * Returns whether the worker may run tasks of an earlier owner, or may have ended them, without
+   * the knowledge of this owner. A missing entry does not show that it runs nothing: its own report
+   * of all ends does, its termination, and the end of the longest lease.
    */
   boolean mayRunEarlierTasks() {
-    return isFromPreviousTerm && !hasReported && !isTerminated;
+    return isFromPreviousTerm && !hasListedAllEnds && !isTerminated;
   }
 
   boolean acceptsRuns(long nowMillis) {
@@ -127,10 +136,15 @@
   }
 
   /** Returns whether some processed run ends are not recorded in the log yet. */
-  boolean hasUnrecordedEnds() {
+  boolean hasUnrecordedProcessedEnds() {
     return processedEnd > recordedEnd;
   }
 
+  /** Returns whether some run ends, listed or not, are not recorded in the log yet. */
+  boolean hasUnrecordedEnds() {
+    return hasUnrecordedProcessedEnds() || hasUnlistedEnds;
+  }
+
   /** Returns the number of runs of a step on this worker. */
   int runCount(OccurrenceState occurrence, int step) {
     int count = 0;
--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
@@ -216,6 +216,8 @@
       worker.firstReportMillis = nowMillis;
     }
     worker.isReachable = true;
+    worker.hasListedAllEnds |= report.listsAllEnds();
+    worker.hasUnlistedEnds = !report.listsAllEnds();
     for (EndedTask ended : report.ended()) {
       if (ended.number() > worker.processedEnd) {
         worker.processedEnd = ended.number();
@@ -239,6 +241,7 @@
       run.speedPercent = running.percent();
       run.load = running.load();
       run.checkpoint = running.checkpoint();
+      run.mayHaveUnlistedEnd = false;
       if (run.phase == TaskRun.Phase.STARTING) {
         run.phase = TaskRun.Phase.RUNNING;
         run.orderAnsweredMillis = nowMillis;
@@ -251,7 +254,12 @@
     }
     for (TaskRun run : List.copyOf(worker.runs.values())) {
       if (!present.contains(run.task) && sentMillis > run.orderAnsweredMillis) {
-        endHandler.release(run, RunRelease.NOT_REPORTED, sentMillis, nowMillis);
+        if (report.listsAllEnds()) {
+          endHandler.release(run, RunRelease.NOT_REPORTED, sentMillis, nowMillis);
+        } else {
+          run.mayHaveUnlistedEnd = true;
+          run.load = 0;
+        }
       }
     }
   }
@@ -328,10 +336,14 @@
   void expireLeases(long nowMillis) {
     if (!areEarlierLeasesOver && nowMillis >= earlierLeasesUntilMillis) {
       areEarlierLeasesOver = true;
-      byId.values().forEach(worker -> worker.isFromPreviousTerm = false);
     }
     for (WorkerState worker : byId.values()) {
-      if (!worker.isReachable && !worker.runs.isEmpty() && worker.lease.isExpired(nowMillis)) {
+      boolean isLeaseOver = !worker.isReachable && worker.lease.isExpired(nowMillis);
+      // This owner has extended the lease of a worker that has reported.
+      if (areEarlierLeasesOver && (!worker.hasReported || isLeaseOver)) {
+        worker.isFromPreviousTerm = false;
+      }
+      if (isLeaseOver && !worker.runs.isEmpty()) {
         dropRuns(worker, RunRelease.LEASE_EXPIRED, worker.lastReportMillis, nowMillis);
       }
     }
