Acknowledge only ends that the worker lists, and none after a lost call

Callers could see a task start again after it had ended `done`: an executor that starts again under its identifier numbers its ends from 1, and a poll that still acknowledged the ends of its last process made it forget ends that nobody had read. The poll repeated the highest recorded number for as long as the owner had no report of the new process, also after calls without an answer and to idle workers, which are not polled between their runs.

An end is now acknowledged only while the last report lists it, and no end is after a call without an answer until the worker has reported again. A worker that has forgotten its ends gets no acknowledgement, so an unnoticed restart after that can't lose ends. An idle worker is polled until it lists no end, which also repeats a lost acknowledgement.

EndAcknowledgementTest fails before in all 4 tests, such as noEndIsAcknowledgedBetweenALostCallAndTheNextReport (expected 0 but was 1).

--- a/core/src/main/java/org/persimmonloom/core/scheduling/HoldOrder.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/HoldOrder.java
@@ -5,7 +5,8 @@
  *
  * @param worker worker to poll
  * @param leaseUntilMillis end of the lease on the worker's clock; 0 if the lease is not extended
- * @param acknowledgedEnd the worker may discard ended runs up to this number; they are recorded
+ * @param acknowledgedEnd the worker may discard ended runs up to this number, which are recorded; 0
+ *     if there are none to discard
  * @param waitMillis how long the worker may wait for a run to end before it responds
  */
 public record HoldOrder(
--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerPolling.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerPolling.java
@@ -64,9 +64,7 @@
       return sinceReport >= UNRECORDED_POLL_MILLIS;
     }
     boolean isIdle =
-        worker.runs.isEmpty()
-            && worker.recordedEnd == worker.acknowledgedEnd
-            && !worker.hasUnlistedEnds;
+        worker.runs.isEmpty() && worker.acknowledgeableEnd() == 0 && !worker.hasUnlistedEnds;
     return !isIdle && sinceReport >= intervalMillis;
   }
 
@@ -79,8 +77,10 @@
     // The lease of an unreachable worker must expire before its tasks can start elsewhere.
     boolean mayExtend = worker.lease.isKnown() && worker.isReachable;
     long leaseUntilMillis = mayExtend ? worker.lease.grant(nowMillis) : 0;
-    worker.acknowledgedEnd = worker.recordedEnd;
     return new HoldOrder(
-        worker.facts, leaseUntilMillis, worker.recordedEnd, mayWait ? HOLD_WAIT_MILLIS : 0);
+        worker.facts,
+        leaseUntilMillis,
+        worker.acknowledgeableEnd(),
+        mayWait ? HOLD_WAIT_MILLIS : 0);
   }
 }
--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerState.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerState.java
@@ -52,8 +52,8 @@
   /** Highest number of a run end that was included in a {@link ProgressBatch}. */
   long batchedEnd;
 
-  /** Highest number of a run end that was acknowledged to the worker. */
-  long acknowledgedEnd;
+  /** Highest number of a run end in the last report; 0 if it lists none. */
+  long listedEnd;
 
   long holdSentMillis = Long.MIN_VALUE / 2;
   int consecutiveFailures;
@@ -140,6 +140,15 @@
     return processedEnd > recordedEnd;
   }
 
+  /**
+   * Returns up to which end the worker may forget its ends; 0 if none. An end is acknowledged only
+   * while the worker lists it, and not after a call without an answer: another process may run
+   * under the worker's identifier by then, whose ends have the same numbers and are not read yet.
+   */
+  long acknowledgeableEnd() {
+    return hasReported && isReachable ? Math.min(recordedEnd, listedEnd) : 0;
+  }
+
   /** Returns whether some run ends, listed or not, are not recorded in the log yet. */
   boolean hasUnrecordedEnds() {
     return hasUnrecordedProcessedEnds() || hasUnlistedEnds;
--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
@@ -201,7 +201,6 @@
       worker.processedEnd = 0;
       worker.batchedEnd = 0;
       worker.recordedEnd = 0;
-      worker.acknowledgedEnd = 0;
     }
     if (report.bornMillis() != 0) {
       worker.bornMillis = report.bornMillis();
@@ -218,6 +217,7 @@
     worker.isReachable = true;
     worker.hasListedAllEnds |= report.listsAllEnds();
     worker.hasUnlistedEnds = !report.listsAllEnds();
+    worker.listedEnd = report.ended().stream().mapToLong(EndedTask::number).max().orElse(0);
     for (EndedTask ended : report.ended()) {
       if (ended.number() > worker.processedEnd) {
         worker.processedEnd = ended.number();
--- /dev/null
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/EndAcknowledgementTest.java
@@ -0,0 +1,84 @@
+package org.persimmonloom.core.scheduling;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Which ends an owner lets a worker forget. */
+class EndAcknowledgementTest {
+  private final SchedulerFixture fleet = new SchedulerFixture();
+  private final WorkerFacts worker = fleet.addWorker("w1");
+
+  @BeforeEach
+  void endARun() {
+    fleet.submit("f1", SchedulerFixture.step(1, 500, List.of()));
+    fleet.submit("f2", SchedulerFixture.step(1, 500, List.of()));
+    fleet.report();
+    fleet.decideAndExecute();
+    fleet.report();
+    fleet.endAllRuns(EndCause.DONE, "f1");
+    fleet.report();
+    fleet.recordProgress();
+  }
+
+  private HoldOrder nextHold() {
+    fleet.now += 400;
+    return fleet.scheduler.dueHolds(Set.of(), fleet.now).get(0);
+  }
+
+  /**
+   * Guards against ends that a worker forgets before anyone has read them: after a call without an
+   * answer, another process may run under the worker's identifier, whose ends have the same
+   * numbers.
+   */
+  @Test
+  void noEndIsAcknowledgedBetweenALostCallAndTheNextReport() {
+    fleet.scheduler.holdFailed(worker, CallResult.UNKNOWN, fleet.now);
+    assertThat(nextHold().acknowledgedEnd()).isZero();
+
+    fleet.report();
+    assertThat(nextHold().acknowledgedEnd()).isEqualTo(1);
+  }
+
+  /** Guards against the same, with an order as the call that got no answer. */
+  @Test
+  void noEndIsAcknowledgedAfterALostOrder() {
+    fleet.submit("f3", SchedulerFixture.step(1, 500, List.of()));
+    Order start = fleet.decide().get(0);
+    fleet.scheduler.orderAnswered(start, CallResult.NOT_SENT, fleet.now);
+    assertThat(nextHold().acknowledgedEnd()).isZero();
+  }
+
+  /**
+   * Guards against ends that a worker forgets before anyone has read them: an idle worker is not
+   * polled, so it may start again under its identifier without a call that fails.
+   */
+  @Test
+  void endThatTheWorkerHasForgottenIsNotAcknowledgedAgain() {
+    assertThat(nextHold().acknowledgedEnd()).isEqualTo(1);
+    fleet.ended.put(worker.id(), new ArrayList<>());
+    fleet.report();
+    assertThat(nextHold().acknowledgedEnd()).isZero();
+  }
+
+  /** Guards against an end that is never acknowledged, should the acknowledgement be lost. */
+  @Test
+  void endOfAnIdleWorkerIsAcknowledgedAgainAfterALostCall() {
+    fleet.endAllRuns(EndCause.DONE);
+    fleet.report();
+    fleet.recordProgress();
+    assertThat(nextHold().acknowledgedEnd()).isEqualTo(2);
+    fleet.scheduler.holdFailed(worker, CallResult.UNKNOWN, fleet.now);
+    assertThat(nextHold().acknowledgedEnd()).isZero();
+    fleet.report();
+    assertThat(nextHold().acknowledgedEnd()).isEqualTo(2);
+    fleet.ended.put(worker.id(), new ArrayList<>());
+    fleet.report();
+    fleet.now += 1_000;
+    assertThat(fleet.scheduler.dueHolds(Set.of(), fleet.now)).isEmpty();
+  }
+}
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/RunLog.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/RunLog.java
@@ -97,6 +97,9 @@
 
   /** Writes up to which end a worker may forget its ends, if that has changed. */
   void holdSent(HoldOrder hold) {
+    if (hold.acknowledgedEnd() == 0) {
+      return;
+    }
     Long earlier = acknowledgedEnds.put(hold.worker().id(), hold.acknowledgedEnd());
     if (hold.acknowledgedEnd() != (earlier == null ? 0 : earlier)) {
       LOG.info(
