Wait for silent workers of all services if a queue was rerouted

Callers would see a task run twice at the same time after a change of the owner: its queue was routed to another service, where the new owner started it while a silent worker of the former service still ran it.

After a takeover a task waited only for silent workers of the service that its queue has now. An earlier owner used the service that the queue had then. That is the present one if the queue has the service of the submission and had no other in this term; the wait stays as it is then. Otherwise the services between are not known, and the task waits for silent workers of every service, at most until the last lease of earlier owners is over.

A queue that was routed to another service and back before the term began is still taken for unchanged.

In TakeoverTest silentWorkerOfTheFormerServiceBlocksEarlierWorkflows, silentWorkerOfAServiceBetweenBlocksEarlierWorkflows and silentWorkerBlocksEarlierWorkflowsAfterTheirQueueIsRoutedBack fail before (expecting empty but was a start of f1.0.0.0). The reference scheduler of DecisionEqualityTest has the same rule.

--- a/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
@@ -300,10 +300,16 @@
 
   /**
    * Returns whether a worker that has not reported yet may still run tasks of the occurrence, which
-   * an earlier owner started.
+   * an earlier owner started. If the queue was rerouted, earlier owners may have used workers of
+   * services that this owner does not know.
    */
   private boolean isBlocked(OccurrenceState occurrence, String service) {
-    return occurrence.submittedOffset < takeoverOffset && workers.hasUnreportedWorker(service);
+    if (occurrence.submittedOffset >= takeoverOffset) {
+      return false;
+    }
+    return occurrence.isRerouted
+        ? workers.hasUnreportedWorker()
+        : workers.hasUnreportedWorker(service);
   }
 
   /** Starts the waiting tasks of a step; returns false if no worker can take one of them. */
--- a/core/src/main/java/org/persimmonloom/core/scheduling/OccurrenceState.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/OccurrenceState.java
@@ -17,9 +17,12 @@
   final long submittedOffset;
   final TaskState[] tasks;
 
-  /** Current policy of the workflow's queue, updated by the {@link OccurrenceTable}. */
+  /** Current policy of the workflow's queue; set only by {@link #setPolicy}. */
   QueuePolicy policy;
 
+  /** Whether the workflow's queue was routed to another service than at its submission. */
+  boolean isRerouted;
+
   /** Number of tasks of each step that are not done. */
   final int[] remaining;
 
@@ -58,6 +61,11 @@
     }
   }
 
+  void setPolicy(QueuePolicy current) {
+    policy = current;
+    isRerouted |= !current.service().equals(spec.policy().service());
+  }
+
   /** Restores the progress that an earlier owner recorded. */
   void restore(OccurrenceProgress progress) {
     state = progress.state();
--- a/core/src/main/java/org/persimmonloom/core/scheduling/OccurrenceTable.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/OccurrenceTable.java
@@ -55,7 +55,7 @@
   void configure(Map<String, QueuePolicy> queues) {
     policies = Map.copyOf(queues);
     for (List<OccurrenceState> occurrences : workflows.values()) {
-      occurrences.forEach(occurrence -> occurrence.policy = policy(occurrence.spec));
+      occurrences.forEach(occurrence -> occurrence.setPolicy(policy(occurrence.spec)));
     }
   }
 
@@ -97,7 +97,7 @@
       }
       OccurrenceState occurrence =
           new OccurrenceState(spec, number, entry.submittedOffset(), submitted);
-      occurrence.policy = policy(spec);
+      occurrence.setPolicy(policy(spec));
       progress.ifPresent(occurrence::restore);
       occurrences.add(occurrence);
     }
--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
@@ -78,6 +78,11 @@
     return ofService(service).stream().anyMatch(WorkerState::mayRunEarlierTasks);
   }
 
+  /** Returns whether an unreported worker of any service may run tasks of an earlier owner. */
+  boolean hasUnreportedWorker() {
+    return byId.values().stream().anyMatch(WorkerState::mayRunEarlierTasks);
+  }
+
   /** Returns the unreachable workers that may run tasks of an earlier owner. */
   List<String> silentFromPreviousTerm() {
     return byId.values().stream()
--- a/core/src/test/java/org/persimmonloom/core/scheduling/ReferenceScheduler.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/ReferenceScheduler.java
@@ -79,7 +79,9 @@
     boolean isBlocked =
         occurrence.submittedOffset < takeoverOffset
             && nowMillis < blockedUntilMillis
-            && workers.hasUnreportedWorker(service);
+            && (occurrence.isRerouted
+                ? workers.hasUnreportedWorker()
+                : workers.hasUnreportedWorker(service));
     if (wallMillis < occurrence.spec.dueMillis(occurrence.number)
         || !services.contains(service)
         || isBlocked) {
--- a/core/src/test/java/org/persimmonloom/core/scheduling/TakeoverTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/TakeoverTest.java
@@ -3,13 +3,17 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
+import org.persimmonloom.core.workflow.QueuePolicy;
 import org.persimmonloom.core.workflow.Resources;
 
 class TakeoverTest {
   private static final String SERVICE = SchedulerFixture.POLICY.service();
+  private static final String OTHER_SERVICE = "sewing";
+  private static final String THIRD_SERVICE = "delivery";
 
   private final SchedulerFixture fleet = new SchedulerFixture();
 
@@ -270,4 +274,106 @@
 
     assertThat(polledWorkers()).containsExactly("w1");
   }
+
+  private static QueuePolicy routedTo(String service) {
+    QueuePolicy submitted = SchedulerFixture.POLICY;
+    return new QueuePolicy(
+        submitted.queue(),
+        service,
+        submitted.priority(),
+        submitted.attempts(),
+        submitted.stretch(),
+        submitted.targetMillis(),
+        submitted.permitValidMillis());
+  }
+
+  private void route(String service) {
+    fleet.scheduler.configure(
+        Map.of(SchedulerFixture.POLICY.queue(), routedTo(service)),
+        Set.of(SERVICE, OTHER_SERVICE, THIRD_SERVICE),
+        Set.of());
+  }
+
+  private void addWorkerOf(String service, String id) {
+    WorkerFacts first = fleet.addUnrecordedWorker(id);
+    fleet.workers.put(
+        id,
+        new WorkerFacts(
+            id,
+            first.address(),
+            service,
+            first.dataCentre(),
+            first.draining(),
+            first.capacity(),
+            first.labels(),
+            first.bornMillis()));
+    fleet.scheduler.workersListed(fleet.workers.values(), fleet.now);
+    fleet.recordLeaseHolders();
+  }
+
+  /**
+   * Guards against a task that runs twice because its queue is routed to another service while a
+   * silent worker of the former one may still run it.
+   */
+  @Test
+  void silentWorkerOfTheFormerServiceBlocksEarlierWorkflows() {
+    fleet.addWorker("w1");
+    addWorkerOf(OTHER_SERVICE, "w2");
+    submitBeforeTakeover();
+    route(OTHER_SERVICE);
+    fleet.report("w1");
+    assertThat(fleet.decideAndExecute()).isEmpty();
+
+    fleet.report();
+    assertThat(fleet.decideAndExecute())
+        .singleElement()
+        .extracting(order -> order.worker().id())
+        .isEqualTo("w2");
+  }
+
+  /** Guards against the same, with a service between the first and the present one. */
+  @Test
+  void silentWorkerOfAServiceBetweenBlocksEarlierWorkflows() {
+    addWorkerOf(OTHER_SERVICE, "w2");
+    addWorkerOf(THIRD_SERVICE, "w3");
+    submitBeforeTakeover();
+    route(OTHER_SERVICE);
+    fleet.report("w3");
+    assertThat(fleet.decideAndExecute()).isEmpty();
+  }
+
+  /** Guards against the same, with a queue that is routed back to its first service. */
+  @Test
+  void silentWorkerBlocksEarlierWorkflowsAfterTheirQueueIsRoutedBack() {
+    fleet.addWorker("w1");
+    addWorkerOf(OTHER_SERVICE, "w2");
+    submitBeforeTakeover();
+    route(OTHER_SERVICE);
+    route(SERVICE);
+    fleet.report("w2");
+    assertThat(fleet.decideAndExecute()).isEmpty();
+  }
+
+  /** Guards against earlier workflows that wait for workers which can't run their tasks. */
+  @Test
+  void silentWorkerOfAnotherServiceBlocksNoWorkflowWhoseQueueIsNotRerouted() {
+    fleet.addWorker("w1");
+    addWorkerOf(OTHER_SERVICE, "w2");
+    submitBeforeTakeover();
+    route(SERVICE);
+    fleet.report("w2");
+    assertThat(fleet.decideAndExecute()).hasSize(1);
+  }
+
+  /** Guards against new workflows that wait for workers which can't run their tasks. */
+  @Test
+  void silentWorkerBlocksNoLaterWorkflowOfAReroutedQueue() {
+    fleet.addWorker("w1");
+    addWorkerOf(OTHER_SERVICE, "w2");
+    fleet.takeOver();
+    fleet.submit("f1", SchedulerFixture.step(1, 500, List.of()));
+    route(OTHER_SERVICE);
+    fleet.report("w1");
+    assertThat(fleet.decideAndExecute()).hasSize(1);
+  }
 }
