Keep the record of a worker until its ends are recorded

Callers could see a task start again after it had ended `done`, if an owner failed just after the entry of the task's live worker had lapsed. A worker that is no longer listed and has no runs was dropped, with its record, although ends that it had reported were not recorded yet. Its removal and the progress are separate appends, and the removal came first. The next owner knew neither the worker, which lists the end, nor the end.

The worker now stays until its processed ends are recorded, an append later.

EndAcknowledgementTest.workerIsKnownToLaterOwnersUntilItsEndsAreRecorded fails before (expecting empty but was a record with key w.w1 and no value).

--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
@@ -164,8 +164,8 @@
   }
 
   /**
-   * Removes the workers that are not in the published list and on which nothing can run, so that no
-   * later owner waits for them.
+   * Removes the workers that are not in the published list, on which nothing can run and whose ends
+   * are recorded, so that no later owner waits for them.
    */
   private void removeGoneWorkers() {
     if (isListKnown && byId.values().removeIf(WorkerTable::isGone)) {
@@ -175,7 +175,10 @@
   }
 
   private static boolean isGone(WorkerState worker) {
-    return !worker.isPublished && worker.runs.isEmpty() && !worker.mayRunEarlierTasks();
+    return !worker.isPublished
+        && worker.runs.isEmpty()
+        && !worker.mayRunEarlierTasks()
+        && !worker.hasUnrecordedProcessedEnds();
   }
 
   private void indexByService() {
--- a/core/src/test/java/org/persimmonloom/core/scheduling/EndAcknowledgementTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/EndAcknowledgementTest.java
@@ -81,4 +81,22 @@
     fleet.now += 1_000;
     assertThat(fleet.scheduler.dueHolds(Set.of(), fleet.now)).isEmpty();
   }
+
+  /**
+   * Guards against a task that starts again after it has ended: the entry of its live worker
+   * lapses, and the record of the worker is removed before the end is recorded. A later owner would
+   * then not know that the worker lists an end.
+   */
+  @Test
+  void workerIsKnownToLaterOwnersUntilItsEndsAreRecorded() {
+    fleet.endAllRuns(EndCause.DONE);
+    fleet.report();
+    fleet.scheduler.workersListed(List.of(), fleet.now);
+    fleet.decide();
+    assertThat(fleet.scheduler.takeLeaseHolders().records()).isEmpty();
+
+    fleet.recordProgress();
+    fleet.decide();
+    assertThat(fleet.scheduler.takeLeaseHolders().records()).hasSize(1);
+  }
 }
