--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
@@ -78,6 +78,11 @@
     return ofService(service).stream().anyMatch(WorkerState::mayRunEarlierTasks);
   }
 
+  /** Returns whether an unreported worker of any service may run tasks of an earlier owner. */
+  boolean hasUnreportedWorker() {
+    return byId.values().stream().anyMatch(WorkerState::mayRunEarlierTasks);
+  }
+
   /** Returns the unreachable workers that may run tasks of an earlier owner. */
   List<String> silentFromPreviousTerm() {
     return byId.values().stream()
@@ -159,8 +164,8 @@
   }
 
   /**
-   * Removes the workers that are not in the published list and on which nothing can run, so that no
-   * later owner waits for them.
+   * Removes the workers that are not in the published list, on which nothing can run and whose ends
+   * are recorded, so that no later owner waits for them.
    */
   private void removeGoneWorkers() {
     if (isListKnown && byId.values().removeIf(WorkerTable::isGone)) {
@@ -170,7 +175,10 @@
   }
 
   private static boolean isGone(WorkerState worker) {
-    return !worker.isPublished && worker.runs.isEmpty() && !worker.mayRunEarlierTasks();
+    return !worker.isPublished
+        && worker.runs.isEmpty()
+        && !worker.mayRunEarlierTasks()
+        && !worker.hasUnrecordedProcessedEnds();
   }
 
   private void indexByService() {
@@ -201,7 +209,6 @@
       worker.processedEnd = 0;
       worker.batchedEnd = 0;
       worker.recordedEnd = 0;
-      worker.acknowledgedEnd = 0;
     }
     if (report.bornMillis() != 0) {
       worker.bornMillis = report.bornMillis();
@@ -216,6 +223,9 @@
       worker.firstReportMillis = nowMillis;
     }
     worker.isReachable = true;
+    worker.hasListedAllEnds |= report.listsAllEnds();
+    worker.hasUnlistedEnds = !report.listsAllEnds();
+    worker.listedEnd = report.ended().stream().mapToLong(EndedTask::number).max().orElse(0);
     for (EndedTask ended : report.ended()) {
       if (ended.number() > worker.processedEnd) {
         worker.processedEnd = ended.number();
@@ -239,6 +249,7 @@
       run.speedPercent = running.percent();
       run.load = running.load();
       run.checkpoint = running.checkpoint();
+      run.mayHaveUnlistedEnd = false;
       if (run.phase == TaskRun.Phase.STARTING) {
         run.phase = TaskRun.Phase.RUNNING;
         run.orderAnsweredMillis = nowMillis;
@@ -251,7 +262,12 @@
     }
     for (TaskRun run : List.copyOf(worker.runs.values())) {
       if (!present.contains(run.task) && sentMillis > run.orderAnsweredMillis) {
-        endHandler.release(run, RunRelease.NOT_REPORTED, sentMillis, nowMillis);
+        if (report.listsAllEnds()) {
+          endHandler.release(run, RunRelease.NOT_REPORTED, sentMillis, nowMillis);
+        } else {
+          run.mayHaveUnlistedEnd = true;
+          run.load = 0;
+        }
       }
     }
   }
@@ -328,10 +344,14 @@
   void expireLeases(long nowMillis) {
     if (!areEarlierLeasesOver && nowMillis >= earlierLeasesUntilMillis) {
       areEarlierLeasesOver = true;
-      byId.values().forEach(worker -> worker.isFromPreviousTerm = false);
     }
     for (WorkerState worker : byId.values()) {
-      if (!worker.isReachable && !worker.runs.isEmpty() && worker.lease.isExpired(nowMillis)) {
+      boolean isLeaseOver = !worker.isReachable && worker.lease.isExpired(nowMillis);
+      // This owner has extended the lease of a worker that has reported.
+      if (areEarlierLeasesOver && (!worker.hasReported || isLeaseOver)) {
+        worker.isFromPreviousTerm = false;
+      }
+      if (isLeaseOver && !worker.runs.isEmpty()) {
         dropRuns(worker, RunRelease.LEASE_EXPIRED, worker.lastReportMillis, nowMillis);
       }
     }
