Send no request and accept no response after the time limit of its call

Orders and hold requests that an owner has handed to the I/O thread are sent seconds after they were decided if the process is paused in between, by then perhaps under a fence that has been superseded. A report that reached the socket before the pause and is read after it makes its worker count as in reach now.

The limit of a call was a timer that began when the I/O thread took the call up. So the time in its queue did not count, and after a pause requests and responses that were ready came before the timer.

The limit now counts from the post, on the client's clock, and is compared before a request is sent, also on a connection that was opened meanwhile, and when its response is complete. A request that was not sent in time is NOT_SENT, which is true, since nothing was written. Its connection is kept.

Two tests stop the clock's process in between. Before, both got the response: "expected: NOT_SENT but was: NONE" and "expected: UNKNOWN but was: NONE".

--- a/runtime/src/main/java/org/persimmonloom/runtime/http/HttpCall.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/http/HttpCall.java
@@ -19,31 +19,46 @@
 
 /**
  * One call of a {@link NonBlockingHttpClient}. It ends once, with a response or a failure; what its
- * connection reports later is ignored. Confined to the client's I/O thread.
+ * connection reports later is ignored. After its time limit nothing is sent, and a response counts
+ * as none, whichever the I/O thread handles first: timer, request or response. Confined to the
+ * client's I/O thread.
  */
 final class HttpCall {
   private final NonBlockingHttpClient client;
   private final HttpPost request;
   private final CompletableFuture<HttpReply> reply;
+
+  /** Monotonic time in ms, counted from when the caller posted the request. */
+  private final long deadlineMillis;
+
   private XnioExecutor.Key connectTimeout;
   private XnioExecutor.Key timeout;
   private ClientConnection connection;
   private boolean isSent;
   private boolean isEnded;
 
-  HttpCall(NonBlockingHttpClient client, HttpPost request, CompletableFuture<HttpReply> reply) {
+  HttpCall(
+      NonBlockingHttpClient client,
+      HttpPost request,
+      CompletableFuture<HttpReply> reply,
+      long postedMillis) {
     this.client = client;
     this.request = request;
     this.reply = reply;
+    deadlineMillis = postedMillis + request.limitMillis();
   }
 
   void start() {
     try {
+      long leftMillis = deadlineMillis - client.now();
+      if (leftMillis <= 0) {
+        expire();
+        return;
+      }
       timeout =
           client
               .thread()
-              .executeAfter(
-                  () -> fail("call timeout"), request.limitMillis(), TimeUnit.MILLISECONDS);
+              .executeAfter(() -> fail("call timeout"), leftMillis, TimeUnit.MILLISECONDS);
       ClientConnection idle = client.idleConnections().take(request.address());
       if (idle == null) {
         connect();
@@ -84,7 +99,25 @@
         });
   }
 
+  private boolean isExpired() {
+    return client.now() >= deadlineMillis;
+  }
+
+  /** Ends a call whose time limit has passed; its connection, if any, is not at fault. */
+  private void expire() {
+    if (end()) {
+      HttpReply.NoResponse reason =
+          isSent ? HttpReply.NoResponse.UNKNOWN : HttpReply.NoResponse.NOT_SENT;
+      reply.complete(HttpReply.none(reason, "handled after the time limit"));
+    }
+  }
+
   private void send(ClientConnection open) {
+    if (isExpired()) {
+      client.idleConnections().add(request.address(), open, client.now());
+      expire();
+      return;
+    }
     connection = open;
     isSent = true;
     ClientRequest message = new ClientRequest().setMethod(Methods.POST).setPath(request.path());
@@ -133,8 +166,13 @@
     new StringReadChannelListener(client.buffers()) {
       @Override
       protected void stringDone(String body) {
-        if (end()) {
-          client.idleConnections().add(request.address(), connection, client.now());
+        if (isEnded) {
+          return;
+        }
+        client.idleConnections().add(request.address(), connection, client.now());
+        if (isExpired()) {
+          expire();
+        } else if (end()) {
           reply.complete(HttpReply.of(status, body.getBytes(StandardCharsets.UTF_8)));
         }
       }
--- a/runtime/src/main/java/org/persimmonloom/runtime/http/HttpPost.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/http/HttpPost.java
@@ -9,7 +9,7 @@
  * @param path path and query
  * @param headers additional headers
  * @param body JSON text
- * @param limitMillis maximum time until the whole response has arrived, in ms
+ * @param limitMillis maximum time from the post until the whole response has arrived, in ms
  */
 public record HttpPost(
     String address, String path, Map<String, String> headers, String body, int limitMillis) {
--- a/runtime/src/main/java/org/persimmonloom/runtime/http/NonBlockingHttpClient.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/http/NonBlockingHttpClient.java
@@ -75,10 +75,14 @@
     worker.shutdownNow();
   }
 
-  /** Sends a request. */
+  /**
+   * Sends a request, unless its time limit passes before, as when this process is paused: the
+   * reason for which the caller sent it may no longer hold by then.
+   */
   public CompletableFuture<HttpReply> post(HttpPost request) {
     CompletableFuture<HttpReply> reply = new CompletableFuture<>();
-    thread.execute(() -> new HttpCall(this, request, reply).start());
+    long postedMillis = now();
+    thread.execute(() -> new HttpCall(this, request, reply, postedMillis).start());
     return reply;
   }
 
--- a/runtime/src/test/java/org/persimmonloom/runtime/http/NonBlockingHttpClientTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/http/NonBlockingHttpClientTest.java
@@ -14,8 +14,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -25,9 +27,15 @@
   private static final int LONG_MILLIS = 20_000;
   private static final int SHORT_MILLIS = 300;
 
+  /** Time for which this process has stood still, for the client's clock. */
+  private final AtomicLong pausedMillis = new AtomicLong();
+
   private final NonBlockingHttpClient client =
-      new NonBlockingHttpClient(5_000, () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
+      new NonBlockingHttpClient(
+          5_000, () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()) + pausedMillis.get());
   private final AtomicInteger connections = new AtomicInteger();
+  private final AtomicInteger requests = new AtomicInteger();
+  private final CountDownLatch isResumed = new CountDownLatch(1);
   private ServerSocket server;
 
   /** What the server does with each request. */
@@ -37,6 +45,8 @@
     ANSWER,
     BE_SILENT,
     BREAK_OFF,
+    /** Answers once the process has resumed. */
+    ANSWER_WHEN_RESUMED,
     ANSWER_AND_CLOSE
   }
 
@@ -78,6 +88,10 @@
               new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
       String body = readRequest(in);
       while (body != null && behaviour != Behaviour.BREAK_OFF) {
+        requests.incrementAndGet();
+        if (behaviour == Behaviour.ANSWER_WHEN_RESUMED) {
+          awaitResumption();
+        }
         if (behaviour != Behaviour.BE_SILENT) {
           boolean isClosing = behaviour == Behaviour.ANSWER_AND_CLOSE;
           String response =
@@ -97,6 +111,14 @@
     }
   }
 
+  private void awaitResumption() {
+    try {
+      isResumed.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   /** Returns the body of the next request; null at the end of the connection. */
   private static String readRequest(BufferedReader in) throws IOException {
     int length = 0;
@@ -211,4 +233,46 @@
       assertThat(client.post(odd).join().isNotSent()).as(address).isTrue();
     }
   }
+
+  /**
+   * Guards against an order that a paused owner sends seconds after it was decided: the owner's
+   * term may be over by then.
+   */
+  @Test
+  void requestIsNotSentAfterAPauseLongerThanItsLimit() throws Exception {
+    CountDownLatch isPaused = new CountDownLatch(1);
+    CompletableFuture<Void> paused =
+        post("before", LONG_MILLIS)
+            .thenAccept(
+                reply -> {
+                  isPaused.countDown();
+                  awaitResumption();
+                });
+    assertThat(isPaused.await(5, TimeUnit.SECONDS)).isTrue();
+    CompletableFuture<HttpReply> queued = post("queued", LONG_MILLIS);
+    pausedMillis.addAndGet(LONG_MILLIS + 1);
+    isResumed.countDown();
+    paused.join();
+    HttpReply reply = queued.join();
+    assertThat(reply.noResponse()).isEqualTo(HttpReply.NoResponse.NOT_SENT);
+    assertThat(requests).hasValue(1);
+    assertThat(post("after", LONG_MILLIS).join().status()).isEqualTo(200);
+    assertThat(connections).hasValue(1);
+  }
+
+  /** Guards against a report that is read after a pause and taken for a new one. */
+  @Test
+  void responseReadAfterThePauseOfAProcessCountsAsNone() throws Exception {
+    behaviour = Behaviour.ANSWER_WHEN_RESUMED;
+    CompletableFuture<HttpReply> call = post("a", LONG_MILLIS);
+    while (requests.get() == 0) {
+      TimeUnit.MILLISECONDS.sleep(5);
+    }
+    pausedMillis.addAndGet(LONG_MILLIS + 1);
+    isResumed.countDown();
+    HttpReply reply = call.join();
+    assertThat(reply.noResponse()).isEqualTo(HttpReply.NoResponse.UNKNOWN);
+    assertThat(post("after", LONG_MILLIS).join().status()).isEqualTo(200);
+    assertThat(connections).hasValue(1);
+  }
 }
