End the permission of a term with its session, and check it for each hold

A pass of the owner's loop that is paused after its check of the permission sends hold requests when it resumes, although the term has been stopped or its last renewal has become too old. They carry the old fence.

OwnerSession.stop left the permission as it was, and a pass checked it once at its beginning. Orders are checked again when they leave the queue; hold requests were not.

The stop now ends the permission before it waits for anything, and each hold request is checked. One that may not be sent counts as not sent.

Two tests pause the loop just after the check, with a hold request due, and stop the session or make the renewal old.

--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerPermission.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerPermission.java
@@ -19,7 +19,7 @@
 
   private final LongSupplier renewalAgeMillis;
   private final long renewalTimeoutMillis;
-  private volatile boolean isSuperseded;
+  private volatile boolean isEnded;
 
   /**
    * Creates the permission of one term.
@@ -32,16 +32,16 @@
     this.renewalTimeoutMillis = renewalTimeoutMillis;
   }
 
-  /** Ends the permission, since a newer owner has taken over. */
-  void supersede() {
-    isSuperseded = true;
+  /** Ends the permission, since the term is over or a newer owner has taken over. */
+  void end() {
+    isEnded = true;
   }
 
   boolean mayOrderWorkers() {
-    return !isSuperseded && renewalAgeMillis.getAsLong() < renewalTimeoutMillis;
+    return !isEnded && renewalAgeMillis.getAsLong() < renewalTimeoutMillis;
   }
 
   boolean mayOrderHosts() {
-    return !isSuperseded && renewalAgeMillis.getAsLong() < HOST_ORDER_RENEWAL_TIMEOUT_MILLIS;
+    return !isEnded && renewalAgeMillis.getAsLong() < HOST_ORDER_RENEWAL_TIMEOUT_MILLIS;
   }
 }
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
@@ -166,7 +166,13 @@
   }
 
   /** Ends the term; workers refuse orders still in flight once they have seen a newer fence. */
-  synchronized void stop() {
+  void stop() {
+    // Before all else: a paused pass goes on while this method waits, and beyond it.
+    permission.end();
+    stopParts();
+  }
+
+  private synchronized void stopParts() {
     isStopped = true;
     hostOrderGate.close(HOST_ORDERS_STOP_WAIT_MILLIS);
     announcements.stop();
@@ -275,7 +281,7 @@
    */
   private void handleTakeover(long newFence) {
     if (newFence > fence) {
-      permission.supersede();
+      permission.end();
       stepDown.run();
     }
   }
@@ -333,8 +339,13 @@
     orders.forEach(channels::send);
     scheduler.nextPermitRequest(now).ifPresent(this::requestPermits);
     for (HoldOrder hold : scheduler.dueHolds(channels.workersInHold(), now)) {
-      runLog.holdSent(hold);
-      channels.hold(hold);
+      // Checked again, since the process may have been paused in this pass.
+      if (permission.mayOrderWorkers()) {
+        runLog.holdSent(hold);
+        channels.hold(hold);
+      } else {
+        scheduler.holdFailed(hold.worker(), CallResult.NOT_SENT, now());
+      }
     }
     progressRecorder.record(now);
   }
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnerSessionTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnerSessionTest.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -24,12 +25,17 @@
 import org.persimmonloom.core.scheduling.WaveOrder;
 import org.persimmonloom.core.scheduling.WaveProgress;
 import org.persimmonloom.core.scheduling.WorkerFacts;
+import org.persimmonloom.core.workflow.Resources;
 import org.persimmonloom.core.workflow.TableRecord;
 import org.persimmonloom.core.workflow.WorkflowRecords;
 
 /** Tests a term of ownership in a fleet without workers. */
 class OwnerSessionTest {
   private static final LongSupplier CLOCK = WorkflowHost.steadyClock();
+
+  /** Interval at which a silent worker is polled, and some. */
+  private static final long POLL_INTERVAL_MILLIS = 160;
+
   private static final TableRecord RECORD = new TableRecord("c.f1", new byte[] {1});
 
   private final FakeKeyedLog log = new FakeKeyedLog();
@@ -39,6 +45,16 @@
       new TableFollower(log, Table.WORKFLOWS, workflows, CLOCK, 0, 20);
   private final OperationsReplica operations =
       new OperationsReplica(new FixedConfigurationDecoder());
+  private final AtomicLong renewalAge = new AtomicLong();
+
+  /** Called on the owner's loop after a pass has found that its orders are permitted. */
+  private volatile Runnable afterCheck = () -> {};
+
+  /** Hold requests that were sent. */
+  private final AtomicInteger holds = new AtomicInteger();
+
+  private volatile long lastHoldMillis;
+
   private final OwnerSession session =
       new OwnerSession(
           new OwnershipTerm(5, true, 0),
@@ -57,9 +73,15 @@
               CLOCK,
               InstantSource.system()),
           steppedDown::countDown,
-          () -> 0);
+          this::renewalAgeMillis);
 
-  private static final class UnreachableWorkers implements WorkerGateway {
+  private long renewalAgeMillis() {
+    long age = renewalAge.get();
+    afterCheck.run();
+    return age;
+  }
+
+  private final class UnreachableWorkers implements WorkerGateway {
     @Override
     public CompletableFuture<CallResult> send(Order order, long fence) {
       return CompletableFuture.completedFuture(CallResult.NOT_SENT);
@@ -67,6 +89,8 @@
 
     @Override
     public CompletableFuture<HoldAnswer> hold(HoldOrder order, long fence) {
+      holds.incrementAndGet();
+      lastHoldMillis = CLOCK.getAsLong();
       return CompletableFuture.completedFuture(new HoldAnswer(CallResult.NOT_SENT, null));
     }
   }
@@ -101,7 +125,9 @@
 
     @Override
     public Optional<WorkerFacts> worker(TableRecord record) {
-      return Optional.empty();
+      return Optional.of(
+          new WorkerFacts(
+              "w1", "127.0.0.1:9", "s", "z", false, new Resources(1, 1, 0), Set.of(), 1));
     }
   }
 
@@ -219,6 +245,44 @@
     assertThat(startedDeciding.await(5, TimeUnit.SECONDS)).isTrue();
   }
 
+  /** Starts a term with one worker and pauses its loop in a pass in which it would poll it. */
+  private void assertNothingIsSentAfterPause(Runnable duringPause) throws Exception {
+    CountDownLatch isPaused = new CountDownLatch(1);
+    CountDownLatch isResumed = new CountDownLatch(1);
+    log.append(Table.WORKERS, new KeyedLog.Sequence("w1", 1, 1), List.of(RECORD));
+    afterCheck =
+        () -> {
+          if (holds.get() > 0 && CLOCK.getAsLong() - lastHoldMillis > POLL_INTERVAL_MILLIS) {
+            isPaused.countDown();
+            awaitUninterruptibly(isResumed);
+          }
+        };
+    operations.apply(new StoredRecord(0, RECORD));
+    follower.start();
+    session.start();
+    assertThat(isPaused.await(5, TimeUnit.SECONDS)).isTrue();
+    int holdsBefore = holds.get();
+    duringPause.run();
+    isResumed.countDown();
+    TimeUnit.MILLISECONDS.sleep(500);
+    assertThat(holds).hasValue(holdsBefore);
+  }
+
+  /**
+   * Guards against a term that ended while its loop was paused and that goes on when the next term
+   * of the same host renews the ownership.
+   */
+  @Test
+  void endedTermSendsNothingAfterAPause() throws Exception {
+    assertNothingIsSentAfterPause(session::stop);
+  }
+
+  /** Guards against hold requests of an owner whose last renewal became too old during a pass. */
+  @Test
+  void nothingIsSentIfTheRenewalIsTooOldAfterAPause() throws Exception {
+    assertNothingIsSentAfterPause(() -> renewalAge.set(60_000));
+  }
+
   /** Waits without reacting to interrupts, like a blocking socket read. */
   private static void awaitUninterruptibly(CountDownLatch latch) {
     boolean isInterrupted = false;
