Bind renewals and step-downs to the fence of their term

If a host owns the fleet a second time, a part of its first term that was paused meanwhile takes the renewals of the second term for its own and may send orders under the old fence. The refusal of such an order then ends the second term. A step-down beside a renewal wrote a record with fence -1, which the next claim took for its predecessor's.

The age of the last renewal and the step-down belonged to the host, not to a term, and a renewal read the fence when it was sent, not when it was decided.

Both now name the fence of their term. The age is the maximum for a term that is over; a step-down of such a term has no effect. A renewal keeps the fence that it was begun with.

The test of the release passes the fence of the term to the step-down, otherwise it is unchanged.

--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/Ownership.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/Ownership.java
@@ -122,14 +122,22 @@
     this.mayClaim = mayClaim;
   }
 
-  /** Returns the time since the last successful claim or renewal was sent, in ms. */
-  long renewalAgeMillis() {
-    return renewalAge.millis(clock.getAsLong(), wallClock.millis());
+  /**
+   * Returns the time since the last successful claim or renewal of a term was sent, in ms; the
+   * maximum if the term is over. Renewals of a later term of this host do not count.
+   */
+  long renewalAgeMillis(long termFence) {
+    // The age before the fence: a new term sets its renewal first, and then its fence.
+    long age = renewalAge.millis(clock.getAsLong(), wallClock.millis());
+    return fence == termFence ? age : Long.MAX_VALUE;
   }
 
-  /** Ends the ownership after a worker or the platform has seen a newer fence. */
-  void stepDown() {
-    if (fence >= 0) {
+  /**
+   * Ends a term after a worker or the platform has seen a newer fence; no effect if it is over,
+   * also if this host owns the fleet again.
+   */
+  synchronized void stepDown(long termFence) {
+    if (fence == termFence) {
       loseOwnership("fenced");
     }
   }
@@ -280,7 +288,9 @@
 
   private void renew() throws InterruptedException {
     TimeUnit.MILLISECONDS.sleep(RENEWAL_INTERVAL_MILLIS);
-    if (fence < 0) {
+    // Another thread may end the term at any time, which must not change the record.
+    long renewedFence = fence;
+    if (renewedFence < 0) {
       return;
     }
     if (isHandoverRequested) {
@@ -290,14 +300,15 @@
     }
     long sentMillis = clock.getAsLong();
     long sentWallMillis = wallClock.millis();
-    AppendResult result = table.appendAnyWay(new OwnershipRecord(host, incarnation, fence, false));
+    AppendResult result =
+        table.appendAnyWay(new OwnershipRecord(host, incarnation, renewedFence, false));
     if (result instanceof AppendResult.Appended) {
       renewalAge.renewed(sentMillis, sentWallMillis);
       handOverIfUnreachable();
     } else if (result instanceof AppendResult.Conflict) {
-      resolveConflict(sentMillis, sentWallMillis);
+      resolveConflict(renewedFence, sentMillis, sentWallMillis);
     } else {
-      LOG.warn("event=renewal_failed fence={} result={}", fence, result);
+      LOG.warn("event=renewal_failed fence={} result={}", renewedFence, result);
     }
   }
 
@@ -322,7 +333,7 @@
    * Handles a conflict, which may stem from an own renewal that was written but whose response was
    * lost.
    */
-  private void resolveConflict(long sentMillis, long sentWallMillis) {
+  private void resolveConflict(long renewedFence, long sentMillis, long sentWallMillis) {
     OwnershipTable.ReadResult result = table.read(0);
     if (result == OwnershipTable.ReadResult.EXPIRED) {
       loseOwnership("expired");
@@ -332,7 +343,7 @@
       return;
     }
     OwnershipRecord newest = table.newest();
-    if (newest != null && newest.fence() == fence && newest.incarnation() == incarnation) {
+    if (newest != null && newest.fence() == renewedFence && newest.incarnation() == incarnation) {
       renewalAge.renewed(sentMillis, sentWallMillis);
     } else {
       loseOwnership("superseded by " + newest);
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowHost.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowHost.java
@@ -201,7 +201,12 @@
   }
 
   private synchronized void beginTerm(OwnershipTerm term) {
-    session = new OwnerSession(term, services, ownership::stepDown, ownership::renewalAgeMillis);
+    session =
+        new OwnerSession(
+            term,
+            services,
+            () -> ownership.stepDown(term.fence()),
+            () -> ownership.renewalAgeMillis(term.fence()));
     session.start();
     metrics.fence.set(term.fence());
   }
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnershipTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnershipTest.java
@@ -2,7 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.time.InstantSource;
+import java.time.Instant;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
@@ -32,6 +32,10 @@
     private final Ownership ownership;
 
     private volatile long claimDelayMillis;
+    private volatile long lastFence;
+
+    /** Called when the ownership thread reads the wall clock, before it sends a renewal. */
+    private volatile Runnable onOwnershipThread = () -> {};
 
     /** Whether a worker reports a newer fence while the host is giving up the ownership. */
     private volatile boolean isFencedAtLoss;
@@ -43,14 +47,22 @@
               name,
               incarnation,
               CLOCK,
-              InstantSource.system(),
+              this::now,
               () -> claimDelayMillis,
               this);
       ownership.setMayClaim(true);
     }
 
+    private Instant now() {
+      if (Thread.currentThread().getName().equals("ownership")) {
+        onOwnershipThread.run();
+      }
+      return Instant.now();
+    }
+
     @Override
     public void ownershipGained(OwnershipTerm term) {
+      lastFence = term.fence();
       terms.add(term);
     }
 
@@ -59,7 +71,7 @@
       appendsAtLoss = log.appendCount();
       losses.add(true);
       if (isFencedAtLoss) {
-        ownership.stepDown();
+        ownership.stepDown(lastFence);
       }
     }
 
@@ -199,6 +211,50 @@
     assertThat(hostOne.nextFence()).isGreaterThan(first);
   }
 
+  /**
+   * Guards against orders under an old fence: a paused term of a host went on when the host, which
+   * had claimed again, renewed its next term.
+   */
+  @Test
+  void renewalsOfTheNextTermAreNotThoseOfAnEndedOne() throws Exception {
+    hostOne.ownership.start();
+    long first = hostOne.nextFence();
+    assertThat(hostOne.ownership.renewalAgeMillis(first)).isLessThan(5_000);
+    hostOne.ownership.handOver();
+    long second = hostOne.nextFence();
+    assertThat(hostOne.ownership.renewalAgeMillis(second)).isLessThan(5_000);
+    assertThat(hostOne.ownership.renewalAgeMillis(first)).isEqualTo(Long.MAX_VALUE);
+  }
+
+  /** Guards against a refusal of an old order that ends the next term of the same host. */
+  @Test
+  void refusalOfAnEndedTermDoesNotEndTheNextOne() throws Exception {
+    hostOne.ownership.start();
+    long first = hostOne.nextFence();
+    hostOne.ownership.handOver();
+    long second = hostOne.nextFence();
+    hostOne.ownership.stepDown(first);
+    assertThat(hostOne.ownership.isOwner()).isTrue();
+    assertThat(hostOne.losses).hasSize(1);
+    hostOne.ownership.stepDown(second);
+    assertThat(hostOne.losses).hasSize(2);
+  }
+
+  /** Guards against a renewal with fence -1, if the term ends just before it is sent. */
+  @Test
+  void renewalHasTheFenceOfItsTermIfTheTermEndsMeanwhile() throws Exception {
+    hostOne.ownership.start();
+    long fence = hostOne.nextFence();
+    hostOne.onOwnershipThread = () -> hostOne.ownership.stepDown(fence);
+    assertThat(hostOne.nextFence()).isGreaterThan(fence);
+    Codec codec = new Codec(Map.of());
+    assertThat(log.records(Table.OWNERSHIP))
+        .allSatisfy(
+            record ->
+                assertThat(codec.decode(record.value(), OwnershipRecord.class).get().fence())
+                    .isNotNegative());
+  }
+
   /** Guards against two concurrent owners: a renewal after another host's claim must fail. */
   @Test
   void supersededOwnerStepsDown() throws Exception {
