Suspend an owner's orders after a pause until it has tried to renew

An owner that is paused for 2 to 8 s resumes with a permission that still lasts, although another host may have claimed the fleet after 1.8 s and may have run tasks to their end. Workers that the new owner has not called yet accept the old fence.

An owner goes on for 8 s after its last renewal, so that an outage of the store does not stop all work. Nothing told an outage, in which no host can claim, from a pause, in which any other can.

Beyond 1.8 s the last renewal now counts only if a further attempt, sent in the last 4 s, got no answer of the store. After a pause there is none, so nothing is ordered until the next attempt has ended: it renews, finds the other claim, or shows the outage.

After a pause over 1.8 s, orders wait for one renewal, at most 0.5 s and the call. If all calls of the first attempt in an outage last until their time limits, orders are suspended for some 0.2 s. A pause under 1.8 s, or one within 4 s of a failed attempt, is not detected.

A test moves the host's clock by 5 s. Another one shows that the permission lasts while the store is down.

--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/Ownership.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/Ownership.java
@@ -32,6 +32,13 @@
   private static final Logger LOG = LogManager.getLogger(Ownership.class);
   private static final long RENEWAL_INTERVAL_MILLIS = 500;
   static final long CLAIM_AFTER_MILLIS = 1_800;
+
+  /**
+   * Maximum time from the start of a failed renewal to the end of the next one, if the process
+   * runs: two attempts, each by an own call and three relays, and the interval.
+   */
+  private static final long MAX_FAILED_RENEWAL_AGE_MILLIS = 4_000;
+
   private static final int MAX_RELEASE_RETRIES = 2;
   private static final int READ_WAIT_MILLIS = 500;
   private static final long RETRY_DELAY_MILLIS = 100;
@@ -51,6 +58,10 @@
   private final Listener listener;
   private final Thread thread;
   private final RenewalAge renewalAge = new RenewalAge();
+
+  /** Time since the last renewal was sent that got no answer of the store. */
+  private final RenewalAge failedRenewalAge = new RenewalAge();
+
   private volatile boolean isStopping;
   private volatile boolean mayClaim;
   private volatile boolean isHandoverRequested;
@@ -124,12 +135,22 @@
 
   /**
    * Returns the time since the last successful claim or renewal of a term was sent, in ms; the
-   * maximum if the term is over. Renewals of a later term of this host do not count.
+   * maximum if the term is over or may be without this host's knowledge. Renewals of a later term
+   * of this host do not count.
+   *
+   * <p>Another host may claim after {@link #CLAIM_AFTER_MILLIS}. Beyond that, the last renewal
+   * counts only while further ones are tried and the store does not answer them. After a pause of
+   * this process it does not, until the next attempt has ended.
    */
   long renewalAgeMillis(long termFence) {
-    // The age before the fence: a new term sets its renewal first, and then its fence.
-    long age = renewalAge.millis(clock.getAsLong(), wallClock.millis());
-    return fence == termFence ? age : Long.MAX_VALUE;
+    long now = clock.getAsLong();
+    long wallNow = wallClock.millis();
+    // The ages before the fence: a new term sets its renewal first, and then its fence.
+    long age = renewalAge.millis(now, wallNow);
+    boolean isRecent =
+        age < CLAIM_AFTER_MILLIS
+            || failedRenewalAge.millis(now, wallNow) < MAX_FAILED_RENEWAL_AGE_MILLIS;
+    return isRecent && fence == termFence ? age : Long.MAX_VALUE;
   }
 
   /**
@@ -308,6 +329,7 @@
     } else if (result instanceof AppendResult.Conflict) {
       resolveConflict(renewedFence, sentMillis, sentWallMillis);
     } else {
+      failedRenewalAge.renewed(sentMillis, sentWallMillis);
       LOG.warn("event=renewal_failed fence={} result={}", renewedFence, result);
     }
   }
@@ -340,6 +362,7 @@
       return;
     }
     if (result == OwnershipTable.ReadResult.UNAVAILABLE) {
+      // Not a failed renewal: a record that follows may be the claim of another host.
       return;
     }
     OwnershipRecord newest = table.newest();
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/RenewalAge.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/RenewalAge.java
@@ -1,7 +1,7 @@
 package org.persimmonloom.runtime.workflow;
 
 /**
- * Time since the last renewal of a term.
+ * Time since the last renewal of a term, or since the last attempt.
  *
  * <p>It is the longer of the times on two clocks: the monotonic clock stands still while the host
  * is suspended, and the wall clock may be set back. A wall clock that jumps forward makes the
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnershipTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnershipTest.java
@@ -34,6 +34,9 @@
     private volatile long claimDelayMillis;
     private volatile long lastFence;
 
+    /** Time for which the host has stood still, for its clock. */
+    private volatile long pausedMillis;
+
     /** Called when the ownership thread reads the wall clock, before it sends a renewal. */
     private volatile Runnable onOwnershipThread = () -> {};
 
@@ -46,7 +49,7 @@
               new OwnershipTable(ownLog, log::relay),
               name,
               incarnation,
-              CLOCK,
+              () -> CLOCK.getAsLong() + pausedMillis,
               this::now,
               () -> claimDelayMillis,
               this);
@@ -226,6 +229,34 @@
     assertThat(hostOne.ownership.renewalAgeMillis(first)).isEqualTo(Long.MAX_VALUE);
   }
 
+  /**
+   * Guards against orders of an owner that resumes after a pause in which another host may have
+   * claimed: its last renewal is within the time for which it goes on without the store.
+   */
+  @Test
+  void renewalBeforeAPauseDoesNotCountUntilTheNextAttempt() throws Exception {
+    hostOne.ownership.start();
+    long fence = hostOne.nextFence();
+    hostOne.pausedMillis = 5_000;
+    assertThat(hostOne.ownership.renewalAgeMillis(fence)).isEqualTo(Long.MAX_VALUE);
+    TimeUnit.MILLISECONDS.sleep(1_200);
+    assertThat(hostOne.ownership.renewalAgeMillis(fence)).isLessThan(2_000);
+    assertThat(hostOne.losses).isEmpty();
+  }
+
+  /** Guards against an owner that stops all work as soon as the store does not answer. */
+  @Test
+  void renewalCountsWhileFurtherAttemptsFail() throws Exception {
+    hostOne.ownership.start();
+    long fence = hostOne.nextFence();
+    log.isDown = true;
+    long until = CLOCK.getAsLong() + 6_500;
+    while (CLOCK.getAsLong() < until) {
+      assertThat(hostOne.ownership.renewalAgeMillis(fence)).isLessThan(8_000);
+      TimeUnit.MILLISECONDS.sleep(20);
+    }
+  }
+
   /** Guards against a refusal of an old order that ends the next term of the same host. */
   @Test
   void refusalOfAnEndedTermDoesNotEndTheNextOne() throws Exception {
