--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/Ownership.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/Ownership.java
@@ -32,6 +32,13 @@
   private static final Logger LOG = LogManager.getLogger(Ownership.class);
   private static final long RENEWAL_INTERVAL_MILLIS = 500;
   static final long CLAIM_AFTER_MILLIS = 1_800;
+
+  /**
+   * Maximum time from the start of a failed renewal to the end of the next one, if the process
+   * runs: two attempts, each by an own call and three relays, and the interval.
+   */
+  private static final long MAX_FAILED_RENEWAL_AGE_MILLIS = 4_000;
+
   private static final int MAX_RELEASE_RETRIES = 2;
   private static final int READ_WAIT_MILLIS = 500;
   private static final long RETRY_DELAY_MILLIS = 100;
@@ -51,6 +58,10 @@
   private final Listener listener;
   private final Thread thread;
   private final RenewalAge renewalAge = new RenewalAge();
+
+  /** Time since the last renewal was sent that got no answer of the store. */
+  private final RenewalAge failedRenewalAge = new RenewalAge();
+
   private volatile boolean isStopping;
   private volatile boolean mayClaim;
   private volatile boolean isHandoverRequested;
@@ -122,14 +133,32 @@
     this.mayClaim = mayClaim;
   }
 
-  /** Returns the time since the last successful claim or renewal was sent, in ms. */
-  long renewalAgeMillis() {
-    return renewalAge.millis(clock.getAsLong(), wallClock.millis());
+  /**
+   * Returns the time since the last successful claim or renewal of a term was sent, in ms; the
+   * maximum if the term is over or may be without this host's knowledge. Renewals of a later term
+   * of this host do not count.
+   *
+   * <p>Another host may claim after {@link #CLAIM_AFTER_MILLIS}. Beyond that, the last renewal
+   * counts only while further ones are tried and the store does not answer them. After a pause of
+   * this process it does not, until the next attempt has ended.
+   */
+  long renewalAgeMillis(long termFence) {
+    long now = clock.getAsLong();
+    long wallNow = wallClock.millis();
+    // The ages before the fence: a new term sets its renewal first, and then its fence.
+    long age = renewalAge.millis(now, wallNow);
+    boolean isRecent =
+        age < CLAIM_AFTER_MILLIS
+            || failedRenewalAge.millis(now, wallNow) < MAX_FAILED_RENEWAL_AGE_MILLIS;
+    return isRecent && fence == termFence ? age : Long.MAX_VALUE;
   }
 
-  /** Ends the ownership after a worker or the platform has seen a newer fence. */
-  void stepDown() {
-    if (fence >= 0) {
+  /**
+   * Ends a term after a worker or the platform has seen a newer fence; no effect if it is over,
+   * also if this host owns the fleet again.
+   */
+  synchronized void stepDown(long termFence) {
+    if (fence == termFence) {
       loseOwnership("fenced");
     }
   }
@@ -280,7 +309,9 @@
 
   private void renew() throws InterruptedException {
     TimeUnit.MILLISECONDS.sleep(RENEWAL_INTERVAL_MILLIS);
-    if (fence < 0) {
+    // Another thread may end the term at any time, which must not change the record.
+    long renewedFence = fence;
+    if (renewedFence < 0) {
       return;
     }
     if (isHandoverRequested) {
@@ -290,14 +321,16 @@
     }
     long sentMillis = clock.getAsLong();
     long sentWallMillis = wallClock.millis();
-    AppendResult result = table.appendAnyWay(new OwnershipRecord(host, incarnation, fence, false));
+    AppendResult result =
+        table.appendAnyWay(new OwnershipRecord(host, incarnation, renewedFence, false));
     if (result instanceof AppendResult.Appended) {
       renewalAge.renewed(sentMillis, sentWallMillis);
       handOverIfUnreachable();
     } else if (result instanceof AppendResult.Conflict) {
-      resolveConflict(sentMillis, sentWallMillis);
+      resolveConflict(renewedFence, sentMillis, sentWallMillis);
     } else {
-      LOG.warn("event=renewal_failed fence={} result={}", fence, result);
+      failedRenewalAge.renewed(sentMillis, sentWallMillis);
+      LOG.warn("event=renewal_failed fence={} result={}", renewedFence, result);
     }
   }
 
@@ -322,17 +355,18 @@
    * Handles a conflict, which may stem from an own renewal that was written but whose response was
    * lost.
    */
-  private void resolveConflict(long sentMillis, long sentWallMillis) {
+  private void resolveConflict(long renewedFence, long sentMillis, long sentWallMillis) {
     OwnershipTable.ReadResult result = table.read(0);
     if (result == OwnershipTable.ReadResult.EXPIRED) {
       loseOwnership("expired");
       return;
     }
     if (result == OwnershipTable.ReadResult.UNAVAILABLE) {
+      // Not a failed renewal: a record that follows may be the claim of another host.
       return;
     }
     OwnershipRecord newest = table.newest();
-    if (newest != null && newest.fence() == fence && newest.incarnation() == incarnation) {
+    if (newest != null && newest.fence() == renewedFence && newest.incarnation() == incarnation) {
       renewalAge.renewed(sentMillis, sentWallMillis);
     } else {
       loseOwnership("superseded by " + newest);
