Keep the runs of a restarted worker until a report of the new process lacks them

Callers would see a task run twice: orders name a worker by its identifier, which a restarted process keeps, so an order that was meant for the old process may be carried out by the new one.

Three conclusions were unsound. The first report of a new process dropped all runs, also those whose start was unanswered or answered after the report had been requested. A new start time in the worker's entry dropped them before any report. A process whose wall clock had been set back was not recognized as another one, so that its ends, numbered from 1 again, counted as read before. Besides, the lease of a new process counted as over until the first extension.

A report of a new process now follows the rule for all reports: a run that it lacks is over if its last order was answered before the report was requested. An entry only asks for a report; until then nothing is started there, no end is acknowledged, and runs last at most until the leases that the new process may have taken are over. Any other start time in a report is another process.

Evidence before: WorkerProcessTest.unansweredStartIsKeptWhenANewProcessReports, startAnsweredAfterTheRequestIsKeptWhenANewProcessReports, runOfANewProcessKeepsItsLease, runIsKeptUntilTheListedNewProcessReports, runIsReleasedWhenTheLeaseOfAListedNewProcessIsOver and endOfANewProcessIsReadAlthoughItsClockWasSetBack fail with "Expecting empty but was: [Start[...task=f1.0.0.0, run=2...". The two tests of acknowledgements pass before; they guard the new handling of entries.

--- a/core/src/main/java/org/persimmonloom/core/scheduling/RunRelease.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/RunRelease.java
@@ -8,7 +8,7 @@
   NOT_REPORTED,
   /** The worker reports another run of the task. */
   OTHER_RUN_REPORTED,
-  /** Another process runs under the worker's identifier. */
+  /** The first report of a new process of the worker lacks the run, as for NOT_REPORTED. */
   PROCESS_REPLACED,
   /** Another process answers at the worker's address. */
   ADDRESS_REUSED,
--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerPolling.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerPolling.java
@@ -76,8 +76,9 @@
     // The lease of an unreachable worker must expire before its tasks can start elsewhere.
     boolean mayExtend = worker.lease.isKnown() && worker.isReachable;
     long leaseUntilMillis = mayExtend ? worker.lease.grant(nowMillis) : 0;
-    worker.acknowledgedEnd = worker.recordedEnd;
+    // Ends are numbered anew by each process, so those of a new one are not acknowledged unread.
+    worker.acknowledgedEnd = worker.hasReported ? worker.recordedEnd : 0;
     return new HoldOrder(
-        worker.facts, leaseUntilMillis, worker.recordedEnd, mayWait ? HOLD_WAIT_MILLIS : 0);
+        worker.facts, leaseUntilMillis, worker.acknowledgedEnd, mayWait ? HOLD_WAIT_MILLIS : 0);
   }
 }
--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerState.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerState.java
@@ -32,6 +32,8 @@
   long firstReportMillis;
 
   boolean isReachable = true;
+
+  /** Start time of the process that reported last; that of the first entry before any report. */
   long bornMillis;
 
   /** Highest number of a run end that was applied to its task. */
@@ -70,6 +72,23 @@
     free = facts.capacity();
   }
 
+  /**
+   * Prepares for the first report of a process that an entry names. Orders meant for the previous
+   * process may have reached it, so runs are kept until it reports, or until the leases that it may
+   * have taken until now are over. The entry may also be older than the last report.
+   */
+  void expectNewProcess(long nowMillis) {
+    isFromPreviousTerm = mayRunEarlierTasks();
+    hasReported = false;
+    isReachable = true;
+    isTerminated = false;
+    holdSentMillis = Long.MIN_VALUE / 2;
+    if (lease.isKnown()) {
+      // The clock of the previous process still measures the time for which a lease may last.
+      lease.grant(nowMillis);
+    }
+  }
+
   /** Returns whether the worker is in the published list and not known to have terminated. */
   boolean isListed() {
     return isPublished && !isTerminated;
--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
@@ -146,18 +146,22 @@
     if (known == null) {
       // The first list also counts, since earlier versions recorded no workers.
       byId.put(facts.id(), new WorkerState(facts, maxLeaseMillis, isFirstList));
-    } else if (hasRestarted(known, facts.bornMillis())) {
-      // An earlier owner may have used the new process under the record of the old one.
-      boolean mayRunEarlierTasks = known.mayRunEarlierTasks();
-      dropRuns(known, RunRelease.PROCESS_REPLACED, nowMillis, nowMillis);
-      byId.put(facts.id(), new WorkerState(facts, maxLeaseMillis, mayRunEarlierTasks));
     } else {
+      if (namesNewProcess(known, facts)) {
+        known.expectNewProcess(nowMillis);
+      }
       Resources used = known.facts.capacity().minus(known.free);
       known.facts = facts;
       known.free = facts.capacity().minus(used);
     }
   }
 
+  /** Returns whether an entry names a process that neither the last entry nor a report names. */
+  private static boolean namesNewProcess(WorkerState known, WorkerFacts facts) {
+    return facts.bornMillis() != known.facts.bornMillis()
+        && isOtherProcess(known, facts.bornMillis());
+  }
+
   /**
    * Removes the workers that are not in the published list and on which nothing can run, so that no
    * later owner waits for them.
@@ -180,8 +184,9 @@
     }
   }
 
-  private static boolean hasRestarted(WorkerState known, long bornMillis) {
-    return bornMillis != 0 && known.bornMillis != 0 && bornMillis > known.bornMillis;
+  /** Compares for equality only: the wall clock of a host may be set back before a restart. */
+  private static boolean isOtherProcess(WorkerState known, long bornMillis) {
+    return bornMillis != 0 && known.bornMillis != 0 && bornMillis != known.bornMillis;
   }
 
   private WorkerState findSameProcess(WorkerFacts facts) {
@@ -195,8 +200,8 @@
     if (worker == null) {
       return;
     }
-    if (hasRestarted(worker, report.bornMillis())) {
-      dropRuns(worker, RunRelease.PROCESS_REPLACED, sentMillis, nowMillis);
+    boolean isNewProcess = isOtherProcess(worker, report.bornMillis());
+    if (isNewProcess) {
       worker.lease = new LeaseClock(maxLeaseMillis);
       worker.processedEnd = 0;
       worker.batchedEnd = 0;
@@ -209,9 +214,12 @@
     worker.lease.observe(report.clockMillis(), nowMillis);
     worker.lastReportMillis = nowMillis;
     worker.lastReportSentMillis = sentMillis;
-    if (!worker.hasReported) {
+    if (isNewProcess || !worker.hasReported) {
       // Earlier owners may have granted leases until now, but none later under their lower fences.
+      // A new process may have taken leases from orders that were meant for the previous one.
       worker.lease.grant(nowMillis);
+    }
+    if (!worker.hasReported) {
       worker.hasReported = true;
       worker.firstReportMillis = nowMillis;
     }
@@ -222,11 +230,22 @@
         endHandler.runEnded(worker, ended, sentMillis, nowMillis);
       }
     }
-    updateRuns(worker, sentMillis, report, nowMillis);
+    RunRelease absence = isNewProcess ? RunRelease.PROCESS_REPLACED : RunRelease.NOT_REPORTED;
+    updateRuns(worker, sentMillis, report, absence, nowMillis);
   }
 
+  /**
+   * Applies the runs in a report.
+   *
+   * @param absence what it means that the report lacks a run whose orders had been answered; an
+   *     order that is unanswered may have reached a new process as well
+   */
   private void updateRuns(
-      WorkerState worker, long sentMillis, WorkerReport report, long nowMillis) {
+      WorkerState worker,
+      long sentMillis,
+      WorkerReport report,
+      RunRelease absence,
+      long nowMillis) {
     Set<TaskId> present = new HashSet<>();
     for (RunningTask running : report.running()) {
       present.add(running.task());
@@ -251,7 +270,7 @@
     }
     for (TaskRun run : List.copyOf(worker.runs.values())) {
       if (!present.contains(run.task) && sentMillis > run.orderAnsweredMillis) {
-        endHandler.release(run, RunRelease.NOT_REPORTED, sentMillis, nowMillis);
+        endHandler.release(run, absence, sentMillis, nowMillis);
       }
     }
   }
@@ -371,8 +390,8 @@
   }
 
   /**
-   * Returns the run that an order is about; null if it is over. The run number identifies the
-   * process: a restart drops all runs, and numbers are not reused.
+   * Returns the run that an order is about; null if it is over. The run number is enough, since
+   * numbers are not reused.
    */
   TaskRun run(Order order) {
     WorkerState worker = byId.get(order.worker().id());
--- /dev/null
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/WorkerProcessTest.java
@@ -0,0 +1,196 @@
+package org.persimmonloom.core.scheduling;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.persimmonloom.core.workflow.TaskId;
+
+/** Conclusions from a new process of a worker, and from another process at its address. */
+class WorkerProcessTest {
+  private final SchedulerFixture fleet = new SchedulerFixture();
+  private final WorkerFacts worker = fleet.addWorker("w1");
+
+  private static WorkerFacts process(WorkerFacts facts, String address, long bornMillis) {
+    return new WorkerFacts(
+        facts.id(),
+        address,
+        facts.service(),
+        facts.dataCentre(),
+        facts.draining(),
+        facts.capacity(),
+        facts.labels(),
+        bornMillis);
+  }
+
+  private Order orderStart() {
+    fleet.submit("f1", SchedulerFixture.step(1, 500, List.of()));
+    fleet.report();
+    return fleet.decide().get(0);
+  }
+
+  private void report(
+      WorkerFacts polled, long sentMillis, long bornMillis, Map<TaskId, Integer> running) {
+    report(polled, sentMillis, bornMillis, running, List.of());
+  }
+
+  private void report(
+      WorkerFacts polled,
+      long sentMillis,
+      long bornMillis,
+      Map<TaskId, Integer> running,
+      List<EndedTask> ended) {
+    fleet.now += 10;
+    List<RunningTask> present =
+        running.entrySet().stream()
+            .map(run -> new RunningTask(run.getKey(), run.getValue(), "", 100, 0))
+            .toList();
+    WorkerReport report = new WorkerReport(fleet.now, bornMillis, present, ended);
+    fleet.scheduler.workerReported(polled, sentMillis, report, fleet.now);
+  }
+
+  private void listOnly(WorkerFacts facts) {
+    fleet.scheduler.workersListed(List.of(facts), fleet.now);
+    fleet.recordLeaseHolders();
+  }
+
+  /** Guards against a task that runs twice: the new process has begun its unanswered start. */
+  @Test
+  void unansweredStartIsKeptWhenANewProcessReports() {
+    Order start = orderStart();
+    report(worker, fleet.now, worker.bornMillis() + 500, Map.of());
+    assertThat(fleet.decide()).isEmpty();
+
+    fleet.scheduler.orderAnswered(start, CallResult.ACCEPTED, fleet.now);
+    assertThat(fleet.decide()).isEmpty();
+    report(worker, fleet.now, worker.bornMillis() + 500, Map.of());
+    assertThat(fleet.decide()).singleElement().extracting(Order::run).isEqualTo(2);
+  }
+
+  /** Guards against a task that runs twice: its start was answered after the report's request. */
+  @Test
+  void startAnsweredAfterTheRequestIsKeptWhenANewProcessReports() {
+    Order start = orderStart();
+    long sentMillis = fleet.now;
+    fleet.now += 10;
+    fleet.scheduler.orderAnswered(start, CallResult.ACCEPTED, fleet.now);
+    report(worker, sentMillis, worker.bornMillis() + 500, Map.of());
+
+    assertThat(fleet.decide()).isEmpty();
+  }
+
+  /** Guards against a lease of the new process that counts as over before it was granted. */
+  @Test
+  void runOfANewProcessKeepsItsLease() {
+    Order start = orderStart();
+    report(worker, fleet.now, worker.bornMillis() + 500, Map.of(start.task(), start.run()));
+    fleet.addWorker("w2");
+    fleet.report("w1");
+    fleet.scheduler.holdFailed(worker, CallResult.UNKNOWN, fleet.now);
+    fleet.now += 5_900;
+    assertThat(fleet.decide()).isEmpty();
+
+    fleet.now += 500;
+    assertThat(fleet.decide()).singleElement().extracting(Order::run).isEqualTo(2);
+  }
+
+  /** Guards against a task that runs twice: a new process is listed before it has reported. */
+  @Test
+  void runIsKeptUntilTheListedNewProcessReports() {
+    Order start = orderStart();
+    fleet.scheduler.orderAnswered(start, CallResult.ACCEPTED, fleet.now);
+    WorkerFacts second = process(worker, worker.address(), worker.bornMillis() + 500);
+    listOnly(second);
+    fleet.addWorker("w2");
+    fleet.scheduler.workersListed(List.of(second, fleet.workers.get("w2")), fleet.now);
+    fleet.recordLeaseHolders();
+    fleet.report("w1");
+    assertThat(fleet.decide()).isEmpty();
+    assertThat(fleet.scheduler.dueHolds(Set.of(), fleet.now))
+        .extracting(HoldOrder::worker)
+        .contains(second);
+
+    report(second, fleet.now, second.bornMillis(), Map.of());
+    assertThat(fleet.decide()).singleElement().extracting(Order::run).isEqualTo(2);
+  }
+
+  /** Guards against a task that never restarts: its worker's new process never answers. */
+  @Test
+  void runIsReleasedWhenTheLeaseOfAListedNewProcessIsOver() {
+    Order start = orderStart();
+    fleet.scheduler.orderAnswered(start, CallResult.ACCEPTED, fleet.now);
+    WorkerFacts second = process(worker, worker.address(), worker.bornMillis() + 500);
+    fleet.addWorker("w2");
+    fleet.now += 1_000;
+    fleet.scheduler.workersListed(List.of(second, fleet.workers.get("w2")), fleet.now);
+    fleet.recordLeaseHolders();
+    fleet.scheduler.holdFailed(second, CallResult.UNKNOWN, fleet.now);
+    fleet.now += 5_900;
+    fleet.report("w1");
+    assertThat(fleet.decide()).isEmpty();
+
+    fleet.now += 500;
+    assertThat(fleet.decide()).singleElement().extracting(Order::run).isEqualTo(2);
+  }
+
+  /**
+   * Guards against an end that is overlooked, and a task that runs twice: the clock of the worker's
+   * host was set back before its process restarted, and the new process numbers its ends from 1.
+   */
+  @Test
+  void endOfANewProcessIsReadAlthoughItsClockWasSetBack() {
+    fleet.submit("f0", SchedulerFixture.step(1, 500, List.of()));
+    fleet.report();
+    Order first = fleet.decideAndExecute().get(0);
+    fleet.endRun("w1", first.task(), first.run(), EndCause.DONE);
+    fleet.report();
+    fleet.recordProgress();
+    Order start = orderStart();
+    fleet.scheduler.orderAnswered(start, CallResult.ACCEPTED, fleet.now);
+    fleet.now += 10;
+    EndedTask done = new EndedTask(1, start.task(), start.run(), EndCause.DONE, "");
+    report(worker, fleet.now - 1, worker.bornMillis() - 500, Map.of(), List.of(done));
+
+    assertThat(fleet.decide()).isEmpty();
+  }
+
+  /** Guards against ends of a new process that are acknowledged by the numbers of an old one. */
+  @Test
+  void listedNewProcessIsSentNoAcknowledgementOfTheOldOne() {
+    fleet.submit("f0", SchedulerFixture.step(1, 500, List.of()));
+    fleet.report();
+    Order first = fleet.decideAndExecute().get(0);
+    fleet.endRun("w1", first.task(), first.run(), EndCause.DONE);
+    fleet.report();
+    fleet.recordProgress();
+    listOnly(process(worker, worker.address(), worker.bornMillis() + 500));
+    fleet.now += 1_000;
+
+    assertThat(fleet.scheduler.dueHolds(Set.of(), fleet.now))
+        .singleElement()
+        .extracting(HoldOrder::acknowledgedEnd)
+        .isEqualTo(0L);
+  }
+
+  /** Guards against ends that are never acknowledged: an entry is older than the last report. */
+  @Test
+  void endsAreAcknowledgedAfterAnEntryOfAnEarlierProcess() {
+    fleet.submit("f0", SchedulerFixture.step(1, 500, List.of()));
+    fleet.report();
+    Order first = fleet.decideAndExecute().get(0);
+    fleet.endRun("w1", first.task(), first.run(), EndCause.DONE);
+    fleet.report();
+    fleet.recordProgress();
+    WorkerFacts earlier = process(worker, worker.address(), worker.bornMillis() - 500);
+    listOnly(earlier);
+    report(earlier, fleet.now, worker.bornMillis(), Map.of());
+    fleet.now += 1_000;
+
+    assertThat(fleet.scheduler.dueHolds(Set.of(), fleet.now))
+        .singleElement()
+        .extracting(HoldOrder::acknowledgedEnd)
+        .isEqualTo(1L);
+  }
+}
