Take a worker for gone by 421 only at an address at which it has answered

Callers would see a task run twice: an entry may name an address at which the worker's process has never been, for instance one written by another program. Whatever answers there says that it is another process (421), the worker was taken for ended, its record was removed and its tasks started elsewhere, while it ran on under its lease.

The owner now keeps the address of the worker's last report; before any report, the recorded one. 421 from another address only makes the worker unreachable. An order answered so has not been carried out: a start is released as refused, a stop is repeated.

Evidence before: WorkerProcessTest.otherProcessAtAnUnconfirmedAddressEndsNoRuns fails with "Expecting empty but was: [Start[worker=WorkerFacts[id=w2, ... task=f1.0.0.0, run=2...". startAnsweredByAnotherProcessIsReleased guards the new handling of such orders.

--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerState.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerState.java
@@ -33,6 +33,13 @@
 
   boolean isReachable = true;
 
+  /**
+   * Address at which the worker answered last; before any report, the one under which it became
+   * known, which is the recorded one if it has a record. An entry may name an address at which the
+   * worker has never been.
+   */
+  String confirmedAddress;
+
   /** Start time of the process that reported last; that of the first entry before any report. */
   long bornMillis;
 
@@ -66,6 +73,7 @@
 
   WorkerState(WorkerFacts facts, long maxLeaseMillis, boolean isFromPreviousTerm) {
     this.facts = facts;
+    confirmedAddress = facts.address();
     this.isFromPreviousTerm = isFromPreviousTerm;
     bornMillis = facts.bornMillis();
     lease = new LeaseClock(maxLeaseMillis);
--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
@@ -214,6 +214,7 @@
     worker.lease.observe(report.clockMillis(), nowMillis);
     worker.lastReportMillis = nowMillis;
     worker.lastReportSentMillis = sentMillis;
+    worker.confirmedAddress = polled.address();
     if (isNewProcess || !worker.hasReported) {
       // Earlier owners may have granted leases until now, but none later under their lower fences.
       // A new process may have taken leases from orders that were meant for the previous one.
@@ -300,7 +301,8 @@
     if (worker == null) {
       return;
     }
-    if (result == CallResult.GONE) {
+    // The worker may run on elsewhere if it has never answered at this address.
+    if (result == CallResult.GONE && polled.address().equals(worker.confirmedAddress)) {
       terminate(worker, RunRelease.ADDRESS_REUSED, nowMillis, nowMillis);
     }
     worker.isReachable = false;
@@ -402,7 +404,6 @@
   void orderAnswered(Order order, CallResult result, long nowMillis) {
     if (result == CallResult.GONE) {
       holdFailed(order.worker(), result, nowMillis);
-      return;
     }
     TaskRun run = run(order);
     if (run != null) {
--- a/core/src/test/java/org/persimmonloom/core/scheduling/WorkerProcessTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/WorkerProcessTest.java
@@ -193,4 +193,40 @@
         .extracting(HoldOrder::acknowledgedEnd)
         .isEqualTo(1L);
   }
+
+  /**
+   * Guards against a task that runs twice: an entry names an address at which the worker's process
+   * has never answered, and another process answers there.
+   */
+  @Test
+  void otherProcessAtAnUnconfirmedAddressEndsNoRuns() {
+    Order start = orderStart();
+    fleet.scheduler.orderAnswered(start, CallResult.ACCEPTED, fleet.now);
+    WorkerFacts relocated = process(worker, "10.0.0.9:80", worker.bornMillis());
+    fleet.addWorker("w2");
+    fleet.scheduler.workersListed(List.of(relocated, fleet.workers.get("w2")), fleet.now);
+    fleet.recordLeaseHolders();
+    fleet.report("w1");
+    fleet.scheduler.holdFailed(relocated, CallResult.GONE, fleet.now);
+    assertThat(fleet.decide()).isEmpty();
+    assertThat(fleet.scheduler.takeLeaseHolders().records()).isEmpty();
+
+    fleet.scheduler.holdFailed(worker, CallResult.GONE, fleet.now);
+    assertThat(fleet.decide()).singleElement().extracting(Order::run).isEqualTo(2);
+  }
+
+  /** Guards against a task that never restarts: its start was sent to an unconfirmed address. */
+  @Test
+  void startAnsweredByAnotherProcessIsReleased() {
+    WorkerFacts relocated = process(worker, "10.0.0.9:80", worker.bornMillis());
+    listOnly(relocated);
+    Order start = orderStart();
+    assertThat(start.worker()).isEqualTo(relocated);
+    fleet.scheduler.orderAnswered(start, CallResult.GONE, fleet.now);
+    fleet.addWorker("w2");
+    fleet.scheduler.workersListed(List.of(relocated, fleet.workers.get("w2")), fleet.now);
+    fleet.recordLeaseHolders();
+    fleet.report("w1");
+    assertThat(fleet.decide()).singleElement().extracting(Order::run).isEqualTo(2);
+  }
 }
