Let a host that is up without a named worker hide a silent worker

Callers would see a task run twice after a take-over: a silent worker of an earlier term that no host names counted as ended if only no host was down. A host that is up may be listed without its worker, since the worker's registration has lapsed or the field cannot be read, and the worker runs on.

Such a host may now hide a worker of its pool. Switched-off hosts are in pools without workers and hide none, so that take-overs do not wait for them. Cost: earlier workflows of a pool wait for a worker that has really crashed until its host names its new worker, at most until the leases of the earlier term are over.

--- a/core/src/main/java/org/persimmonloom/core/scheduling/MachineScheduler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/MachineScheduler.java
@@ -31,10 +31,14 @@
   /** The workers named in the platform's host list. */
   private final Set<String> namedWorkers = new HashSet<>();
 
+  /** Whether a listed host is down, which may hide a worker of any pool. */
+  private boolean isAnyHostDown;
+
   /**
-   * Whether the host list names every worker that may be alive; a down host may hide its worker.
+   * Pools with a host that is up and listed without a worker: the registration of its worker may
+   * have lapsed. Switched-off hosts are in pools without workers.
    */
-  private boolean areAllWorkersNamed;
+  private final Set<String> poolsWithUnnamedWorkers = new HashSet<>();
 
   /** When the present host list was requested. */
   private long listSentMillis;
@@ -77,7 +81,8 @@
   /**
    * Applies the platform's host list. A worker has terminated if its host is moving, is in
    * maintenance, or has another worker. A silent worker from the previous term has also terminated
-   * if no host has it, because the worker list is read before the host list.
+   * if no host has it and no host may hide it, because the worker list is read before the host
+   * list.
    *
    * @param sentMillis monotonic time at which the list was requested
    */
@@ -85,7 +90,8 @@
     listSentMillis = sentMillis;
     machines.clear();
     namedWorkers.clear();
-    areAllWorkersNamed = true;
+    isAnyHostDown = false;
+    poolsWithUnnamedWorkers.clear();
     for (MachineFacts facts : listed) {
       machines.put(facts.id(), facts);
       boolean isUp = facts.state() == MachineFacts.State.UP;
@@ -99,18 +105,33 @@
         workers.workerAlive(facts.worker());
       }
       namedWorkers.add(facts.worker());
-      areAllWorkersNamed &= facts.state() != MachineFacts.State.DOWN || !facts.worker().isEmpty();
+      if (facts.worker().isEmpty()) {
+        isAnyHostDown |= facts.state() == MachineFacts.State.DOWN;
+        if (isUp) {
+          poolsWithUnnamedWorkers.add(facts.pool());
+        }
+      }
     }
     workers.silentFromPreviousTerm().forEach(worker -> workerUnreachable(worker, nowMillis));
   }
 
   /** Handles a worker from the previous term that does not respond. */
   void workerUnreachable(String worker, long nowMillis) {
-    if (!machines.isEmpty() && areAllWorkersNamed && !namedWorkers.contains(worker)) {
+    if (!machines.isEmpty() && !namedWorkers.contains(worker) && !mayBeUnnamed(worker)) {
       workers.workerTerminated(worker, listSentMillis, nowMillis);
     }
   }
 
+  /**
+   * Returns whether a worker may run on a host that the list shows without its worker. Everything
+   * on a host ends when it moves, so that a worker stays in the pool of its service.
+   */
+  private boolean mayBeUnnamed(String worker) {
+    WorkerState state = workers.find(worker);
+    return isAnyHostDown
+        || (state != null && poolsWithUnnamedWorkers.contains(state.facts.service()));
+  }
+
   private static boolean hasTerminated(String worker, MachineFacts facts) {
     return switch (facts.state()) {
       case MOVING, IN_MAINTENANCE -> true;
