--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerState.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerState.java
@@ -41,6 +41,15 @@
   long firstReportMillis;
 
   boolean isReachable = true;
+
+  /**
+   * Address at which the worker answered last; before any report, the one under which it became
+   * known, which is the recorded one if it has a record. An entry may name an address at which the
+   * worker has never been.
+   */
+  String confirmedAddress;
+
+  /** Start time of the process that reported last; that of the first entry before any report. */
   long bornMillis;
 
   /** Highest number of a run end that was applied to its task. */
@@ -73,12 +82,30 @@
 
   WorkerState(WorkerFacts facts, long maxLeaseMillis, boolean isFromPreviousTerm) {
     this.facts = facts;
+    confirmedAddress = facts.address();
     this.isFromPreviousTerm = isFromPreviousTerm;
     bornMillis = facts.bornMillis();
     lease = new LeaseClock(maxLeaseMillis);
     free = facts.capacity();
   }
 
+  /**
+   * Prepares for the first report of a process that an entry names. Orders meant for the previous
+   * process may have reached it, so runs are kept until it reports, or until the leases that it may
+   * have taken until now are over. The entry may also be older than the last report.
+   */
+  void expectNewProcess(long nowMillis) {
+    isFromPreviousTerm = mayRunEarlierTasks();
+    hasReported = false;
+    isReachable = true;
+    isTerminated = false;
+    holdSentMillis = Long.MIN_VALUE / 2;
+    if (lease.isKnown()) {
+      // The clock of the previous process still measures the time for which a lease may last.
+      lease.grant(nowMillis);
+    }
+  }
+
   /** Returns whether the worker is in the published list and not known to have terminated. */
   boolean isListed() {
     return isPublished && !isTerminated;
--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
@@ -151,18 +151,22 @@
     if (known == null) {
       // The first list also counts, since earlier versions recorded no workers.
       byId.put(facts.id(), new WorkerState(facts, maxLeaseMillis, isFirstList));
-    } else if (hasRestarted(known, facts.bornMillis())) {
-      // An earlier owner may have used the new process under the record of the old one.
-      boolean mayRunEarlierTasks = known.mayRunEarlierTasks();
-      dropRuns(known, RunRelease.PROCESS_REPLACED, nowMillis, nowMillis);
-      byId.put(facts.id(), new WorkerState(facts, maxLeaseMillis, mayRunEarlierTasks));
     } else {
+      if (namesNewProcess(known, facts)) {
+        known.expectNewProcess(nowMillis);
+      }
       Resources used = known.facts.capacity().minus(known.free);
       known.facts = facts;
       known.free = facts.capacity().minus(used);
     }
   }
 
+  /** Returns whether an entry names a process that neither the last entry nor a report names. */
+  private static boolean namesNewProcess(WorkerState known, WorkerFacts facts) {
+    return facts.bornMillis() != known.facts.bornMillis()
+        && isOtherProcess(known, facts.bornMillis());
+  }
+
   /**
    * Removes the workers that are not in the published list, on which nothing can run and whose ends
    * are recorded, so that no later owner waits for them.
@@ -188,8 +192,9 @@
     }
   }
 
-  private static boolean hasRestarted(WorkerState known, long bornMillis) {
-    return bornMillis != 0 && known.bornMillis != 0 && bornMillis > known.bornMillis;
+  /** Compares for equality only: the wall clock of a host may be set back before a restart. */
+  private static boolean isOtherProcess(WorkerState known, long bornMillis) {
+    return bornMillis != 0 && known.bornMillis != 0 && bornMillis != known.bornMillis;
   }
 
   private WorkerState findSameProcess(WorkerFacts facts) {
@@ -203,8 +208,8 @@
     if (worker == null) {
       return;
     }
-    if (hasRestarted(worker, report.bornMillis())) {
-      dropRuns(worker, RunRelease.PROCESS_REPLACED, sentMillis, nowMillis);
+    boolean isNewProcess = isOtherProcess(worker, report.bornMillis());
+    if (isNewProcess) {
       worker.lease = new LeaseClock(maxLeaseMillis);
       worker.processedEnd = 0;
       worker.batchedEnd = 0;
@@ -216,9 +221,13 @@
     worker.lease.observe(report.clockMillis(), nowMillis);
     worker.lastReportMillis = nowMillis;
     worker.lastReportSentMillis = sentMillis;
-    if (!worker.hasReported) {
+    worker.confirmedAddress = polled.address();
+    if (isNewProcess || !worker.hasReported) {
       // Earlier owners may have granted leases until now, but none later under their lower fences.
+      // A new process may have taken leases from orders that were meant for the previous one.
       worker.lease.grant(nowMillis);
+    }
+    if (!worker.hasReported) {
       worker.hasReported = true;
       worker.firstReportMillis = nowMillis;
     }
@@ -232,11 +241,22 @@
         endHandler.runEnded(worker, ended, sentMillis, nowMillis);
       }
     }
-    updateRuns(worker, sentMillis, report, nowMillis);
+    RunRelease absence = isNewProcess ? RunRelease.PROCESS_REPLACED : RunRelease.NOT_REPORTED;
+    updateRuns(worker, sentMillis, report, absence, nowMillis);
   }
 
+  /**
+   * Applies the runs in a report.
+   *
+   * @param absence what it means that the report lacks a run whose orders had been answered; an
+   *     order that is unanswered may have reached a new process as well
+   */
   private void updateRuns(
-      WorkerState worker, long sentMillis, WorkerReport report, long nowMillis) {
+      WorkerState worker,
+      long sentMillis,
+      WorkerReport report,
+      RunRelease absence,
+      long nowMillis) {
     Set<TaskId> present = new HashSet<>();
     for (RunningTask running : report.running()) {
       present.add(running.task());
@@ -263,7 +283,7 @@
     for (TaskRun run : List.copyOf(worker.runs.values())) {
       if (!present.contains(run.task) && sentMillis > run.orderAnsweredMillis) {
         if (report.listsAllEnds()) {
-          endHandler.release(run, RunRelease.NOT_REPORTED, sentMillis, nowMillis);
+          endHandler.release(run, absence, sentMillis, nowMillis);
         } else {
           run.mayHaveUnlistedEnd = true;
           run.load = 0;
@@ -297,7 +317,8 @@
     if (worker == null) {
       return;
     }
-    if (result == CallResult.GONE) {
+    // The worker may run on elsewhere if it has never answered at this address.
+    if (result == CallResult.GONE && polled.address().equals(worker.confirmedAddress)) {
       terminate(worker, RunRelease.ADDRESS_REUSED, nowMillis, nowMillis);
     }
     worker.isReachable = false;
@@ -391,8 +412,8 @@
   }
 
   /**
-   * Returns the run that an order is about; null if it is over. The run number identifies the
-   * process: a restart drops all runs, and numbers are not reused.
+   * Returns the run that an order is about; null if it is over. The run number is enough, since
+   * numbers are not reused.
    */
   TaskRun run(Order order) {
     WorkerState worker = byId.get(order.worker().id());
@@ -403,7 +424,6 @@
   void orderAnswered(Order order, CallResult result, long nowMillis) {
     if (result == CallResult.GONE) {
       holdFailed(order.worker(), result, nowMillis);
-      return;
     }
     TaskRun run = run(order);
     if (run != null) {
