Keep the threads of an owner and of the replicas after an error

An error such as a stack overflow ends a thread for good while the process goes on: an owner renews and no longer decides, a replica no longer advances, the ownership thread no longer claims, and a writer's callers wait.

The loops of these threads caught exceptions only.

They now treat an error in the same way. A table skips a record at which its listener overflows the stack; after other errors it reads the record again. An append that ends with an error may have been written, so it is repeated under its sequence number.

--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerLoop.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerLoop.java
@@ -8,8 +8,8 @@
 import org.apache.logging.log4j.Logger;
 
 /**
- * Single thread on which an owner makes its decisions. An exception of a task is logged and does
- * not affect other tasks; tasks submitted after the stop are dropped. Safe for any thread.
+ * Single thread on which an owner makes its decisions. An exception or error of a task is logged
+ * and does not affect other tasks; tasks submitted after the stop are dropped. Safe for any thread.
  */
 final class OwnerLoop {
   private static final Logger LOG = LogManager.getLogger(OwnerLoop.class);
@@ -77,7 +77,7 @@
   private void runAndLogFailure(Runnable task) {
     try {
       task.run();
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | Error e) {
       LOG.error("event=owner_failed fence={}", fence, e);
     }
   }
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/Ownership.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/Ownership.java
@@ -175,7 +175,7 @@
         }
       } catch (InterruptedException e) {
         break;
-      } catch (RuntimeException e) {
+      } catch (RuntimeException | Error e) {
         LOG.error("event=ownership_failed", e);
         pauseAfterFailure();
       }
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/TableFollower.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/TableFollower.java
@@ -177,7 +177,7 @@
         readOnce();
       } catch (InterruptedException e) {
         return;
-      } catch (RuntimeException e) {
+      } catch (RuntimeException | Error e) {
         LOG.error("event=follow_failed table={}", table, e);
         sleepUnlessStopped();
       }
@@ -266,7 +266,7 @@
   private void skipOnFailure(Consumer<StoredRecord> target, StoredRecord stored) {
     try {
       target.accept(stored);
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | StackOverflowError e) {
       LOG.error(
           "event=record_skipped table={} offset={} key={}",
           table,
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/TableWriter.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/TableWriter.java
@@ -261,11 +261,13 @@
     }
   }
 
-  /** Appends records; after an exception they may be appended, so the append is repeated. */
+  /**
+   * Appends records; after an exception or error they may be appended, so the append is repeated.
+   */
   private AppendResult append(List<TableRecord> records) {
     try {
       return log.append(table, new KeyedLog.Sequence(producer, epoch, lastSequence + 1), records);
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | Error e) {
       LOG.error("event=append_failed table={} producer={}", table, producer, e);
       return new AppendResult.Unknown(e.toString());
     }
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/FakeKeyedLog.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/FakeKeyedLog.java
@@ -41,6 +41,9 @@
   /** Called on the reader's thread before the newest records of a table are read. */
   volatile Consumer<Table> beforeNewest = table -> {};
 
+  /** Called before records are appended with a sequence number. */
+  volatile Runnable beforeAppend = () -> {};
+
   /** Maximum number of records that a read returns. */
   volatile int maxRecordsPerRead = Integer.MAX_VALUE;
 
@@ -96,6 +99,7 @@
   @Override
   public synchronized AppendResult append(
       Table table, Sequence sequence, List<TableRecord> records) {
+    beforeAppend.run();
     appendCount++;
     if (takeRefusal()) {
       return new AppendResult.Refused("busy");
