End a worker's runs by a host list only after a failed call to the worker

Callers would see a task run twice: a host list that shows a worker's host as moving, in maintenance or with another worker ended the worker's runs and removed its record, although host lists may be late, overtaken by newer ones or wrong, and although the worker may have reported after the list had been requested.

A list now ends runs only together with a failed call, if it was requested after the worker's last report. Until then the worker gets no new runs; a later report or a list that names it clears the statement. A worker without runs that has reported to this owner is ended at once as before: nothing can begin there without a new order, and its record may go. The host of a worker stays known, so that each later list repeats the statement.

Cost: runs of a worker that has really ended are released with the first failed call to it if the list comes first. A list requested before the last report has to be followed by another one.

tasksEndedByMaintenanceStartElsewhereAtOnce took the list alone for proof, which is the fault. It now contains the failed call that an ended worker causes, and still requires the start at once, without lease expiry.

--- a/core/src/test/java/org/persimmonloom/core/scheduling/HostListEvidenceTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/HostListEvidenceTest.java
@@ -25,6 +25,21 @@
     fleet.scheduler.machines().machinesListed(List.of(machines), sentMillis, fleet.now);
   }
 
+  /** Starts a task on w1, names it on m1 and adds w2; returns the start. */
+  private Order startTask() {
+    fleet.addWorker("w1");
+    fleet.submit("f1", SchedulerFixture.step(1, 500, List.of()));
+    fleet.report();
+    Order start = fleet.decideAndExecute().get(0);
+    fleet.addWorker("w2");
+    fleet.report();
+    listMachines(
+        fleet.now,
+        machine("m1", MachineFacts.State.UP, "w1"),
+        machine("m2", MachineFacts.State.UP, "w2"));
+    return start;
+  }
+
   private void submitBeforeTakeover() {
     fleet.addWorker("w1");
     fleet.addWorker("w2");
@@ -65,4 +80,71 @@
 
     assertThat(fleet.decideAndExecute()).hasSize(1);
   }
+
+  /** Guards against a task that runs twice: a wrong list ends the runs of a worker that answers. */
+  @Test
+  void listEndsNoRunsOfAWorkerThatAnswers() {
+    startTask();
+    fleet.now += 10;
+    listMachines(fleet.now, machine("m1", MachineFacts.State.MOVING, ""));
+    assertThat(fleet.decide()).isEmpty();
+    assertThat(fleet.scheduler.takeLeaseHolders().records()).isEmpty();
+
+    fleet.report();
+    assertThat(fleet.decide()).isEmpty();
+  }
+
+  /** Guards against a task that runs twice: a list is older than the worker's last report. */
+  @Test
+  void listOlderThanTheLastReportEndsNoRuns() {
+    startTask();
+    long sentMillis = fleet.now;
+    fleet.report();
+    loseWorker("w1");
+    listMachines(sentMillis, machine("m1", MachineFacts.State.UP, "w9"));
+
+    assertThat(fleet.decide()).isEmpty();
+  }
+
+  /** Guards against tasks that wait for the end of a lease although two sources show the end. */
+  @Test
+  void listAndAFailedCallEndTheRunsAtOnce() {
+    startTask();
+    fleet.now += 10;
+    listMachines(fleet.now, machine("m1", MachineFacts.State.UP, "w9"));
+    loseWorker("w1");
+    assertThat(fleet.decide()).singleElement().extracting(Order::run).isEqualTo(2);
+  }
+
+  /** Guards against an ended worker that no later list ends, since its host has a new worker. */
+  @Test
+  void laterListEndsTheRunsThatAnOvertakenListDidNot() {
+    startTask();
+    long sentMillis = fleet.now;
+    fleet.report();
+    loseWorker("w1");
+    MachineFacts replaced = machine("m1", MachineFacts.State.UP, "w9");
+    listMachines(sentMillis, replaced);
+    fleet.now += 10;
+    listMachines(fleet.now, replaced);
+
+    assertThat(fleet.decide()).singleElement().extracting(Order::run).isEqualTo(2);
+  }
+
+  /** Guards against starts on a worker that is probably gone, and against its loss for good. */
+  @Test
+  void workerIsAvoidedUntilItReportsAgain() {
+    startTask();
+    fleet.workers.remove("w2");
+    fleet.scheduler.workersListed(fleet.workers.values(), fleet.now);
+    fleet.now += 10;
+    listMachines(fleet.now, machine("m1", MachineFacts.State.MOVING, ""));
+    fleet.submit("f2", SchedulerFixture.step(1, 500, List.of()));
+    assertThat(fleet.decide()).isEmpty();
+
+    fleet.now += 1_000;
+    assertThat(fleet.scheduler.dueHolds(Set.of(), fleet.now)).hasSize(1);
+    fleet.report();
+    assertThat(fleet.decide()).hasSize(1);
+  }
 }
--- a/core/src/test/java/org/persimmonloom/core/scheduling/MachineSchedulerTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/MachineSchedulerTest.java
@@ -220,6 +220,7 @@
     answerDone(maintain);
     put(machine, SERVICE, MachineFacts.State.IN_MAINTENANCE, "");
     fleet.scheduler.machines().machinesListed(machines.values(), fleet.now, fleet.now);
+    fleet.scheduler.holdFailed(fleet.workers.get(worker), CallResult.NOT_SENT, fleet.now);
     assertThat(fleet.decide()).singleElement().extracting(Order::run).isEqualTo(2);
   }
 
