Judge a worker's new process only by host lists requested after its entry

Callers would see a task run twice after a take-over: a process that started again under its identifier may hold tasks of the earlier owner. If it was silent, a host list that had been requested before its entry was read, and could not name it yet, was used to take it for ended.

A host list now says nothing about a process that an entry named later. Other workers of the earlier term are known before the first host list is requested.

--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerState.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerState.java
@@ -34,6 +34,9 @@
   /** When the newest host list was requested that shows the worker's end; none names it since. */
   long missingFromHostsMillis = NEVER;
 
+  /** When an entry last named a new process; a host list requested earlier does not show it. */
+  long newProcessMillis = NEVER;
+
   /** When the first report under the current owner's fence arrived. */
   long firstReportMillis;
 
@@ -97,6 +100,7 @@
     isReachable = true;
     isTerminated = false;
     missingFromHostsMillis = NEVER;
+    newProcessMillis = nowMillis;
     holdSentMillis = NEVER;
     if (lease.isKnown()) {
       // The clock of the previous process still measures the time for which a lease may last.
--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
@@ -317,7 +317,7 @@
    */
   void workerTerminated(String id, long listSentMillis, long nowMillis) {
     WorkerState worker = byId.get(id);
-    if (worker == null || worker.isTerminated) {
+    if (worker == null || worker.isTerminated || listSentMillis < worker.newProcessMillis) {
       return;
     }
     worker.missingFromHostsMillis = listSentMillis;
--- a/core/src/test/java/org/persimmonloom/core/scheduling/HostListEvidenceTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/HostListEvidenceTest.java
@@ -147,4 +147,28 @@
     fleet.report();
     assertThat(fleet.decide()).hasSize(1);
   }
+
+  /** Guards against a worker that is taken for gone by a host list older than its new process. */
+  @Test
+  void listOlderThanAWorkersNewProcessDoesNotEndIt() {
+    submitBeforeTakeover();
+    listMachines(fleet.now, machine("m1", MachineFacts.State.UP, "w1"));
+    fleet.now += 10;
+    WorkerFacts first = fleet.workers.get("w2");
+    WorkerFacts second =
+        new WorkerFacts(
+            "w2",
+            first.address(),
+            first.service(),
+            first.dataCentre(),
+            first.draining(),
+            first.capacity(),
+            first.labels(),
+            first.bornMillis() + 500);
+    fleet.workers.put("w2", second);
+    fleet.scheduler.workersListed(fleet.workers.values(), fleet.now);
+    loseWorker("w2");
+
+    assertThat(fleet.decideAndExecute()).isEmpty();
+  }
 }
