Read the ends of a report in any order of their numbers

Callers could see a task start again after it had ended: of two ends that a report lists in another order than that of their numbers, the lower one counted as read before, and was acknowledged with the higher one. Its run was missing in the report, so it counted as over without an end. The protocol does not promise an order.

EndAcknowledgementTest.endsAreReadInAnyOrder fails before (expecting empty but was a start of f3.0.0.0, run 2).

--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
@@ -232,9 +232,10 @@
     worker.hasListedAllEnds |= report.listsAllEnds();
     worker.hasUnlistedEnds = !report.listsAllEnds();
     worker.listedEnd = report.ended().stream().mapToLong(EndedTask::number).max().orElse(0);
+    long processedBefore = worker.processedEnd;
     for (EndedTask ended : report.ended()) {
-      if (ended.number() > worker.processedEnd) {
-        worker.processedEnd = ended.number();
+      if (ended.number() > processedBefore) {
+        worker.processedEnd = Math.max(worker.processedEnd, ended.number());
         endHandler.runEnded(worker, ended, sentMillis, nowMillis);
       }
     }
--- a/core/src/test/java/org/persimmonloom/core/scheduling/EndAcknowledgementTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/EndAcknowledgementTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
@@ -99,4 +100,23 @@
     fleet.decide();
     assertThat(fleet.scheduler.takeLeaseHolders().records()).hasSize(1);
   }
+
+  /**
+   * Guards against an end that is overlooked and acknowledged, so that its task runs twice: the
+   * worker lists its ends in another order than that of their numbers.
+   */
+  @Test
+  void endsAreReadInAnyOrder() {
+    fleet.endAllRuns(EndCause.DONE);
+    Collections.reverse(fleet.ended.get(worker.id()));
+    fleet.submit("f3", SchedulerFixture.step(2, 500, List.of()));
+    fleet.report();
+    fleet.decideAndExecute();
+    fleet.report();
+    fleet.endAllRuns(EndCause.DONE, "f3");
+    Collections.reverse(fleet.ended.get(worker.id()));
+    fleet.report();
+
+    assertThat(fleet.decide()).isEmpty();
+  }
 }
