Keep ends whose records the store refuses for good unacknowledged

Callers could see a task start again after it had ended `done`: a batch with a record that the store refuses for good counted as durable, so the ends in it were acknowledged although nothing of them was stored. After a change of the owner the task was not done. In the same way a worker whose own record was refused got starts that no later owner could find.

The writer now reports each record that it gives up. Ends of such an occurrence are not acknowledged until a later record of it is stored; other workers, and earlier ends of the same worker, are not held up. The protocol acknowledges ends up to a number, so later ends of the same worker stay as well, until the worker lists no others any more: then all are acknowledged, since its runs would wait for good. Workers whose record is refused get no starts.

--- a/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -10,6 +11,7 @@
 import org.persimmonloom.core.workflow.TableRecord;
 import org.persimmonloom.core.workflow.TaskId;
 import org.persimmonloom.core.workflow.WorkflowEntry;
+import org.persimmonloom.core.workflow.WorkflowRecords;
 
 /**
  * Decides which tasks run on which workers, on behalf of the current fleet owner.
@@ -33,6 +35,10 @@
   /** Occurrences that may start tasks, most urgent first. */
   private final List<OccurrenceState> startable = new ArrayList<>();
 
+  /** Keys of the progress records whose newest version could not be stored. */
+  private final Set<String> unrecordedKeys = new HashSet<>();
+
+  private final WorkflowRecords workflowRecords = new WorkflowRecords();
   private final long takeoverOffset;
   private Set<String> runningServices = Set.of();
 
@@ -113,6 +119,11 @@
     workers.leaseHoldersRecorded(batch);
   }
 
+  /** Notes that records of the last batch can't be stored; their workers get no start orders. */
+  public void leaseHoldersRejected(Set<String> keys) {
+    workers.leaseHoldersRejected(keys);
+  }
+
   /** Applies the published list of workers. */
   public void workersListed(Collection<WorkerFacts> listed, long nowMillis) {
     workers.workersListed(listed, nowMillis);
@@ -141,7 +152,7 @@
    * @param inFlight identifiers of workers that already have a request in flight
    */
   public List<HoldOrder> dueHolds(Set<String> inFlight, long nowMillis) {
-    return WorkerPolling.dueHolds(workers.all(), inFlight, nowMillis);
+    return WorkerPolling.dueHolds(workers.all(), inFlight, this::isUnrecorded, nowMillis);
   }
 
   /**
@@ -202,9 +213,24 @@
 
   /** Marks a batch as durable, so that its run ends may be acknowledged to workers. */
   public void progressRecorded(ProgressBatch batch) {
+    unrecordedKeys.removeAll(batch.records().stream().map(TableRecord::key).toList());
     workers.endsRecorded(batch.ends());
   }
 
+  /**
+   * Notes that records of the last batch can't be stored. Ends of their occurrences are not
+   * acknowledged, so that a later owner reads them from the workers.
+   */
+  public void progressRejected(Set<String> keys) {
+    unrecordedKeys.addAll(keys);
+  }
+
+  private boolean isUnrecorded(EndedTask ended) {
+    return !unrecordedKeys.isEmpty()
+        && unrecordedKeys.contains(
+            workflowRecords.progressKey(ended.task().workflow(), ended.task().occurrence()));
+  }
+
   /** Returns the orders to send now, without a limit of starts. */
   public List<Order> decide(long nowMillis, long wallMillis) {
     return decide(nowMillis, wallMillis, Integer.MAX_VALUE);
--- a/core/src/main/java/org/persimmonloom/core/scheduling/LeaseHolders.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/LeaseHolders.java
@@ -94,6 +94,11 @@
     return new LeaseHolderBatch(taken, added);
   }
 
+  /** Notes that records can't be stored, so that their workers are not recorded. */
+  void rejected(Set<String> keys) {
+    durable.values().removeIf(facts -> keys.contains(records.record(facts).key()));
+  }
+
   /** Marks the records of a batch as durable; batches are recorded one at a time. */
   void recorded(LeaseHolderBatch batch) {
     batch.added().forEach(facts -> durable.put(facts.id(), facts));
--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerPolling.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerPolling.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /** Decides when workers are polled, which also extends their leases. Stateless. */
 final class WorkerPolling {
@@ -31,15 +32,20 @@
    * Returns the hold requests to send now and marks them as sent.
    *
    * @param inFlight identifiers of workers that already have a request in flight
+   * @param isUnrecorded whether what follows from an end could not be stored
    */
   static List<HoldOrder> dueHolds(
-      Collection<WorkerState> workers, Set<String> inFlight, long nowMillis) {
+      Collection<WorkerState> workers,
+      Set<String> inFlight,
+      Predicate<EndedTask> isUnrecorded,
+      long nowMillis) {
     List<HoldOrder> due = new ArrayList<>();
     long intervalMillis = pollIntervalMillis(workers);
     for (WorkerState worker : workers) {
-      if (!inFlight.contains(worker.facts.id()) && isHoldDue(worker, intervalMillis, nowMillis)) {
+      if (!inFlight.contains(worker.facts.id())
+          && isHoldDue(worker, intervalMillis, isUnrecorded, nowMillis)) {
         worker.holdSentMillis = nowMillis;
-        due.add(holdOrder(worker, nowMillis));
+        due.add(holdOrder(worker, isUnrecorded, nowMillis));
       }
     }
     return due;
@@ -51,7 +57,8 @@
     return Math.max(COALESCE_MILLIS, busy * 1_000 / MAX_POLLS_PER_SECOND);
   }
 
-  private static boolean isHoldDue(WorkerState worker, long intervalMillis, long nowMillis) {
+  private static boolean isHoldDue(
+      WorkerState worker, long intervalMillis, Predicate<EndedTask> isUnrecorded, long nowMillis) {
     long sinceHoldSent = nowMillis - worker.holdSentMillis;
     if (!worker.isListed() && worker.runs.isEmpty() && !worker.mayRunEarlierTasks()) {
       return false;
@@ -64,11 +71,14 @@
       return sinceReport >= UNRECORDED_POLL_MILLIS;
     }
     boolean isIdle =
-        worker.runs.isEmpty() && worker.acknowledgeableEnd() == 0 && !worker.hasUnlistedEnds;
+        worker.runs.isEmpty()
+            && worker.acknowledgeableEnd(isUnrecorded) == 0
+            && !worker.hasUnlistedEnds;
     return !isIdle && sinceReport >= intervalMillis;
   }
 
-  private static HoldOrder holdOrder(WorkerState worker, long nowMillis) {
+  private static HoldOrder holdOrder(
+      WorkerState worker, Predicate<EndedTask> isUnrecorded, long nowMillis) {
     boolean mayWait =
         worker.hasReported
             && worker.isReachable
@@ -80,7 +90,7 @@
     return new HoldOrder(
         worker.facts,
         leaseUntilMillis,
-        worker.acknowledgeableEnd(),
+        worker.acknowledgeableEnd(isUnrecorded),
         mayWait ? HOLD_WAIT_MILLIS : 0);
   }
 }
--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerState.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerState.java
@@ -1,7 +1,9 @@
 package org.persimmonloom.core.scheduling;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 import org.persimmonloom.core.workflow.Resources;
 import org.persimmonloom.core.workflow.TaskId;
 
@@ -52,8 +54,8 @@
   /** Highest number of a run end that was included in a {@link ProgressBatch}. */
   long batchedEnd;
 
-  /** Highest number of a run end in the last report; 0 if it lists none. */
-  long listedEnd;
+  /** Run ends in the last report. */
+  List<EndedTask> listedEnds = List.of();
 
   long holdSentMillis = Long.MIN_VALUE / 2;
   int consecutiveFailures;
@@ -144,9 +146,22 @@
    * Returns up to which end the worker may forget its ends; 0 if none. An end is acknowledged only
    * while the worker lists it, and not after a call without an answer: another process may run
    * under the worker's identifier by then, whose ends have the same numbers and are not read yet.
+   *
+   * @param isUnrecorded whether what follows from an end could not be stored. Such an end is kept,
+   *     with all later ones, unless it holds up ends that the worker does not list yet
    */
-  long acknowledgeableEnd() {
-    return hasReported && isReachable ? Math.min(recordedEnd, listedEnd) : 0;
+  long acknowledgeableEnd(Predicate<EndedTask> isUnrecorded) {
+    if (!hasReported || !isReachable) {
+      return 0;
+    }
+    long highest = 0;
+    for (EndedTask ended : listedEnds) {
+      if (ended.number() > recordedEnd || (!hasUnlistedEnds && isUnrecorded.test(ended))) {
+        break;
+      }
+      highest = Math.max(highest, ended.number());
+    }
+    return highest;
   }
 
   /** Returns whether some run ends, listed or not, are not recorded in the log yet. */
--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
@@ -127,6 +127,11 @@
     byId.values().forEach(worker -> worker.isRecorded = leaseHolders.isRecorded(worker.facts));
   }
 
+  void leaseHoldersRejected(Set<String> keys) {
+    leaseHolders.rejected(keys);
+    byId.values().forEach(worker -> worker.isRecorded = leaseHolders.isRecorded(worker.facts));
+  }
+
   void workersListed(Collection<WorkerFacts> listed, long nowMillis) {
     boolean isFirstList = !isListKnown;
     isListKnown = true;
@@ -225,7 +230,7 @@
     worker.isReachable = true;
     worker.hasListedAllEnds |= report.listsAllEnds();
     worker.hasUnlistedEnds = !report.listsAllEnds();
-    worker.listedEnd = report.ended().stream().mapToLong(EndedTask::number).max().orElse(0);
+    worker.listedEnds = report.ended();
     for (EndedTask ended : report.ended()) {
       if (ended.number() > worker.processedEnd) {
         worker.processedEnd = ended.number();
--- a/core/src/main/java/org/persimmonloom/core/workflow/WorkflowRecords.java
+++ b/core/src/main/java/org/persimmonloom/core/workflow/WorkflowRecords.java
@@ -86,7 +86,8 @@
     return new TableRecord(progressKey(workflow, occurrence), null);
   }
 
-  private static String progressKey(String workflow, int occurrence) {
+  /** Returns the key of the record of an occurrence's progress. */
+  public String progressKey(String workflow, int occurrence) {
     return PROGRESS + workflow + '.' + occurrence;
   }
 
--- a/core/src/test/java/org/persimmonloom/core/scheduling/EndAcknowledgementTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/EndAcknowledgementTest.java
@@ -99,4 +99,20 @@
     fleet.decide();
     assertThat(fleet.scheduler.takeLeaseHolders().records()).hasSize(1);
   }
+
+  /**
+   * Guards against a task that starts again under the next owner: its end was acknowledged although
+   * the store refuses the record of its workflow for good.
+   */
+  @Test
+  void endWhoseRecordIsRefusedForGoodIsNotAcknowledged() {
+    fleet.endAllRuns(EndCause.DONE);
+    fleet.report();
+    ProgressBatch batch = fleet.recordProgress();
+    fleet.scheduler.progressRejected(Set.of("p.f2.0"));
+    assertThat(nextHold().acknowledgedEnd()).isEqualTo(1);
+
+    fleet.scheduler.progressRecorded(batch);
+    assertThat(nextHold().acknowledgedEnd()).isEqualTo(2);
+  }
 }
--- a/core/src/test/java/org/persimmonloom/core/scheduling/TakeoverTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/TakeoverTest.java
@@ -376,4 +376,18 @@
     fleet.report("w1");
     assertThat(fleet.decideAndExecute()).hasSize(1);
   }
+
+  /** Guards against runs that no later owner can find, since the store refuses the record. */
+  @Test
+  void workerWhoseRecordIsRefusedForGoodGetsNoStart() {
+    fleet.addWorker("w1");
+    fleet.addWorker("w2");
+    fleet.scheduler.leaseHoldersRejected(Set.of("w.w1"));
+    fleet.submit("f1", SchedulerFixture.step(20, 500, List.of()));
+    fleet.report();
+    assertThat(fleet.decideAndExecute())
+        .extracting(order -> order.worker().id())
+        .isNotEmpty()
+        .containsOnly("w2");
+  }
 }
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
@@ -216,8 +216,18 @@
         new ProgressRecorder(
             services,
             scheduler,
-            new BatchRecorder<>(writer, this::post, stepDown, scheduler::progressRecorded),
-            new BatchRecorder<>(writer, this::post, stepDown, scheduler::leaseHoldersRecorded));
+            new BatchRecorder<>(
+                writer,
+                this::post,
+                stepDown,
+                scheduler::progressRecorded,
+                scheduler::progressRejected),
+            new BatchRecorder<>(
+                writer,
+                this::post,
+                stepDown,
+                scheduler::leaseHoldersRecorded,
+                scheduler::leaseHoldersRejected));
     machines =
         new MachineOperations(
             services,
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/TableWriter.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/TableWriter.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -66,19 +67,25 @@
    * An append that waits for its outcome.
    *
    * @param isDivisible whether its records may be appended in parts
+   * @param rejections receives each record that is given up alone
    */
   private record PendingAppend(
       List<TableRecord> records,
       boolean isDivisible,
+      Consumer<TableRecord> rejections,
       long deadlineMillis,
       CompletableFuture<Outcome> outcome) {
-    PendingAppend(List<TableRecord> records, boolean isDivisible, long deadlineMillis) {
-      this(records, isDivisible, deadlineMillis, new CompletableFuture<>());
+    PendingAppend(
+        List<TableRecord> records,
+        boolean isDivisible,
+        Consumer<TableRecord> rejections,
+        long deadlineMillis) {
+      this(records, isDivisible, rejections, deadlineMillis, new CompletableFuture<>());
     }
 
     /** Returns one half of the records as an append of its own. */
     PendingAppend half(int from, int to) {
-      return new PendingAppend(records.subList(from, to), true, deadlineMillis);
+      return new PendingAppend(records.subList(from, to), true, rejections, deadlineMillis);
     }
 
     long sizeBytes() {
@@ -134,9 +141,21 @@
    *     them
    */
   CompletableFuture<Outcome> appendInParts(List<TableRecord> records) {
+    return appendInParts(records, record -> {});
+  }
+
+  /**
+   * Appends records as above.
+   *
+   * @param rejections receives each record that the store rejects for good, on the writer's thread
+   *     and before the future completes
+   */
+  CompletableFuture<Outcome> appendInParts(
+      List<TableRecord> records, Consumer<TableRecord> rejections) {
     CompletableFuture<Outcome> worst = CompletableFuture.completedFuture(Outcome.WRITTEN);
     for (List<TableRecord> part : RecordParts.of(records, MAX_GROUP_BYTES)) {
-      CompletableFuture<Outcome> outcome = enqueue(new PendingAppend(part, true, Long.MAX_VALUE));
+      CompletableFuture<Outcome> outcome =
+          enqueue(new PendingAppend(part, true, rejections, Long.MAX_VALUE));
       worst = worst.thenCombine(outcome, TableWriter::worse);
     }
     return worst;
@@ -152,7 +171,7 @@
    * @param deadlineMillis monotonic time in ms after which a refused append is not retried
    */
   public CompletableFuture<Outcome> append(List<TableRecord> records, long deadlineMillis) {
-    return enqueue(new PendingAppend(records, false, deadlineMillis));
+    return enqueue(new PendingAppend(records, false, record -> {}, deadlineMillis));
   }
 
   private CompletableFuture<Outcome> enqueue(PendingAppend pending) {
@@ -257,6 +276,7 @@
           count,
           rejected.sizeBytes(),
           result);
+      rejected.records().forEach(rejected.rejections());
       completeGroup(group, Outcome.REJECTED);
     }
   }
