Let a host list whose pages have shifted end no unnamed worker

Callers would see a task run twice after a take-over: the pages of the host list are read one after the other, so that a list may lack a host. A silent worker of an earlier term on that host then counted as ended, since no host named it.

A list that lacks a host of the list before it, or has a host twice, may now hide any worker. The next complete list decides. A first list that lacks a host and repeats none is not recognized.

Evidence before: HostListEvidenceTest.silentWorkerBlocksEarlierWorkflowsWhileAHostIsMissing and silentWorkerBlocksEarlierWorkflowsWhileAHostIsListedTwice fail with "Expecting empty but was: [Start[worker=WorkerFacts[id=w1, ... task=f1.0.0.0, run=1...".

--- a/core/src/main/java/org/persimmonloom/core/scheduling/MachineScheduler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/MachineScheduler.java
@@ -34,6 +34,13 @@
   /** Whether a listed host is down, which may hide a worker of any pool. */
   private boolean isAnyHostDown;
 
+  /**
+   * Whether the host list lacks a host of the list before it or has one twice. Its pages are read
+   * one after the other, so that a host may have moved from a page that was not read yet to one
+   * that was.
+   */
+  private boolean isListIncomplete;
+
   /**
    * Pools with a host that is up and listed without a worker: the registration of its worker may
    * have lapsed. Switched-off hosts are in pools without workers.
@@ -88,6 +95,7 @@
    */
   public void machinesListed(Collection<MachineFacts> listed, long sentMillis, long nowMillis) {
     listSentMillis = sentMillis;
+    Set<String> previousHosts = Set.copyOf(machines.keySet());
     machines.clear();
     namedWorkers.clear();
     isAnyHostDown = false;
@@ -107,6 +115,8 @@
         }
       }
     }
+    isListIncomplete =
+        machines.size() < listed.size() || !machines.keySet().containsAll(previousHosts);
     hostsByWorker.keySet().removeIf(worker -> workers.find(worker) == null);
     hostsByWorker.forEach(
         (worker, host) -> {
@@ -132,6 +142,7 @@
   private boolean mayBeUnnamed(String worker) {
     WorkerState state = workers.find(worker);
     return isAnyHostDown
+        || isListIncomplete
         || (state != null && poolsWithUnnamedWorkers.contains(state.facts.service()));
   }
 
--- a/core/src/test/java/org/persimmonloom/core/scheduling/HostListEvidenceTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/HostListEvidenceTest.java
@@ -171,4 +171,37 @@
 
     assertThat(fleet.decideAndExecute()).isEmpty();
   }
+
+  /**
+   * Guards against a task that runs twice: the pages of a host list were read at different times,
+   * so that it lacks the host of a silent worker.
+   */
+  @Test
+  void silentWorkerBlocksEarlierWorkflowsWhileAHostIsMissing() {
+    submitBeforeTakeover();
+    MachineFacts first = machine("m1", MachineFacts.State.UP, "w1");
+    listMachines(fleet.now, first, machine("m2", MachineFacts.State.UP, "w2"));
+    loseWorker("w2");
+    fleet.now += 10;
+    listMachines(fleet.now, first);
+    assertThat(fleet.decideAndExecute()).isEmpty();
+
+    fleet.now += 10;
+    listMachines(fleet.now, first, machine("m2", MachineFacts.State.UP, "w3"));
+    assertThat(fleet.decideAndExecute()).hasSize(1);
+  }
+
+  /**
+   * Guards against a task that runs twice: a host that is listed twice shows that pages have
+   * shifted.
+   */
+  @Test
+  void silentWorkerBlocksEarlierWorkflowsWhileAHostIsListedTwice() {
+    submitBeforeTakeover();
+    loseWorker("w2");
+    MachineFacts first = machine("m1", MachineFacts.State.UP, "w1");
+    listMachines(fleet.now, first, first);
+
+    assertThat(fleet.decideAndExecute()).isEmpty();
+  }
 }
