Pause between polls of a worker whose listed ends are kept

A worker answers a poll at once while it lists an end. An end whose record the store refuses for good stays listed, so a busy worker that lists one was polled every 25 ms, or as fast as it answers, until 500 ends had piled up.

Such a worker is now polled every 300 ms, as workers with unrecorded ends are. Cost: other ends of this worker are read up to 300 ms later.

EndAcknowledgementTest.workerWithAnEndThatIsKeptIsNotPolledWithoutAPause fails before ("Expecting empty but was: [HoldOrder[worker=WorkerFacts[id=w1, ... acknowledgedEnd=0, waitMillis=600]]").

--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerPolling.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerPolling.java
@@ -8,7 +8,7 @@
 
 /** Decides when workers are polled, which also extends their leases. Stateless. */
 final class WorkerPolling {
-  /** Minimum interval between polls of a worker with unrecorded run ends, in ms. */
+  /** Minimum interval between polls of a worker with ends that it may not forget yet, in ms. */
   private static final long UNRECORDED_POLL_MILLIS = 300;
 
   /** Minimum interval between polls, which coalesces run ends that are close together, in ms. */
@@ -74,7 +74,10 @@
         worker.runs.isEmpty()
             && worker.acknowledgeableEnd(isUnrecorded) == 0
             && !worker.hasUnlistedEnds;
-    return !isIdle && sinceReport >= intervalMillis;
+    // A worker answers at once while it lists an end, so that a long poll does not slow polls down.
+    long minimumMillis =
+        worker.keepsListedEnds(isUnrecorded) ? UNRECORDED_POLL_MILLIS : intervalMillis;
+    return !isIdle && sinceReport >= minimumMillis;
   }
 
   private static HoldOrder holdOrder(
--- a/core/src/test/java/org/persimmonloom/core/scheduling/EndAcknowledgementTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/EndAcknowledgementTest.java
@@ -135,4 +135,21 @@
     fleet.scheduler.progressRecorded(batch);
     assertThat(nextHold().acknowledgedEnd()).isEqualTo(2);
   }
+
+  /**
+   * Guards against a worker that is polled without a pause for good: it answers at once while it
+   * lists an end, and an end whose record is refused for good is not acknowledged.
+   */
+  @Test
+  void workerWithAnEndThatIsKeptIsNotPolledWithoutAPause() {
+    fleet.scheduler.progressRejected(Set.of("p.f1.0"));
+    fleet.report();
+    fleet.now += 100;
+    assertThat(fleet.scheduler.dueHolds(Set.of(), fleet.now)).isEmpty();
+
+    fleet.now += 300;
+    assertThat(fleet.scheduler.dueHolds(Set.of(), fleet.now))
+        .extracting(HoldOrder::acknowledgedEnd)
+        .containsExactly(0L);
+  }
 }
