Keep the confirmed address in the record of a worker that may run something

Callers would see a task run twice after a take-over: an entry may name an address at which the worker has never been. Its record took that address over at once, so that the next owner counted it as the confirmed one.

The record now takes a new address over when the worker reports there, or when nothing can run on it. Cost: a worker that has started again at another address with runs of its former process gets starts one append after its first report, no longer one append after its entry.

Evidence before: WorkerProcessTest.recordKeepsTheConfirmedAddressOfAWorkerWithRuns fails with "Expecting empty but was: [Start[worker=WorkerFacts[id=w2, ... task=f1.0.0.0, run=1...". workerWithRunsIsRecordedAtItsNewAddressOnceItReportsThere passes before; it guards the new handling.

--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
@@ -142,15 +142,25 @@
     }
     for (WorkerState worker : byId.values()) {
       worker.isPublished = present.contains(worker.facts.id());
-      if (worker.isListed()) {
-        leaseHolders.add(worker.facts);
-      }
+      wantRecord(worker);
       worker.isRecorded = leaseHolders.isRecorded(worker.facts);
     }
     indexByService();
     removeGoneWorkers();
   }
 
+  /**
+   * Lets a listed worker be recorded at its present address. While something may run there, the
+   * record keeps the confirmed address, at which a later owner may rely on the answer of another
+   * process.
+   */
+  private void wantRecord(WorkerState worker) {
+    boolean isConfirmed = worker.facts.address().equals(worker.confirmedAddress);
+    if (worker.isListed() && (isConfirmed || worker.canRunNothing())) {
+      leaseHolders.add(worker.facts);
+    }
+  }
+
   private void workerListed(WorkerFacts facts, boolean isFirstList, long nowMillis) {
     WorkerState known = byId.get(facts.id());
     if (known == null) {
@@ -246,6 +256,7 @@
     }
     RunRelease absence = isNewProcess ? RunRelease.PROCESS_REPLACED : RunRelease.NOT_REPORTED;
     updateRuns(worker, sentMillis, report, absence, nowMillis);
+    wantRecord(worker);
   }
 
   /**
--- a/core/src/test/java/org/persimmonloom/core/scheduling/WorkerProcessTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/WorkerProcessTest.java
@@ -229,4 +229,37 @@
     fleet.report("w1");
     assertThat(fleet.decide()).singleElement().extracting(Order::run).isEqualTo(2);
   }
+
+  /**
+   * Guards against a task that runs twice after a take-over: the record of its worker names an
+   * address at which the worker has never been, and another process answers there.
+   */
+  @Test
+  void recordKeepsTheConfirmedAddressOfAWorkerWithRuns() {
+    Order start = orderStart();
+    fleet.scheduler.orderAnswered(start, CallResult.ACCEPTED, fleet.now);
+    WorkerFacts relocated = process(worker, "10.0.0.9:80", worker.bornMillis());
+    fleet.addWorker("w2");
+    fleet.workers.put("w1", relocated);
+    fleet.scheduler.workersListed(fleet.workers.values(), fleet.now);
+    fleet.recordLeaseHolders();
+
+    fleet.takeOver();
+    fleet.report("w1");
+    fleet.scheduler.holdFailed(relocated, CallResult.GONE, fleet.now);
+    assertThat(fleet.decide()).isEmpty();
+  }
+
+  /** Guards against a worker without orders: it has started again at another address. */
+  @Test
+  void workerWithRunsIsRecordedAtItsNewAddressOnceItReportsThere() {
+    Order start = orderStart();
+    fleet.scheduler.orderAnswered(start, CallResult.ACCEPTED, fleet.now);
+    long bornMillis = worker.bornMillis() + 1;
+    WorkerFacts restarted = process(worker, "10.0.0.9:80", bornMillis);
+    listOnly(restarted);
+    report(restarted, fleet.now + 5, bornMillis, Map.of());
+    fleet.recordLeaseHolders();
+    assertThat(fleet.decide()).singleElement().extracting(Order::run).isEqualTo(2);
+  }
 }
