Do not take a renewal that covers a pause for a sign of an outage

An owner that was paused during a renewal went on with its orders after it: the renewal failed by the pause, and a failed one counted as an outage of the store, in which no other host can claim. One that lasted longer than its calls may does not count any more; the next attempt decides.

failedRenewalThatCoversAPauseIsNoSignOfAnOutage fails before (expected the maximum but was 3818).

--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/Ownership.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/Ownership.java
@@ -39,6 +39,12 @@
    */
   private static final long MAX_FAILED_RENEWAL_AGE_MILLIS = 4_000;
 
+  /**
+   * Maximum time of a failed renewal if the process runs: an own call and three relays, 1.5 s
+   * together, and the delays of a busy host. A longer one may cover a pause.
+   */
+  private static final long MAX_RENEWAL_MILLIS = 2_000;
+
   private static final int MAX_RELEASE_RETRIES = 2;
   private static final int READ_WAIT_MILLIS = 500;
   private static final long RETRY_DELAY_MILLIS = 100;
@@ -329,11 +335,20 @@
     } else if (result instanceof AppendResult.Conflict) {
       resolveConflict(renewedFence, sentMillis, sentWallMillis);
     } else {
-      failedRenewalAge.renewed(sentMillis, sentWallMillis);
+      noteFailedRenewal(sentMillis, sentWallMillis);
       LOG.warn("event=renewal_failed fence={} result={}", renewedFence, result);
     }
   }
 
+  /** Counts a failed renewal as a sign of an outage, unless it may have failed by a pause. */
+  private void noteFailedRenewal(long sentMillis, long sentWallMillis) {
+    long monotonicMillis = clock.getAsLong() - sentMillis;
+    long wallMillis = wallClock.millis() - sentWallMillis;
+    if (Math.max(monotonicMillis, wallMillis) <= MAX_RENEWAL_MILLIS) {
+      failedRenewalAge.renewed(sentMillis, sentWallMillis);
+    }
+  }
+
   /**
    * Hands over if only other hosts reach the store: this owner would learn of no submission and
    * could record no progress.
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnershipTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnershipTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -257,6 +258,28 @@
     }
   }
 
+  /**
+   * Guards against orders of an owner that was paused during a renewal, which failed by that: the
+   * failure says nothing about the store, and another host may have claimed meanwhile.
+   */
+  @Test
+  void failedRenewalThatCoversAPauseIsNoSignOfAnOutage() throws Exception {
+    CountDownLatch paused = new CountDownLatch(1);
+    hostOne.ownership.start();
+    long fence = hostOne.nextFence();
+    hostOne.onOwnershipThread =
+        () -> {
+          if (hostOne.pausedMillis == 0) {
+            log.isDown = true;
+            hostOne.pausedMillis = 3_000;
+            paused.countDown();
+          }
+        };
+    assertThat(paused.await(5, TimeUnit.SECONDS)).isTrue();
+    TimeUnit.MILLISECONDS.sleep(100);
+    assertThat(hostOne.ownership.renewalAgeMillis(fence)).isEqualTo(Long.MAX_VALUE);
+  }
+
   /** Guards against a refusal of an old order that ends the next term of the same host. */
   @Test
   void refusalOfAnEndedTermDoesNotEndTheNextOne() throws Exception {
