Draw no conclusion about a worker from a hold that was not sent

A hold that the owner withholds since its permission is over counted as a failed call to the worker, which together with a host list ends the worker's runs.

--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
@@ -349,12 +349,11 @@
     orders.forEach(channels::send);
     scheduler.nextPermitRequest(now).ifPresent(this::requestPermits);
     for (HoldOrder hold : scheduler.dueHolds(channels.workersInHold(), now)) {
-      // Checked again, since the process may have been paused in this pass.
+      // Checked again, since the process may have been paused in this pass. A hold that is not sent
+      // says nothing about its worker, and is repeated.
       if (permission.mayOrderWorkers()) {
         runLog.holdSent(hold);
         channels.hold(hold);
-      } else {
-        scheduler.holdFailed(hold.worker(), CallResult.NOT_SENT, now());
       }
     }
     progressRecorder.record(now);
