Split the parts that grew: reports, renewals, permits and outlines in classes of their own

Moved without a change of what is decided: applying reports to WorkerReportHandler, progress that could not be stored to UnrecordedProgress, counts for logs to PoolOutline, what renewals say to Renewals, requests of permits to PermitRequests.

--- a/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -11,7 +10,6 @@
 import org.persimmonloom.core.workflow.TableRecord;
 import org.persimmonloom.core.workflow.TaskId;
 import org.persimmonloom.core.workflow.WorkflowEntry;
-import org.persimmonloom.core.workflow.WorkflowRecords;
 
 /**
  * Decides which tasks run on which workers, on behalf of the current fleet owner.
@@ -35,10 +33,7 @@
   /** Occurrences that may start tasks, most urgent first. */
   private final List<OccurrenceState> startable = new ArrayList<>();
 
-  /** Keys of the progress records whose newest version could not be stored. */
-  private final Set<String> unrecordedKeys = new HashSet<>();
-
-  private final WorkflowRecords workflowRecords = new WorkflowRecords();
+  private final UnrecordedProgress unrecorded = new UnrecordedProgress();
   private final long takeoverOffset;
   private Set<String> runningServices = Set.of();
 
@@ -152,7 +147,7 @@
    * @param inFlight identifiers of workers that already have a request in flight
    */
   public List<HoldOrder> dueHolds(Set<String> inFlight, long nowMillis) {
-    return WorkerPolling.dueHolds(workers.all(), inFlight, this::isUnrecorded, nowMillis);
+    return WorkerPolling.dueHolds(workers.all(), inFlight, unrecorded::contains, nowMillis);
   }
 
   /**
@@ -213,22 +208,13 @@
 
   /** Marks a batch as durable, so that its run ends may be acknowledged to workers. */
   public void progressRecorded(ProgressBatch batch) {
-    unrecordedKeys.removeAll(batch.records().stream().map(TableRecord::key).toList());
+    unrecorded.recorded(batch.records());
     workers.endsRecorded(batch.ends());
   }
 
-  /**
-   * Notes that records of the last batch can't be stored. Ends of their occurrences are not
-   * acknowledged, so that a later owner reads them from the workers.
-   */
+  /** Notes that records of the last batch can't be stored; see {@link UnrecordedProgress}. */
   public void progressRejected(Set<String> keys) {
-    unrecordedKeys.addAll(keys);
-  }
-
-  private boolean isUnrecorded(EndedTask ended) {
-    return !unrecordedKeys.isEmpty()
-        && unrecordedKeys.contains(
-            workflowRecords.progressKey(ended.task().workflow(), ended.task().occurrence()));
+    unrecorded.rejected(keys);
   }
 
   /** Returns the orders to send now, without a limit of starts. */
@@ -283,16 +269,7 @@
 
   /** Returns counts of workers, usable workers, runs and waiting tasks per service, for logs. */
   public String outline(long nowMillis) {
-    StringBuilder line = new StringBuilder();
-    for (String service : runningServices.stream().sorted().toList()) {
-      List<WorkerState> pool = workers.ofService(service);
-      long usable = pool.stream().filter(worker -> worker.acceptsRuns(nowMillis)).count();
-      int runs = pool.stream().mapToInt(worker -> worker.runs.size()).sum();
-      line.append(service).append("=workers:").append(pool.size());
-      line.append(",usable:").append(usable).append(",runs:").append(runs);
-      line.append(",waiting:").append(occurrenceTable.waitingTasks(service)).append(' ');
-    }
-    return line.toString().strip();
+    return PoolOutline.of(runningServices, workers, occurrenceTable, nowMillis);
   }
 
   /**
--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerState.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerState.java
@@ -119,6 +119,14 @@
     }
   }
 
+  /**
+   * Returns whether a start time is that of another process than the present one. Compared for
+   * equality only, since the wall clock of a host may be set back before a restart.
+   */
+  boolean isOtherProcess(long otherBornMillis) {
+    return otherBornMillis != 0 && bornMillis != 0 && otherBornMillis != bornMillis;
+  }
+
   /** Returns whether the worker is in the published list and not known to have terminated. */
   boolean isListed() {
     return isPublished && !isTerminated;
--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Set;
 import org.persimmonloom.core.workflow.Resources;
-import org.persimmonloom.core.workflow.TaskId;
 
 /**
  * Table of the workers with their runs, and with the run ends processed and recorded so far. Not
@@ -21,7 +20,7 @@
   private final Map<String, List<WorkerState>> byService = new HashMap<>();
   private final RunEndHandler endHandler;
   private final OrderResultHandler orderResults;
-  private final OccurrenceTable occurrenceTable;
+  private final WorkerReportHandler reports;
   private final LeaseHolders leaseHolders = new LeaseHolders();
   private final long maxLeaseMillis;
   private final long earlierLeasesUntilMillis;
@@ -37,9 +36,9 @@
   WorkerTable(long maxLeaseMillis, long earlierLeasesUntilMillis, OccurrenceTable occurrenceTable) {
     this.maxLeaseMillis = maxLeaseMillis;
     this.earlierLeasesUntilMillis = earlierLeasesUntilMillis;
-    this.occurrenceTable = occurrenceTable;
     endHandler = new RunEndHandler(occurrenceTable);
     orderResults = new OrderResultHandler(endHandler, occurrenceTable);
+    reports = new WorkerReportHandler(endHandler, occurrenceTable, maxLeaseMillis);
   }
 
   void setRunListener(RunListener listener) {
@@ -179,7 +178,7 @@
   /** Returns whether an entry names a process that neither the last entry nor a report names. */
   private static boolean namesNewProcess(WorkerState known, WorkerFacts facts) {
     return facts.bornMillis() != known.facts.bornMillis()
-        && isOtherProcess(known, facts.bornMillis());
+        && known.isOtherProcess(facts.bornMillis());
   }
 
   /**
@@ -204,11 +203,6 @@
     }
   }
 
-  /** Compares for equality only: the wall clock of a host may be set back before a restart. */
-  private static boolean isOtherProcess(WorkerState known, long bornMillis) {
-    return bornMillis != 0 && known.bornMillis != 0 && bornMillis != known.bornMillis;
-  }
-
   private WorkerState findSameProcess(WorkerFacts facts) {
     WorkerState worker = byId.get(facts.id());
     boolean isSameProcess = worker != null && worker.facts.bornMillis() == facts.bornMillis();
@@ -217,113 +211,10 @@
 
   void workerReported(WorkerFacts polled, long sentMillis, WorkerReport report, long nowMillis) {
     WorkerState worker = findSameProcess(polled);
-    if (worker == null) {
-      return;
-    }
-    boolean isNewProcess = isOtherProcess(worker, report.bornMillis());
-    if (isNewProcess) {
-      worker.lease = new LeaseClock(maxLeaseMillis);
-      worker.processedEnd = 0;
-      worker.batchedEnd = 0;
-      worker.recordedEnd = 0;
-    }
-    if (report.bornMillis() != 0) {
-      worker.bornMillis = report.bornMillis();
-    }
-    worker.lease.observe(report.clockMillis(), nowMillis);
-    worker.lastReportMillis = nowMillis;
-    worker.lastReportSentMillis = sentMillis;
-    worker.confirmedAddress = polled.address();
-    if (isNewProcess || !worker.hasReported) {
-      // Earlier owners may have granted leases until now, but none later under their lower fences.
-      // A new process may have taken leases from orders that were meant for the previous one.
-      worker.lease.grant(nowMillis);
-    }
-    if (!worker.hasReported) {
-      worker.hasReported = true;
-      worker.firstReportMillis = nowMillis;
-    }
-    worker.isReachable = true;
-    worker.hasListedAllEnds |= report.listsAllEnds();
-    worker.hasUnlistedEnds = !report.listsAllEnds();
-    worker.listedEnds = report.ended();
-    long processedBefore = worker.processedEnd;
-    for (EndedTask ended : report.ended()) {
-      if (ended.number() > processedBefore) {
-        worker.processedEnd = Math.max(worker.processedEnd, ended.number());
-        endHandler.runEnded(worker, ended, sentMillis, nowMillis);
-      }
-    }
-    RunRelease absence = isNewProcess ? RunRelease.PROCESS_REPLACED : RunRelease.NOT_REPORTED;
-    updateRuns(worker, sentMillis, report, absence, nowMillis);
-    wantRecord(worker);
-  }
-
-  /**
-   * Applies the runs in a report.
-   *
-   * @param absence what it means that the report lacks a run whose orders had been answered; an
-   *     order that is unanswered may have reached a new process as well
-   */
-  private void updateRuns(
-      WorkerState worker,
-      long sentMillis,
-      WorkerReport report,
-      RunRelease absence,
-      long nowMillis) {
-    Set<TaskId> present = new HashSet<>();
-    for (RunningTask running : report.running()) {
-      present.add(running.task());
-      TaskRun run = worker.runs.get(running.task());
-      if (run == null || run.number != running.run()) {
-        run = adopt(worker, running, sentMillis, nowMillis);
-      }
-      OccurrenceState occurrence = occurrenceTable.occurrence(running.task());
-      occurrenceTable.markBegun(occurrence);
-      run.speedPercent = running.percent();
-      run.load = running.load();
-      run.checkpoint = running.checkpoint();
-      run.mayHaveUnlistedEnd = false;
-      if (run.phase == TaskRun.Phase.STARTING) {
-        run.phase = TaskRun.Phase.RUNNING;
-        run.orderAnsweredMillis = nowMillis;
-        run.isUnanswered = false;
-      }
-      TaskState task = occurrence == null ? null : occurrence.task(running.task());
-      if (task != null && !running.checkpoint().isEmpty()) {
-        task.checkpoint = running.checkpoint();
-      }
-    }
-    for (TaskRun run : List.copyOf(worker.runs.values())) {
-      if (!present.contains(run.task) && sentMillis > run.orderAnsweredMillis) {
-        if (report.listsAllEnds()) {
-          endHandler.release(run, absence, sentMillis, nowMillis);
-        } else {
-          run.mayHaveUnlistedEnd = true;
-          run.load = 0;
-        }
-      }
-    }
-  }
-
-  private TaskRun adopt(WorkerState worker, RunningTask running, long sentMillis, long nowMillis) {
-    TaskRun previous = worker.runs.get(running.task());
-    if (previous != null) {
-      endHandler.release(previous, RunRelease.OTHER_RUN_REPORTED, sentMillis, nowMillis);
-    }
-    OccurrenceState occurrence = occurrenceTable.occurrence(running.task());
-    TaskState task = occurrence == null ? null : occurrence.task(running.task());
-    TaskRun run = new TaskRun(running.task(), running.run(), worker, occurrence, nowMillis);
-    run.phase = TaskRun.Phase.RUNNING;
-    run.orderAnsweredMillis = nowMillis;
-    worker.add(run);
-    if (task != null) {
-      task.lastRun = Math.max(task.lastRun, running.run());
-      if (task.isRunnable() || occurrence.step(task.step).speculative()) {
-        occurrence.addRun(task, run);
-      }
+    if (worker != null) {
+      reports.apply(worker, polled.address(), sentMillis, report, nowMillis);
+      wantRecord(worker);
     }
-    return run;
   }
 
   void holdFailed(WorkerFacts polled, CallResult result, long nowMillis) {
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
@@ -3,8 +3,6 @@
 import java.time.InstantSource;
 import java.util.EnumSet;
 import java.util.List;
-import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ThreadPoolExecutor;
@@ -66,6 +64,7 @@
   private final OwnerLoad load;
   private final OwnerSummary summary;
   private final RunLog runLog;
+  private final PermitRequests permitRequests;
   private final EndedWorkflowRemoval endedWorkflowRemoval;
   private FleetScheduler scheduler;
   private ProgressRecorder progressRecorder;
@@ -92,7 +91,13 @@
     runLog = new RunLog(fence, services.metrics());
     callExecutor =
         (ThreadPoolExecutor)
-            Executors.newCachedThreadPool(task -> daemonThread(task, "owner-call"));
+            Executors.newCachedThreadPool(
+                task -> {
+                  Thread thread = new Thread(task, "owner-call");
+                  thread.setDaemon(true);
+                  return thread;
+                });
+    permitRequests = new PermitRequests(services.placementPolicy(), callExecutor, services.clock());
     writer =
         new TableWriter(
             services.log(), Table.WORKFLOWS, PRODUCER, fence, services.metrics(), services.clock());
@@ -110,38 +115,7 @@
             WORKERS_PAUSE_MILLIS);
     channels =
         new WorkerChannels(
-            services.gateway(),
-            fence,
-            loop::execute,
-            services.clock(),
-            new WorkerChannels.Listener() {
-              @Override
-              public boolean isStillValid(Order order) {
-                return isStillPermitted(order) && scheduler.isStillValid(order, now());
-              }
-
-              @Override
-              public void orderSent(Order order, long waitedMillis) {
-                load.recordOrderSent(waitedMillis);
-              }
-
-              @Override
-              public void orderAnswered(Order order, CallResult result) {
-                handleOrderAnswer(order, result);
-              }
-
-              @Override
-              public void holdAnswered(
-                  HoldOrder order, long sentMillis, WorkerGateway.HoldAnswer answer) {
-                handleHoldAnswer(order, sentMillis, answer);
-              }
-            });
-  }
-
-  private static Thread daemonThread(Runnable task, String name) {
-    Thread thread = new Thread(task, name);
-    thread.setDaemon(true);
-    return thread;
+            services.gateway(), fence, loop::execute, services.clock(), new ChannelListener());
   }
 
   /** Starts the term without blocking. */
@@ -169,24 +143,22 @@
   void stop() {
     // Before all else: a paused pass goes on while this method waits, and beyond it.
     permission.end();
-    stopParts();
-  }
-
-  private synchronized void stopParts() {
-    isStopped = true;
-    hostOrderGate.close(HOST_ORDERS_STOP_WAIT_MILLIS);
-    announcements.stop();
-    services.workflows().removeObserver();
-    services.workflowFollower().setPauseMillis(FleetServices.FOLLOWER_PAUSE_MILLIS);
-    services.operations().setObserver(() -> {});
-    workerFollower.stop();
-    if (machines != null) {
-      machines.stop();
+    synchronized (this) {
+      isStopped = true;
+      hostOrderGate.close(HOST_ORDERS_STOP_WAIT_MILLIS);
+      announcements.stop();
+      services.workflows().removeObserver();
+      services.workflowFollower().setPauseMillis(FleetServices.FOLLOWER_PAUSE_MILLIS);
+      services.operations().setObserver(() -> {});
+      workerFollower.stop();
+      if (machines != null) {
+        machines.stop();
+      }
+      loop.stop();
+      // Calls in progress end by their own timeouts; their results are discarded.
+      callExecutor.shutdown();
+      writer.stop();
     }
-    loop.stop();
-    // Calls in progress end by their own timeouts; their results are discarded.
-    callExecutor.shutdown();
-    writer.stop();
   }
 
   /** Loads the state left by earlier owners, with retries, and then starts to decide. */
@@ -349,8 +321,7 @@
     orders.forEach(channels::send);
     scheduler.nextPermitRequest(now).ifPresent(this::requestPermits);
     for (HoldOrder hold : scheduler.dueHolds(channels.workersInHold(), now)) {
-      // Checked again, since the process may have been paused in this pass. A hold that is not sent
-      // says nothing about its worker, and is repeated.
+      // The process may have been paused in this pass. A hold that is not sent is repeated.
       if (permission.mayOrderWorkers()) {
         runLog.holdSent(hold);
         channels.hold(hold);
@@ -361,21 +332,8 @@
 
   private void requestPermits(PermitRequest request) {
     long sent = now();
-    callExecutor.execute(
-        () -> {
-          Optional<Map<String, String>> granted =
-              PlatformCalls.resultOr(
-                  Optional.empty(),
-                  "permits",
-                  () -> services.placementPolicy().requestPermits(request));
-          LOG.info(
-              "event=permits step={} workers={} granted={} millis={}",
-              request.step(),
-              request.workers().size(),
-              granted.map(Map::size).orElse(-1),
-              now() - sent);
-          post(() -> scheduler.permitsAnswered(request, granted, sent, now()));
-        });
+    permitRequests.send(
+        request, granted -> post(() -> scheduler.permitsAnswered(request, granted, sent, now())));
   }
 
   private void handleOrderAnswer(Order order, CallResult result) {
@@ -411,6 +369,29 @@
     requestPass();
   }
 
+  /** Receives the results of calls, on the loop. */
+  private final class ChannelListener implements WorkerChannels.Listener {
+    @Override
+    public boolean isStillValid(Order order) {
+      return isStillPermitted(order) && scheduler.isStillValid(order, now());
+    }
+
+    @Override
+    public void orderSent(Order order, long waitedMillis) {
+      load.recordOrderSent(waitedMillis);
+    }
+
+    @Override
+    public void orderAnswered(Order order, CallResult result) {
+      handleOrderAnswer(order, result);
+    }
+
+    @Override
+    public void holdAnswered(HoldOrder order, long sentMillis, WorkerGateway.HoldAnswer answer) {
+      handleHoldAnswer(order, sentMillis, answer);
+    }
+  }
+
   private long now() {
     return services.clock().getAsLong();
   }
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/Ownership.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/Ownership.java
@@ -33,18 +33,6 @@
   private static final long RENEWAL_INTERVAL_MILLIS = 500;
   static final long CLAIM_AFTER_MILLIS = 1_800;
 
-  /**
-   * Maximum time from the start of a failed renewal to the end of the next one, if the process
-   * runs: two attempts, each by an own call and three relays, and the interval.
-   */
-  private static final long MAX_FAILED_RENEWAL_AGE_MILLIS = 4_000;
-
-  /**
-   * Maximum time of a failed renewal if the process runs: an own call and three relays, 1.5 s
-   * together, and the delays of a busy host. A longer one may cover a pause.
-   */
-  private static final long MAX_RENEWAL_MILLIS = 2_000;
-
   private static final int MAX_RELEASE_RETRIES = 2;
   private static final int READ_WAIT_MILLIS = 500;
   private static final long RETRY_DELAY_MILLIS = 100;
@@ -59,15 +47,10 @@
   private final String host;
   private final long incarnation;
   private final LongSupplier clock;
-  private final InstantSource wallClock;
   private final LongSupplier claimDelayMillis;
   private final Listener listener;
   private final Thread thread;
-  private final RenewalAge renewalAge = new RenewalAge();
-
-  /** Time since the last renewal was sent that got no answer of the store. */
-  private final RenewalAge failedRenewalAge = new RenewalAge();
-
+  private final Renewals renewals;
   private volatile boolean isStopping;
   private volatile boolean mayClaim;
   private volatile boolean isHandoverRequested;
@@ -102,7 +85,7 @@
     this.host = host;
     this.incarnation = incarnation;
     this.clock = clock;
-    this.wallClock = wallClock;
+    renewals = new Renewals(clock, wallClock);
     this.claimDelayMillis = claimDelayMillis;
     this.listener = listener;
     thread = new Thread(this::run, "ownership");
@@ -143,20 +126,11 @@
    * Returns the time since the last successful claim or renewal of a term was sent, in ms; the
    * maximum if the term is over or may be without this host's knowledge. Renewals of a later term
    * of this host do not count.
-   *
-   * <p>Another host may claim after {@link #CLAIM_AFTER_MILLIS}. Beyond that, the last renewal
-   * counts only while further ones are tried and the store does not answer them. After a pause of
-   * this process it does not, until the next attempt has ended.
    */
   long renewalAgeMillis(long termFence) {
-    long now = clock.getAsLong();
-    long wallNow = wallClock.millis();
-    // The ages before the fence: a new term sets its renewal first, and then its fence.
-    long age = renewalAge.millis(now, wallNow);
-    boolean isRecent =
-        age < CLAIM_AFTER_MILLIS
-            || failedRenewalAge.millis(now, wallNow) < MAX_FAILED_RENEWAL_AGE_MILLIS;
-    return isRecent && fence == termFence ? age : Long.MAX_VALUE;
+    // The age before the fence: a new term sets its renewal first, and then its fence.
+    long age = renewals.ageMillis();
+    return fence == termFence ? age : Long.MAX_VALUE;
   }
 
   /**
@@ -221,8 +195,8 @@
    * {@link #CLAIM_AFTER_MILLIS}.
    */
   private void waitForClaim() throws InterruptedException {
-    long sentMillis = clock.getAsLong();
-    long sentWallMillis = wallClock.millis();
+    Renewals.SendTime sent = renewals.now();
+    long sentMillis = sent.monotonicMillis();
     if (sentMillis - lastReadMillis > CLAIM_AFTER_MILLIS) {
       // Time in which this host did not read, such as a freeze, does not count as silence of the
       // owner.
@@ -241,7 +215,7 @@
     OwnershipRecord newest = table.newest();
     if (isOwnCurrentTerm()) {
       // The claim succeeded, but its response was lost or arrived after the timeout.
-      gain(new OwnershipTerm(newest.fence(), false, 0), sentMillis, sentWallMillis);
+      gain(new OwnershipTerm(newest.fence(), false, 0), sent);
       return;
     }
     boolean isUnowned = isUnowned();
@@ -268,17 +242,13 @@
   private void claim(boolean isHandedOver) throws InterruptedException {
     int stagger = Math.floorMod(host.hashCode(), MAX_STAGGER_MILLIS);
     TimeUnit.MILLISECONDS.sleep(stagger + claimDelayMillis.getAsLong());
-    long sentMillis = clock.getAsLong();
-    long sentWallMillis = wallClock.millis();
+    Renewals.SendTime sent = renewals.now();
     OwnershipRecord previous = table.newest();
     AppendResult result = table.append(new OwnershipRecord(host, incarnation, 0, false));
     if (result instanceof AppendResult.Appended appended) {
       long previousFence = previous == null ? 0 : previous.fence();
       // The offset can be 0, but workers treat fence 0 as missing.
-      gain(
-          new OwnershipTerm(appended.offset() + 1, isHandedOver, previousFence),
-          sentMillis,
-          sentWallMillis);
+      gain(new OwnershipTerm(appended.offset() + 1, isHandedOver, previousFence), sent);
     } else {
       LOG.info("event=claim_failed at={} result={}", table.end(), result);
       unchangedSinceMillis = clock.getAsLong();
@@ -305,8 +275,8 @@
     return table.newest().host().equals(host) && !isOwnCurrentTerm();
   }
 
-  private synchronized void gain(OwnershipTerm term, long sentMillis, long sentWallMillis) {
-    renewalAge.renewed(sentMillis, sentWallMillis);
+  private synchronized void gain(OwnershipTerm term, Renewals.SendTime sent) {
+    renewals.succeeded(sent);
     isHandoverRequested = false;
     fence = term.fence();
     LOG.info("event=ownership_gained fence={} previous={}", fence, table.newest());
@@ -325,30 +295,20 @@
       releaseAndReload();
       return;
     }
-    long sentMillis = clock.getAsLong();
-    long sentWallMillis = wallClock.millis();
+    Renewals.SendTime sent = renewals.now();
     AppendResult result =
         table.appendAnyWay(new OwnershipRecord(host, incarnation, renewedFence, false));
     if (result instanceof AppendResult.Appended) {
-      renewalAge.renewed(sentMillis, sentWallMillis);
+      renewals.succeeded(sent);
       handOverIfUnreachable();
     } else if (result instanceof AppendResult.Conflict) {
-      resolveConflict(renewedFence, sentMillis, sentWallMillis);
+      resolveConflict(renewedFence, sent);
     } else {
-      noteFailedRenewal(sentMillis, sentWallMillis);
+      renewals.failed(sent);
       LOG.warn("event=renewal_failed fence={} result={}", renewedFence, result);
     }
   }
 
-  /** Counts a failed renewal as a sign of an outage, unless it may have failed by a pause. */
-  private void noteFailedRenewal(long sentMillis, long sentWallMillis) {
-    long monotonicMillis = clock.getAsLong() - sentMillis;
-    long wallMillis = wallClock.millis() - sentWallMillis;
-    if (Math.max(monotonicMillis, wallMillis) <= MAX_RENEWAL_MILLIS) {
-      failedRenewalAge.renewed(sentMillis, sentWallMillis);
-    }
-  }
-
   /**
    * Hands over if only other hosts reach the store: this owner would learn of no submission and
    * could record no progress.
@@ -370,7 +330,7 @@
    * Handles a conflict, which may stem from an own renewal that was written but whose response was
    * lost.
    */
-  private void resolveConflict(long renewedFence, long sentMillis, long sentWallMillis) {
+  private void resolveConflict(long renewedFence, Renewals.SendTime sent) {
     OwnershipTable.ReadResult result = table.read(0);
     if (result == OwnershipTable.ReadResult.EXPIRED) {
       loseOwnership("expired");
@@ -382,7 +342,7 @@
     }
     OwnershipRecord newest = table.newest();
     if (newest != null && newest.fence() == renewedFence && newest.incarnation() == incarnation) {
-      renewalAge.renewed(sentMillis, sentWallMillis);
+      renewals.succeeded(sent);
     } else {
       loseOwnership("superseded by " + newest);
     }
