Compute kept ends once for a poll, and state once what was written several times

A poll derived up to which end a worker may forget its ends twice for each worker and pass, now once. The key of a record is made without an encoder of its own (UnrecordedProgress) and without encoding the record (LeaseHolders). That earlier leases are over follows from the time and is no field any more; the update of isRecorded and the time of a host list's request stand once. Tests: the facts of another process of a worker (three copies) and the setup of a recorded end (three copies) are one method each; no assertion is changed.

--- a/core/src/main/java/org/persimmonloom/core/scheduling/LeaseHolderRecords.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/LeaseHolderRecords.java
@@ -19,12 +19,17 @@
 
   /** Returns the record of a worker that may hold leases. */
   public TableRecord record(WorkerFacts facts) {
-    return new TableRecord(PREFIX + facts.id(), codec.encode(facts));
+    return new TableRecord(key(facts.id()), codec.encode(facts));
   }
 
   /** Returns the record that removes a worker. */
   public TableRecord removal(String worker) {
-    return new TableRecord(PREFIX + worker, null);
+    return new TableRecord(key(worker), null);
+  }
+
+  /** Returns the key of the record of a worker. */
+  static String key(String worker) {
+    return PREFIX + worker;
   }
 
   /** Returns the identifier of the worker that a record is about; empty for other records. */
--- a/core/src/main/java/org/persimmonloom/core/scheduling/LeaseHolders.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/LeaseHolders.java
@@ -96,7 +96,7 @@
 
   /** Notes that records can't be stored, so that their workers are not recorded. */
   void rejected(Set<String> keys) {
-    durable.values().removeIf(facts -> keys.contains(records.record(facts).key()));
+    durable.keySet().removeIf(id -> keys.contains(LeaseHolderRecords.key(id)));
   }
 
   /** Marks the records of a batch as durable; batches are recorded one at a time. */
--- a/core/src/main/java/org/persimmonloom/core/scheduling/UnrecordedProgress.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/UnrecordedProgress.java
@@ -12,12 +12,10 @@
  * <p>Their ends are not acknowledged to workers, so that a later owner reads them there.
  */
 final class UnrecordedProgress {
-  private final WorkflowRecords records = new WorkflowRecords();
-
   /** Keys of the records. */
   private final Set<String> keys = new HashSet<>();
 
-  /** Notes that newer versions of records are stored, or were rejected and follow as such. */
+  /** Notes that records are stored; those of them that were rejected are noted after this. */
   void recorded(Collection<TableRecord> stored) {
     keys.removeAll(stored.stream().map(TableRecord::key).toList());
   }
@@ -30,6 +28,7 @@
   /** Returns whether what follows from an end could not be stored. */
   boolean contains(EndedTask ended) {
     return !keys.isEmpty()
-        && keys.contains(records.progressKey(ended.task().workflow(), ended.task().occurrence()));
+        && keys.contains(
+            WorkflowRecords.progressKey(ended.task().workflow(), ended.task().occurrence()));
   }
 }
--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerPolling.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerPolling.java
@@ -70,13 +70,11 @@
     if (worker.hasUnrecordedProcessedEnds()) {
       return sinceReport >= UNRECORDED_POLL_MILLIS;
     }
-    boolean isIdle =
-        worker.runs.isEmpty()
-            && worker.acknowledgeableEnd(isUnrecorded) == 0
-            && !worker.hasUnlistedEnds;
+    long acknowledgeable = worker.acknowledgeableEnd(isUnrecorded);
+    boolean isIdle = worker.runs.isEmpty() && acknowledgeable == 0 && !worker.hasUnlistedEnds;
     // A worker answers at once while it lists an end, so that a long poll does not slow polls down.
     long minimumMillis =
-        worker.keepsListedEnds(isUnrecorded) ? UNRECORDED_POLL_MILLIS : intervalMillis;
+        worker.listsEndsAfter(acknowledgeable) ? UNRECORDED_POLL_MILLIS : intervalMillis;
     return !isIdle && sinceReport >= minimumMillis;
   }
 
--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerState.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerState.java
@@ -226,10 +226,9 @@
     return highest;
   }
 
-  /** Returns whether the worker lists ends that it may not forget yet. */
-  boolean keepsListedEnds(Predicate<EndedTask> isUnrecorded) {
-    long acknowledgeable = acknowledgeableEnd(isUnrecorded);
-    return listedEnds.stream().anyMatch(ended -> ended.number() > acknowledgeable);
+  /** Returns whether the worker lists ends with numbers above the given one. */
+  boolean listsEndsAfter(long number) {
+    return listedEnds.stream().anyMatch(ended -> ended.number() > number);
   }
 
   /** Returns whether some run ends, listed or not, are not recorded in the log yet. */
--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
@@ -24,7 +24,6 @@
   private final LeaseHolders leaseHolders = new LeaseHolders();
   private final long maxLeaseMillis;
   private final long earlierLeasesUntilMillis;
-  private boolean areEarlierLeasesOver;
   private boolean isListKnown;
 
   /**
@@ -123,11 +122,15 @@
 
   void leaseHoldersRecorded(LeaseHolderBatch batch) {
     leaseHolders.recorded(batch);
-    byId.values().forEach(worker -> worker.isRecorded = leaseHolders.isRecorded(worker.facts));
+    updateRecorded();
   }
 
   void leaseHoldersRejected(Set<String> keys) {
     leaseHolders.rejected(keys);
+    updateRecorded();
+  }
+
+  private void updateRecorded() {
     byId.values().forEach(worker -> worker.isRecorded = leaseHolders.isRecorded(worker.facts));
   }
 
@@ -286,9 +289,7 @@
   }
 
   void expireLeases(long nowMillis) {
-    if (!areEarlierLeasesOver && nowMillis >= earlierLeasesUntilMillis) {
-      areEarlierLeasesOver = true;
-    }
+    boolean areEarlierLeasesOver = nowMillis >= earlierLeasesUntilMillis;
     for (WorkerState worker : byId.values()) {
       terminateIfProven(worker, nowMillis);
       boolean isLeaseOver = !worker.isReachable && worker.lease.isExpired(nowMillis);
--- a/core/src/main/java/org/persimmonloom/core/workflow/WorkflowRecords.java
+++ b/core/src/main/java/org/persimmonloom/core/workflow/WorkflowRecords.java
@@ -87,7 +87,7 @@
   }
 
   /** Returns the key of the record of an occurrence's progress. */
-  public String progressKey(String workflow, int occurrence) {
+  public static String progressKey(String workflow, int occurrence) {
     return PROGRESS + workflow + '.' + occurrence;
   }
 
--- a/core/src/test/java/org/persimmonloom/core/scheduling/HostListEvidenceTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/HostListEvidenceTest.java
@@ -155,16 +155,7 @@
     listMachines(fleet.now, machine("m1", MachineFacts.State.UP, "w1"));
     fleet.now += 10;
     WorkerFacts first = fleet.workers.get("w2");
-    WorkerFacts second =
-        new WorkerFacts(
-            "w2",
-            first.address(),
-            first.service(),
-            first.dataCentre(),
-            first.draining(),
-            first.capacity(),
-            first.labels(),
-            first.bornMillis() + 500);
+    WorkerFacts second = SchedulerFixture.process(first, first.address(), first.bornMillis() + 500);
     fleet.workers.put("w2", second);
     fleet.scheduler.workersListed(fleet.workers.values(), fleet.now);
     loseWorker("w2");
--- a/core/src/test/java/org/persimmonloom/core/scheduling/SchedulerFixture.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/SchedulerFixture.java
@@ -72,6 +72,19 @@
     table.all().forEach(entry -> scheduler.workflowChanged(entry.copy(), now, now, true));
   }
 
+  /** Returns the facts of another process of a worker, or of one at another address. */
+  static WorkerFacts process(WorkerFacts facts, String address, long bornMillis) {
+    return new WorkerFacts(
+        facts.id(),
+        address,
+        facts.service(),
+        facts.dataCentre(),
+        facts.draining(),
+        facts.capacity(),
+        facts.labels(),
+        bornMillis);
+  }
+
   WorkerFacts addWorker(String id) {
     return addWorker(id, "rack-1");
   }
--- a/core/src/test/java/org/persimmonloom/core/scheduling/TakeoverTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/TakeoverTest.java
@@ -108,16 +108,7 @@
   void workerThatHasRestartedBeforeTheTakeoverBlocksEarlierWorkflows() {
     String worker = takeOverWhileATaskRuns();
     WorkerFacts first = fleet.workers.get(worker);
-    WorkerFacts second =
-        new WorkerFacts(
-            first.id(),
-            first.address(),
-            first.service(),
-            first.dataCentre(),
-            first.draining(),
-            first.capacity(),
-            first.labels(),
-            first.bornMillis() + 500);
+    WorkerFacts second = SchedulerFixture.process(first, first.address(), first.bornMillis() + 500);
     fleet.workers.put(worker, second);
     fleet.scheduler.workersListed(fleet.workers.values(), fleet.now);
     fleet.report(worker);
--- a/core/src/test/java/org/persimmonloom/core/scheduling/WorkerProcessTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/WorkerProcessTest.java
@@ -13,16 +13,14 @@
   private final SchedulerFixture fleet = new SchedulerFixture();
   private final WorkerFacts worker = fleet.addWorker("w1");
 
-  private static WorkerFacts process(WorkerFacts facts, String address, long bornMillis) {
-    return new WorkerFacts(
-        facts.id(),
-        address,
-        facts.service(),
-        facts.dataCentre(),
-        facts.draining(),
-        facts.capacity(),
-        facts.labels(),
-        bornMillis);
+  /** Lets a run end as number 1 of the worker's ends, and records that. */
+  private void recordAnEnd() {
+    fleet.submit("f0", SchedulerFixture.step(1, 500, List.of()));
+    fleet.report();
+    Order first = fleet.decideAndExecute().get(0);
+    fleet.endRun("w1", first.task(), first.run(), EndCause.DONE);
+    fleet.report();
+    fleet.recordProgress();
   }
 
   private Order orderStart() {
@@ -101,7 +99,8 @@
   void runIsKeptUntilTheListedNewProcessReports() {
     Order start = orderStart();
     fleet.scheduler.orderAnswered(start, CallResult.ACCEPTED, fleet.now);
-    WorkerFacts second = process(worker, worker.address(), worker.bornMillis() + 500);
+    WorkerFacts second =
+        SchedulerFixture.process(worker, worker.address(), worker.bornMillis() + 500);
     listOnly(second);
     fleet.addWorker("w2");
     fleet.scheduler.workersListed(List.of(second, fleet.workers.get("w2")), fleet.now);
@@ -121,7 +120,8 @@
   void runIsReleasedWhenTheLeaseOfAListedNewProcessIsOver() {
     Order start = orderStart();
     fleet.scheduler.orderAnswered(start, CallResult.ACCEPTED, fleet.now);
-    WorkerFacts second = process(worker, worker.address(), worker.bornMillis() + 500);
+    WorkerFacts second =
+        SchedulerFixture.process(worker, worker.address(), worker.bornMillis() + 500);
     fleet.addWorker("w2");
     fleet.now += 1_000;
     fleet.scheduler.workersListed(List.of(second, fleet.workers.get("w2")), fleet.now);
@@ -141,12 +141,7 @@
    */
   @Test
   void endOfANewProcessIsReadAlthoughItsClockWasSetBack() {
-    fleet.submit("f0", SchedulerFixture.step(1, 500, List.of()));
-    fleet.report();
-    Order first = fleet.decideAndExecute().get(0);
-    fleet.endRun("w1", first.task(), first.run(), EndCause.DONE);
-    fleet.report();
-    fleet.recordProgress();
+    recordAnEnd();
     Order start = orderStart();
     fleet.scheduler.orderAnswered(start, CallResult.ACCEPTED, fleet.now);
     fleet.now += 10;
@@ -159,13 +154,8 @@
   /** Guards against ends of a new process that are acknowledged by the numbers of an old one. */
   @Test
   void listedNewProcessIsSentNoAcknowledgementOfTheOldOne() {
-    fleet.submit("f0", SchedulerFixture.step(1, 500, List.of()));
-    fleet.report();
-    Order first = fleet.decideAndExecute().get(0);
-    fleet.endRun("w1", first.task(), first.run(), EndCause.DONE);
-    fleet.report();
-    fleet.recordProgress();
-    listOnly(process(worker, worker.address(), worker.bornMillis() + 500));
+    recordAnEnd();
+    listOnly(SchedulerFixture.process(worker, worker.address(), worker.bornMillis() + 500));
     fleet.now += 1_000;
 
     assertThat(fleet.scheduler.dueHolds(Set.of(), fleet.now))
@@ -177,13 +167,9 @@
   /** Guards against ends that are never acknowledged: an entry is older than the last report. */
   @Test
   void endsAreAcknowledgedAfterAnEntryOfAnEarlierProcess() {
-    fleet.submit("f0", SchedulerFixture.step(1, 500, List.of()));
-    fleet.report();
-    Order first = fleet.decideAndExecute().get(0);
-    fleet.endRun("w1", first.task(), first.run(), EndCause.DONE);
-    fleet.report();
-    fleet.recordProgress();
-    WorkerFacts earlier = process(worker, worker.address(), worker.bornMillis() - 500);
+    recordAnEnd();
+    WorkerFacts earlier =
+        SchedulerFixture.process(worker, worker.address(), worker.bornMillis() - 500);
     listOnly(earlier);
     report(earlier, fleet.now, worker.bornMillis(), Map.of(), fleet.ended.get("w1"));
     fleet.now += 1_000;
@@ -202,7 +188,7 @@
   void otherProcessAtAnUnconfirmedAddressEndsNoRuns() {
     Order start = orderStart();
     fleet.scheduler.orderAnswered(start, CallResult.ACCEPTED, fleet.now);
-    WorkerFacts relocated = process(worker, "10.0.0.9:80", worker.bornMillis());
+    WorkerFacts relocated = SchedulerFixture.process(worker, "10.0.0.9:80", worker.bornMillis());
     fleet.addWorker("w2");
     fleet.scheduler.workersListed(List.of(relocated, fleet.workers.get("w2")), fleet.now);
     fleet.recordLeaseHolders();
@@ -218,7 +204,7 @@
   /** Guards against a task that never restarts: its start was sent to an unconfirmed address. */
   @Test
   void startAnsweredByAnotherProcessIsReleased() {
-    WorkerFacts relocated = process(worker, "10.0.0.9:80", worker.bornMillis());
+    WorkerFacts relocated = SchedulerFixture.process(worker, "10.0.0.9:80", worker.bornMillis());
     listOnly(relocated);
     Order start = orderStart();
     assertThat(start.worker()).isEqualTo(relocated);
@@ -238,7 +224,7 @@
   void recordKeepsTheConfirmedAddressOfAWorkerWithRuns() {
     Order start = orderStart();
     fleet.scheduler.orderAnswered(start, CallResult.ACCEPTED, fleet.now);
-    WorkerFacts relocated = process(worker, "10.0.0.9:80", worker.bornMillis());
+    WorkerFacts relocated = SchedulerFixture.process(worker, "10.0.0.9:80", worker.bornMillis());
     fleet.addWorker("w2");
     fleet.workers.put("w1", relocated);
     fleet.scheduler.workersListed(fleet.workers.values(), fleet.now);
@@ -256,7 +242,7 @@
     Order start = orderStart();
     fleet.scheduler.orderAnswered(start, CallResult.ACCEPTED, fleet.now);
     long bornMillis = worker.bornMillis() + 1;
-    WorkerFacts restarted = process(worker, "10.0.0.9:80", bornMillis);
+    WorkerFacts restarted = SchedulerFixture.process(worker, "10.0.0.9:80", bornMillis);
     listOnly(restarted);
     report(restarted, fleet.now + 5, bornMillis, Map.of());
     fleet.recordLeaseHolders();
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/MachineOperations.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/MachineOperations.java
@@ -130,13 +130,12 @@
   void pass(long nowMillis, long wallMillis, List<Order> taskOrders) {
     if (!isListInFlight && nowMillis >= nextListMillis && scheduler.canListMachines()) {
       isListInFlight = true;
-      long sent = nowMillis;
       callExecutor.execute(
           () -> {
             Optional<List<MachineFacts>> listed =
                 PlatformCalls.resultOr(
                     Optional.empty(), "machine list", () -> services.machines().list());
-            loopExecutor.execute(() -> handleList(listed, sent));
+            loopExecutor.execute(() -> handleList(listed, nowMillis));
           });
     }
     if (nowMillis >= nextDecisionMillis) {
