--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
@@ -88,7 +88,7 @@
     load = new OwnerLoad(services.metrics());
     loop = new OwnerLoop(fence, load);
     summary = new OwnerSummary(fence, load);
-    runLog = new RunLog(fence, services.metrics());
+    runLog = new RunLog(fence, renewalAgeMillis, services.metrics());
     callExecutor =
         (ThreadPoolExecutor)
             Executors.newCachedThreadPool(
@@ -357,7 +357,7 @@
 
   private void handleHoldAnswer(HoldOrder order, long sentMillis, WorkerGateway.HoldAnswer answer) {
     if (answer.result() == CallResult.ACCEPTED) {
-      runLog.reportRead(order.worker().id(), answer.report());
+      runLog.reportRead(order.worker().id(), answer.report(), now());
       scheduler.workerReported(order.worker(), sentMillis, answer.report(), now());
     } else if (answer.result() == CallResult.FENCED) {
       stepDown.run();
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/RunLog.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/RunLog.java
@@ -3,23 +3,29 @@
 import io.prometheus.metrics.core.metrics.Counter;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.StringJoiner;
+import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.persimmonloom.core.scheduling.EndCause;
 import org.persimmonloom.core.scheduling.EndedTask;
 import org.persimmonloom.core.scheduling.HoldOrder;
 import org.persimmonloom.core.scheduling.Order;
 import org.persimmonloom.core.scheduling.ReleasedRun;
 import org.persimmonloom.core.scheduling.RunListener;
 import org.persimmonloom.core.scheduling.RunRelease;
+import org.persimmonloom.core.scheduling.RunningTask;
 import org.persimmonloom.core.scheduling.WorkerReport;
+import org.persimmonloom.core.workflow.TaskId;
 
 /**
  * Writes the life of the runs of one term to the log: why a task was free when its start was
- * decided, what released a run, and when an end was read and acknowledged.
+ * decided, what released a run, whether its worker contradicts that later, and when an end was read
+ * and acknowledged.
  *
  * <p>Starts of one pass, and ends of one report, share a line, which bounds the lines by the passes
  * and the reports. Confined to the owner's loop.
@@ -30,18 +36,43 @@
   /** Runs in one line; a line of many would be cut by tools that collect logs. */
   private static final int MAX_RUNS_PER_LINE = 32;
 
+  /** Released runs that are remembered, to compare them with later reports. */
+  private static final int MAX_REMEMBERED_RELEASES = 4_096;
+
   private final long fence;
+  private final LongSupplier renewalAgeMillis;
   private final Counter released;
+  private final Counter contradicted;
   private final List<String> ordered = new ArrayList<>();
   private final Map<String, ReadEnds> readEnds = new HashMap<>();
   private final Map<String, Long> acknowledgedEnds = new HashMap<>();
 
+  /** Runs that were released without their end, oldest first. */
+  private final Map<RunKey, ReleasedRun> releasedWithoutEnd =
+      new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<RunKey, ReleasedRun> eldest) {
+          return size() > MAX_REMEMBERED_RELEASES;
+        }
+      };
+
+  private record RunKey(String worker, TaskId task, int number) {}
+
   /** Ends of a worker's process that were read. */
   private record ReadEnds(long bornMillis, long number) {}
 
-  RunLog(long fence, WorkflowMetrics metrics) {
+  /**
+   * Creates the log of one term.
+   *
+   * @param renewalAgeMillis time since the term's last renewal was sent, in ms
+   */
+  RunLog(long fence, LongSupplier renewalAgeMillis, WorkflowMetrics metrics) {
     this.fence = fence;
+    this.renewalAgeMillis = renewalAgeMillis;
     released = metrics.releasedRuns;
+    contradicted = metrics.contradictedReleases;
   }
 
   @Override
@@ -63,21 +94,37 @@
   public void runReleased(ReleasedRun run) {
     released.labelValues(run.release().name()).inc();
     if (run.release() != RunRelease.END_REPORTED) {
+      releasedWithoutEnd.put(new RunKey(run.worker(), run.task(), run.number()), run);
       LOG.info(
           "event=run_released task={} run={} worker={} fence={} proof={} proof_age_ms={}"
-              + " reported_ms={}",
+              + " reported_ms={} renewal_age_ms={}",
           run.task(),
           run.number(),
           run.worker(),
           fence,
           run.release(),
           run.releasedMillis() - run.evidenceMillis(),
-          run.lastReportMillis() == 0 ? -1 : run.releasedMillis() - run.lastReportMillis());
+          run.lastReportMillis() == 0 ? -1 : run.releasedMillis() - run.lastReportMillis(),
+          renewalAge());
     }
   }
 
-  /** Writes the ends of a report that no earlier report of the same process has listed. */
-  void reportRead(String worker, WorkerReport report) {
+  /** Returns the age of the last renewal in ms; -1 if the term is over or may be. */
+  private long renewalAge() {
+    long ageMillis = renewalAgeMillis.getAsLong();
+    return ageMillis == Long.MAX_VALUE ? -1 : ageMillis;
+  }
+
+  /**
+   * Writes the ends of a report that no earlier report of the same process has listed, and the runs
+   * that it shows although they were released.
+   *
+   * @param nowMillis current time on the monotonic clock
+   */
+  void reportRead(String worker, WorkerReport report, long nowMillis) {
+    for (RunningTask running : report.running()) {
+      logContradiction(new RunKey(worker, running.task(), running.run()), "RUNNING", nowMillis);
+    }
     ReadEnds earlier = readEnds.get(worker);
     long read =
         earlier != null && earlier.bornMillis() == report.bornMillis() ? earlier.number() : 0;
@@ -87,6 +134,10 @@
       if (end.number() > read) {
         highest = Math.max(highest, end.number());
         ends.add(end.number() + ":" + end.task() + '#' + end.run() + '=' + end.cause());
+        if (end.cause() == EndCause.DONE || end.cause() == EndCause.FAILED) {
+          logContradiction(
+              new RunKey(worker, end.task(), end.run()), end.cause().name(), nowMillis);
+        }
       }
     }
     if (highest > read) {
@@ -95,6 +146,24 @@
     }
   }
 
+  /** Writes once that a worker shows a run that was released without its end. */
+  private void logContradiction(RunKey key, String shown, long nowMillis) {
+    ReleasedRun run = releasedWithoutEnd.remove(key);
+    if (run != null) {
+      contradicted.labelValues(run.release().name()).inc();
+      LOG.warn(
+          "event=release_contradicted task={} run={} worker={} fence={} proof={} shown={}"
+              + " released_ms={}",
+          run.task(),
+          run.number(),
+          run.worker(),
+          fence,
+          run.release(),
+          shown,
+          nowMillis - run.releasedMillis());
+    }
+  }
+
   /** Writes up to which end a worker may forget its ends, if that has changed. */
   void holdSent(HoldOrder hold) {
     if (hold.acknowledgedEnd() == 0) {
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowMetrics.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowMetrics.java
@@ -42,6 +42,12 @@
           .help("runs that no longer occupy their task, by what shows that they are over")
           .labelNames("proof")
           .register(registry);
+  final Counter contradictedReleases =
+      Counter.builder()
+          .name("persimmonloom_contradicted_releases_total")
+          .help("released runs that their worker shows later, by what had released them")
+          .labelNames("proof")
+          .register(registry);
   final Counter machineOrders =
       Counter.builder()
           .name("persimmonloom_machine_orders_total")
