Let a new process of a worker block earlier workflows until it reports

A worker reported to the new owner and then started again under its identifier. Workflows of earlier terms started elsewhere although the new process had not reported.

Cause: the new process has seen no fence, so it takes orders of the earlier owner, which may send for 8 s, or orders that are carried out late. WorkerState.expectNewProcess took the earlier process's report of all ends for one of the new process (hasListedAllEnds), and a terminated worker lost its mark as one of an earlier term.

Evidence: two of the three tests of WorkerProcessTest that this commit adds failed before the change (a start on w2 was ordered): newProcessBlocksEarlierWorkflowsUntilItReports and newProcessOfATerminatedWorkerBlocksEarlierWorkflows. The third bounds the cost and passed before as well.

Change: what a report has shown counts for the process that gave it. The block ends with the report of the new process, its termination, or the time at which the leases of earlier owners are over. A start that is ordered before the new process is listed is not covered.

Measured: all tests of core pass. That the reports of the users show this way is not shown.

--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerState.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerState.java
@@ -34,8 +34,8 @@
   boolean isTerminated;
 
   /**
-   * Whether a report under the current owner's fence has listed all ends, so that the ends of runs
-   * of earlier owners are known as well.
+   * Whether a report of the present process under the current owner's fence has listed all ends, so
+   * that the ends of runs of earlier owners are known as well.
    */
   boolean hasListedAllEnds;
 
@@ -103,11 +103,12 @@
   /**
    * Prepares for the first report of a process that an entry names. Orders meant for the previous
    * process may have reached it, so runs are kept until it reports, or until the leases that it may
-   * have taken until now are over. The entry may also be older than the last report.
+   * have taken until now are over. The same holds for orders of an earlier owner: the new process
+   * has not seen the current fence. The entry may also be older than the last report.
    */
   void expectNewProcess(long nowMillis) {
-    isFromPreviousTerm = mayRunEarlierTasks();
     hasReported = false;
+    hasListedAllEnds = false;
     isReachable = true;
     isTerminated = false;
     missingFromHostsMillis = NEVER;
--- a/core/src/test/java/org/persimmonloom/core/scheduling/WorkerProcessTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/WorkerProcessTest.java
@@ -248,4 +248,55 @@
     fleet.recordLeaseHolders();
     assertThat(fleet.decide()).singleElement().extracting(Order::run).isEqualTo(2);
   }
+
+  /** Submits f1, then starts the term of a new owner to which both workers report. */
+  private void takeOverWithTwoWorkers() {
+    fleet.addWorker("w2");
+    fleet.submit("f1", SchedulerFixture.step(1, 500, List.of()));
+    fleet.takeOver();
+    fleet.report();
+  }
+
+  private WorkerFacts listSecondProcess() {
+    WorkerFacts second =
+        SchedulerFixture.process(worker, worker.address(), worker.bornMillis() + 500);
+    fleet.workers.put("w1", second);
+    fleet.scheduler.workersListed(fleet.workers.values(), fleet.now);
+    fleet.recordLeaseHolders();
+    return second;
+  }
+
+  /**
+   * Guards against a task that runs twice: a worker starts again after its first report to a new
+   * owner, and its new process, which has seen no fence, takes a start of the earlier owner.
+   */
+  @Test
+  void newProcessBlocksEarlierWorkflowsUntilItReports() {
+    takeOverWithTwoWorkers();
+    WorkerFacts second = listSecondProcess();
+    assertThat(fleet.decide()).isEmpty();
+
+    TaskId task = new TaskId("f1", 0, 0, 0);
+    report(second, fleet.now, second.bornMillis(), Map.of(task, 1));
+    assertThat(fleet.decide()).isEmpty();
+  }
+
+  /** Guards against the same: the worker's earlier process was known to have terminated. */
+  @Test
+  void newProcessOfATerminatedWorkerBlocksEarlierWorkflows() {
+    takeOverWithTwoWorkers();
+    fleet.scheduler.holdFailed(worker, CallResult.GONE, fleet.now);
+    listSecondProcess();
+    assertThat(fleet.decide()).isEmpty();
+  }
+
+  /** Guards against earlier workflows that wait for a new process after all earlier leases. */
+  @Test
+  void newProcessBlocksNoWorkflowOnceEarlierLeasesAreOver() {
+    takeOverWithTwoWorkers();
+    fleet.now += fleet.settings.takeoverBlockMillis();
+    fleet.report();
+    listSecondProcess();
+    assertThat(fleet.decide()).hasSize(1);
+  }
 }
