Forget failed renewals once a renewal is written

Callers saw: an owner that resumed after a pause of 2 to 3 s could still give orders before its next renewal, although another host may claim after 1.8 s.

Cause: beyond 1.8 s the last renewal counts while attempts fail within 4 s. A failure before the last success counted too, also one of an earlier term of the same host, since Renewals outlives the terms.

Evidence: RenewalsTest.failureBeforeTheLastRenewalIsNoSignOfAnOutage failed before the change (age 2,800 ms, expected the maximum); the other test of the class passed.

Change: a written renewal or claim forgets earlier failures.

Measured: RenewalsTest and OwnerSessionTest pass.

--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/RenewalAge.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/RenewalAge.java
@@ -8,7 +8,10 @@
  * renewal look old until the next one. Safe for any thread.
  */
 final class RenewalAge {
-  private volatile Renewal last = new Renewal(0, 0);
+  /** A renewal at the start of both clocks, so that its age exceeds any limit. */
+  private static final Renewal NONE = new Renewal(0, 0);
+
+  private volatile Renewal last = NONE;
 
   private record Renewal(long monotonicMillis, long wallMillis) {}
 
@@ -17,6 +20,11 @@
     last = new Renewal(monotonicMillis, wallMillis);
   }
 
+  /** Forgets the recorded renewal. */
+  void clear() {
+    last = NONE;
+  }
+
   /** Returns the time since the last renewal was sent, in ms. */
   long millis(long monotonicMillis, long wallMillis) {
     Renewal renewal = last;
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/Renewals.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/Renewals.java
@@ -41,9 +41,13 @@
     return new SendTime(clock.getAsLong(), wallClock.millis());
   }
 
-  /** Records a renewal or claim that was written. */
+  /**
+   * Records a renewal or claim that was written. Earlier failures, also those of an earlier term,
+   * are no sign of an outage after it.
+   */
   void succeeded(SendTime sent) {
     succeeded.renewed(sent.monotonicMillis(), sent.wallMillis());
+    failed.clear();
   }
 
   /** Records a renewal without an answer of the store, unless it may have failed by a pause. */
