Keep the confirmed address of a worker with unrecorded ends

An owner had read the end and not recorded it when an entry named an address at which the worker has never been. The next owner found the record with that address, where another process answered, and counted the worker as ended.

Cause: WorkerTable.wantRecord let an unconfirmed address replace the confirmed one as soon as nothing ran on the worker. The removal of a record already waits for the worker's ends; the change of its address did not.

Change: the confirmed address stays in the record until the worker's ends are recorded.

That the reports of the users show this way is not shown.

--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
@@ -152,13 +152,14 @@
   }
 
   /**
-   * Lets a listed worker be recorded at its present address. While something may run there, the
-   * record keeps the confirmed address, at which a later owner may rely on the answer of another
-   * process.
+   * Lets a listed worker be recorded at its present address. While something may run there, or its
+   * ends are not recorded, the record keeps the confirmed address, at which a later owner may rely
+   * on the answer of another process.
    */
   private void wantRecord(WorkerState worker) {
     boolean isConfirmed = worker.facts.address().equals(worker.confirmedAddress);
-    if (worker.isListed() && (isConfirmed || worker.canRunNothing())) {
+    boolean isIdle = worker.canRunNothing() && !worker.hasUnrecordedEnds();
+    if (worker.isListed() && (isConfirmed || isIdle)) {
       leaseHolders.add(worker.facts);
     }
   }
--- a/core/src/test/java/org/persimmonloom/core/scheduling/WorkerProcessTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/WorkerProcessTest.java
@@ -236,6 +236,28 @@
     assertThat(fleet.decide()).isEmpty();
   }
 
+  /**
+   * Guards against a task that starts again after a take-over: its end was read, but neither
+   * recorded nor acknowledged, when an entry named an address at which its worker has never been.
+   */
+  @Test
+  void recordKeepsTheConfirmedAddressOfAWorkerWithUnrecordedEnds() {
+    Order start = orderStart();
+    fleet.scheduler.orderAnswered(start, CallResult.ACCEPTED, fleet.now);
+    fleet.endRun("w1", start.task(), start.run(), EndCause.DONE);
+    fleet.report();
+    WorkerFacts relocated = SchedulerFixture.process(worker, "10.0.0.9:80", worker.bornMillis());
+    fleet.addWorker("w2");
+    fleet.workers.put("w1", relocated);
+    fleet.scheduler.workersListed(fleet.workers.values(), fleet.now);
+    fleet.recordLeaseHolders();
+
+    fleet.takeOver();
+    fleet.report("w1");
+    fleet.scheduler.holdFailed(relocated, CallResult.GONE, fleet.now);
+    assertThat(fleet.decide()).isEmpty();
+  }
+
   /** Guards against a worker without orders: it has started again at another address. */
   @Test
   void workerWithRunsIsRecordedAtItsNewAddressOnceItReportsThere() {
