--- a/core/src/test/java/org/persimmonloom/core/scheduling/WorkerProcessTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/WorkerProcessTest.java
@@ -236,6 +236,28 @@
     assertThat(fleet.decide()).isEmpty();
   }
 
+  /**
+   * Guards against a task that starts again after a take-over: its end was read, but neither
+   * recorded nor acknowledged, when an entry named an address at which its worker has never been.
+   */
+  @Test
+  void recordKeepsTheConfirmedAddressOfAWorkerWithUnrecordedEnds() {
+    Order start = orderStart();
+    fleet.scheduler.orderAnswered(start, CallResult.ACCEPTED, fleet.now);
+    fleet.endRun("w1", start.task(), start.run(), EndCause.DONE);
+    fleet.report();
+    WorkerFacts relocated = SchedulerFixture.process(worker, "10.0.0.9:80", worker.bornMillis());
+    fleet.addWorker("w2");
+    fleet.workers.put("w1", relocated);
+    fleet.scheduler.workersListed(fleet.workers.values(), fleet.now);
+    fleet.recordLeaseHolders();
+
+    fleet.takeOver();
+    fleet.report("w1");
+    fleet.scheduler.holdFailed(relocated, CallResult.GONE, fleet.now);
+    assertThat(fleet.decide()).isEmpty();
+  }
+
   /** Guards against a worker without orders: it has started again at another address. */
   @Test
   void workerWithRunsIsRecordedAtItsNewAddressOnceItReportsThere() {
@@ -248,4 +270,55 @@
     fleet.recordLeaseHolders();
     assertThat(fleet.decide()).singleElement().extracting(Order::run).isEqualTo(2);
   }
+
+  /** Submits f1, then starts the term of a new owner to which both workers report. */
+  private void takeOverWithTwoWorkers() {
+    fleet.addWorker("w2");
+    fleet.submit("f1", SchedulerFixture.step(1, 500, List.of()));
+    fleet.takeOver();
+    fleet.report();
+  }
+
+  private WorkerFacts listSecondProcess() {
+    WorkerFacts second =
+        SchedulerFixture.process(worker, worker.address(), worker.bornMillis() + 500);
+    fleet.workers.put("w1", second);
+    fleet.scheduler.workersListed(fleet.workers.values(), fleet.now);
+    fleet.recordLeaseHolders();
+    return second;
+  }
+
+  /**
+   * Guards against a task that runs twice: a worker starts again after its first report to a new
+   * owner, and its new process, which has seen no fence, takes a start of the earlier owner.
+   */
+  @Test
+  void newProcessBlocksEarlierWorkflowsUntilItReports() {
+    takeOverWithTwoWorkers();
+    WorkerFacts second = listSecondProcess();
+    assertThat(fleet.decide()).isEmpty();
+
+    TaskId task = new TaskId("f1", 0, 0, 0);
+    report(second, fleet.now, second.bornMillis(), Map.of(task, 1));
+    assertThat(fleet.decide()).isEmpty();
+  }
+
+  /** Guards against the same: the worker's earlier process was known to have terminated. */
+  @Test
+  void newProcessOfATerminatedWorkerBlocksEarlierWorkflows() {
+    takeOverWithTwoWorkers();
+    fleet.scheduler.holdFailed(worker, CallResult.GONE, fleet.now);
+    listSecondProcess();
+    assertThat(fleet.decide()).isEmpty();
+  }
+
+  /** Guards against earlier workflows that wait for a new process after all earlier leases. */
+  @Test
+  void newProcessBlocksNoWorkflowOnceEarlierLeasesAreOver() {
+    takeOverWithTwoWorkers();
+    fleet.now += fleet.settings.takeoverBlockMillis();
+    fleet.report();
+    listSecondProcess();
+    assertThat(fleet.decide()).hasSize(1);
+  }
 }
