Wait for workers of all services before a started workflow goes on

Callers saw tasks start again after they had ended as done, several of one workflow at once and without a release of the first run (TWICE). Seen in the scheduler's tests and in random histories; whether it is the users' case is not proved.

Cause: a new owner waited for unreported workers of the queue's service only, unless that service differed from the one in the submission. Equal services do not show where the runs of a started workflow are: the queue may have been routed away and back before the term began, and a submission that is repeated after a change of the route names the service of its own time. The ends on the former service's workers were read after the second start.

Change: an occurrence with recorded progress of an earlier owner waits for the unreported workers of all services. One that has no recorded start waits for those of its own service, as before. ReferenceScheduler states the same rule.

Evidence: both tests of FormerServiceTest failed before the change and pass with it.

Cost: after a takeover, started workflows wait for a silent worker of any service, until takeoverBlockMillis at most.

--- a/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
@@ -303,14 +303,13 @@
 
   /**
    * Returns whether a worker that has not reported yet may still run tasks of the occurrence, which
-   * an earlier owner started. If the queue was rerouted, earlier owners may have used workers of
-   * services that this owner does not know.
+   * an earlier owner started. Those may be workers of services that the queue does not have now.
    */
   private boolean isBlocked(OccurrenceState occurrence, String service) {
     if (occurrence.submittedOffset >= takeoverOffset) {
       return false;
     }
-    return occurrence.isRerouted
+    return occurrence.mayHaveRunElsewhere()
         ? workers.hasUnreportedWorker()
         : workers.hasUnreportedWorker(service);
   }
--- a/core/src/main/java/org/persimmonloom/core/scheduling/OccurrenceState.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/OccurrenceState.java
@@ -23,6 +23,9 @@
   /** Whether the workflow's queue was routed to another service than at its submission. */
   boolean isRerouted;
 
+  /** Whether an earlier owner has recorded a start or an end of the occurrence. */
+  private boolean isRestored;
+
   /** Number of tasks of each step that are not done. */
   final int[] remaining;
 
@@ -66,8 +69,19 @@
     isRerouted |= !current.service().equals(spec.policy().service());
   }
 
+  /**
+   * Returns whether runs of earlier owners may be on workers of another service than the queue has
+   * now. A repeated submission has the route of its own time, and a queue may have been routed away
+   * and back, so the same service then and now does not show where the runs of a started occurrence
+   * are.
+   */
+  boolean mayHaveRunElsewhere() {
+    return isRerouted || isRestored;
+  }
+
   /** Restores the progress that an earlier owner recorded. */
   void restore(OccurrenceProgress progress) {
+    isRestored = true;
     state = progress.state();
     BitSet done = BitSet.valueOf(progress.done());
     for (TaskState task : tasks) {
--- a/core/src/test/java/org/persimmonloom/core/scheduling/ReferenceScheduler.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/ReferenceScheduler.java
@@ -79,7 +79,7 @@
     boolean isBlocked =
         occurrence.submittedOffset < takeoverOffset
             && nowMillis < blockedUntilMillis
-            && (occurrence.isRerouted
+            && (occurrence.mayHaveRunElsewhere()
                 ? workers.hasUnreportedWorker()
                 : workers.hasUnreportedWorker(service));
     if (wallMillis < occurrence.spec.dueMillis(occurrence.number)
