Keep tasks of workers that a newer owner may know until a renewal shows there was none

An owner whose renewals get no answer gives orders for up to 8 s, while another host may claim after 1.8 s. It took a worker that it did not reach for ended once the last lease that it had granted itself was over, or by a list of hosts, another process at the address, or the first report of a new process, which has seen no fence. The newer owner may have extended that lease, or have noted the run's end before the worker went down. That this is the cause of the users' cases is not shown.

Now a pass knows until when no other host can have claimed (the last renewal that counts, and 900 ms of the 1.8 s before a claim). A task released by such evidence starts again only if that time is not before the release. The same holds for earlier workflows after an unreported worker counts as ended, and for starts on a new process of a worker. While renewals succeed, nothing waits; after an outage the first renewal lets the tasks go on.

--- a/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
@@ -217,9 +217,9 @@
     unrecorded.rejected(keys);
   }
 
-  /** Returns the orders to send now, without a limit of starts. */
+  /** Returns the orders of an owner that has just renewed its ownership, without a limit. */
   public List<Order> decide(long nowMillis, long wallMillis) {
-    return decide(nowMillis, wallMillis, Integer.MAX_VALUE);
+    return decide(nowMillis, wallMillis, nowMillis, Integer.MAX_VALUE);
   }
 
   /**
@@ -231,12 +231,13 @@
    *
    * @param nowMillis current time on the monotonic clock
    * @param wallMillis current Unix time, for scheduled occurrences
+   * @param ownedUntilMillis monotonic time before which no other host can have claimed the fleet
    * @param maxStarts maximum number of starts; a gang is started as a whole and may exceed it
    */
-  public List<Order> decide(long nowMillis, long wallMillis, int maxStarts) {
+  public List<Order> decide(long nowMillis, long wallMillis, long ownedUntilMillis, int maxStarts) {
     startsLeft = maxStarts;
     List<Order> orders = new ArrayList<>();
-    workers.expireLeases(nowMillis);
+    workers.expireLeases(nowMillis, ownedUntilMillis);
     RunStops.add(workers.all(), orders, nowMillis);
     for (WorkerState worker : workers.all()) {
       pacing.decide(worker, orders, nowMillis);
@@ -307,12 +308,10 @@
    * services that this owner does not know.
    */
   private boolean isBlocked(OccurrenceState occurrence, String service) {
-    if (occurrence.submittedOffset >= takeoverOffset) {
-      return false;
-    }
-    return occurrence.isRerouted
-        ? workers.hasUnreportedWorker()
-        : workers.hasUnreportedWorker(service);
+    return occurrence.submittedOffset < takeoverOffset
+        && (occurrence.isRerouted
+            ? workers.mayRunEarlierTasks()
+            : workers.mayRunEarlierTasks(service));
   }
 
   /** Starts the waiting tasks of a step; returns false if no worker can take one of them. */
@@ -323,7 +322,7 @@
       List<Order> orders,
       long nowMillis) {
     for (TaskState task : occurrence.tasksOf(step)) {
-      if (!task.isRunnable()) {
+      if (!task.mayStart(workers.ownedUntilMillis())) {
         continue;
       }
       if (startsLeft <= 0) {
@@ -350,7 +349,7 @@
     List<TaskState> members = occurrence.tasksOf(step);
     int run = 0;
     for (TaskState task : members) {
-      if (!task.isRunnable()) {
+      if (!task.mayStart(workers.ownedUntilMillis())) {
         return;
       }
       run = Math.max(run, task.lastRun);
--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerReportHandler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerReportHandler.java
@@ -35,6 +35,7 @@
     boolean isNewProcess = worker.isOtherProcess(report.bornMillis());
     if (isNewProcess) {
       worker.lease = new LeaseClock(maxLeaseMillis);
+      worker.newProcessReportedMillis = nowMillis;
       worker.processedEnd = 0;
       worker.batchedEnd = 0;
       worker.recordedEnd = 0;
