Wait for the owner's own append although a stop has interrupted its thread

The thread now waits for the result within the same time limit. The interrupt is not restored, as before: the stop sets its flag first, and a set interrupt would cut short the calls of the release.

--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnershipTable.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnershipTable.java
@@ -170,16 +170,21 @@
   /** Returns the result of a call, or another one if it takes too long or fails. */
   private <T> T ownCall(Supplier<T> call, T otherwise) {
     CompletableFuture<T> result = CompletableFuture.supplyAsync(call, callExecutor);
-    try {
-      return result.get(OWN_CALL_WAIT_MILLIS, TimeUnit.MILLISECONDS);
-    } catch (TimeoutException e) {
-      return otherwise;
-    } catch (ExecutionException e) {
-      LOG.error("event=ownership_call_failed", e);
-      return otherwise;
-    } catch (InterruptedException e) {
-      // Only a planned stop interrupts the thread; it still has to release the ownership.
-      return otherwise;
+    long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(OWN_CALL_WAIT_MILLIS);
+    while (true) {
+      try {
+        return result.get(deadlineNanos - System.nanoTime(), TimeUnit.NANOSECONDS);
+      } catch (TimeoutException e) {
+        return otherwise;
+      } catch (ExecutionException e) {
+        LOG.error("event=ownership_call_failed", e);
+        return otherwise;
+      } catch (InterruptedException e) {
+        // Only a planned stop interrupts the thread, which still has to release the ownership. The
+        // result of this call tells whether another way must be tried. The interrupt is not
+        // restored, since it would cut short the calls that follow; the stop has set its own flag.
+        LOG.debug("event=ownership_interrupted");
+      }
     }
   }
 
