Count a claim or renewal with a lost answer from its own sending

An owner that found its own record in the table after a lost answer counted it from the time of the attempt that found it, seconds after other hosts may have read it. They claim 1.8 s after that, while the owner still ordered hosts (900 ms) or took itself for the only one. It now counts from the first attempt since the last success. Found by reading, in the search for what rests on the time of the last renewal.

OwnershipRenewalTimeTest failed in both cases before (ages of 10 and 570 ms, where the record was sent 1,000 ms and 1,500 ms before or earlier) and passes now; OwnershipTest and OwnerSessionTest pass. An owner in this case waits for its next renewal.

--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/Ownership.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/Ownership.java
@@ -195,8 +195,7 @@
    * {@link #CLAIM_AFTER_MILLIS}.
    */
   private void waitForClaim() throws InterruptedException {
-    Renewals.SendTime sent = renewals.now();
-    long sentMillis = sent.monotonicMillis();
+    long sentMillis = clock.getAsLong();
     if (sentMillis - lastReadMillis > CLAIM_AFTER_MILLIS) {
       // Time in which this host did not read, such as a freeze, does not count as silence of the
       // owner.
@@ -215,7 +214,7 @@
     OwnershipRecord newest = table.newest();
     if (isOwnCurrentTerm()) {
       // The claim succeeded, but its response was lost or arrived after the timeout.
-      gain(new OwnershipTerm(newest.fence(), false, 0), sent);
+      gain(new OwnershipTerm(newest.fence(), false, 0), renewals.earliestUnconfirmed());
       return;
     }
     boolean isUnowned = isUnowned();
@@ -242,7 +241,7 @@
   private void claim(boolean isHandedOver) throws InterruptedException {
     int stagger = Math.floorMod(host.hashCode(), MAX_STAGGER_MILLIS);
     TimeUnit.MILLISECONDS.sleep(stagger + claimDelayMillis.getAsLong());
-    Renewals.SendTime sent = renewals.now();
+    Renewals.SendTime sent = renewals.sending();
     OwnershipRecord previous = table.newest();
     AppendResult result = table.append(new OwnershipRecord(host, incarnation, 0, false));
     if (result instanceof AppendResult.Appended appended) {
@@ -295,14 +294,14 @@
       releaseAndReload();
       return;
     }
-    Renewals.SendTime sent = renewals.now();
+    Renewals.SendTime sent = renewals.sending();
     AppendResult result =
         table.appendAnyWay(new OwnershipRecord(host, incarnation, renewedFence, false));
     if (result instanceof AppendResult.Appended) {
       renewals.succeeded(sent);
       handOverIfUnreachable();
     } else if (result instanceof AppendResult.Conflict) {
-      resolveConflict(renewedFence, sent);
+      resolveConflict(renewedFence);
     } else {
       renewals.failed(sent);
       LOG.warn("event=renewal_failed fence={} result={}", renewedFence, result);
@@ -330,7 +329,7 @@
    * Handles a conflict, which may stem from an own renewal that was written but whose response was
    * lost.
    */
-  private void resolveConflict(long renewedFence, Renewals.SendTime sent) {
+  private void resolveConflict(long renewedFence) {
     OwnershipTable.ReadResult result = table.read(0);
     if (result == OwnershipTable.ReadResult.EXPIRED) {
       loseOwnership("expired");
@@ -342,7 +341,7 @@
     }
     OwnershipRecord newest = table.newest();
     if (newest != null && newest.fence() == renewedFence && newest.incarnation() == incarnation) {
-      renewals.succeeded(sent);
+      renewals.succeeded(renewals.earliestUnconfirmed());
     } else {
       loseOwnership("superseded by " + newest);
     }
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/Renewals.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/Renewals.java
@@ -1,6 +1,7 @@
 package org.persimmonloom.runtime.workflow;
 
 import java.time.InstantSource;
+import java.util.Objects;
 import java.util.function.LongSupplier;
 
 /**
@@ -29,6 +30,9 @@
   private final RenewalAge succeeded = new RenewalAge();
   private final RenewalAge failed = new RenewalAge();
 
+  /** The first claim or renewal that was sent after the last success; null if there is none. */
+  private volatile SendTime earliestUnconfirmed;
+
   /** When a renewal or claim was sent, by both clocks; see {@link RenewalAge}. */
   record SendTime(long monotonicMillis, long wallMillis) {}
 
@@ -41,8 +45,26 @@
     return new SendTime(clock.getAsLong(), wallClock.millis());
   }
 
+  /** Returns the time of a claim or renewal that is sent now. */
+  SendTime sending() {
+    SendTime now = now();
+    if (earliestUnconfirmed == null) {
+      earliestUnconfirmed = now;
+    }
+    return now;
+  }
+
+  /**
+   * Returns when a claim or renewal was sent that was found in the table after its answer was lost.
+   * It may be any since the last success, and other hosts may have read it since the first of them.
+   */
+  SendTime earliestUnconfirmed() {
+    return Objects.requireNonNullElseGet(earliestUnconfirmed, () -> new SendTime(0, 0));
+  }
+
   /** Records a renewal or claim that was written. */
   void succeeded(SendTime sent) {
+    earliestUnconfirmed = null;
     succeeded.renewed(sent.monotonicMillis(), sent.wallMillis());
   }
 
