Let a workflow wait for all services only until its recorded runs are reported

After a takeover each workflow with recorded progress waited for the silent workers of all services, so one silent worker held up every started workflow of the fleet. What may be elsewhere is a recorded run that no worker has reported, neither at work nor ended; once all of them are seen, the workers of the queue's service are enough, as before.

--- a/core/src/main/java/org/persimmonloom/core/scheduling/OccurrenceState.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/OccurrenceState.java
@@ -23,8 +23,8 @@
   /** Whether the workflow's queue was routed to another service than at its submission. */
   boolean isRerouted;
 
-  /** Whether an earlier owner has recorded a start or an end of the occurrence. */
-  private boolean isRestored;
+  /** Positions of the tasks whose last recorded run no worker has shown to this owner. */
+  private final BitSet unseenRuns = new BitSet();
 
   /** Number of tasks of each step that are not done. */
   final int[] remaining;
@@ -72,16 +72,22 @@
   /**
    * Returns whether runs of earlier owners may be on workers of another service than the queue has
    * now. A repeated submission has the route of its own time, and a queue may have been routed away
-   * and back, so the same service then and now does not show where the runs of a started occurrence
-   * are.
+   * and back, so the same service then and now does not show where a recorded run is that no worker
+   * has reported.
    */
   boolean mayHaveRunElsewhere() {
-    return isRerouted || isRestored;
+    return isRerouted || !unseenRuns.isEmpty();
+  }
+
+  /** Notes that a worker has reported a run of a task, at work or ended. */
+  void runSeen(TaskState task, int run) {
+    if (run >= task.lastRun) {
+      unseenRuns.clear(task.position);
+    }
   }
 
   /** Restores the progress that an earlier owner recorded. */
   void restore(OccurrenceProgress progress) {
-    isRestored = true;
     state = progress.state();
     BitSet done = BitSet.valueOf(progress.done());
     for (TaskState task : tasks) {
@@ -91,6 +97,8 @@
       }
       if (done.get(task.position)) {
         markDone(task);
+      } else if (task.lastRun > 0 && !task.failedRuns.contains(task.lastRun)) {
+        unseenRuns.set(task.position);
       }
     }
   }
@@ -142,6 +150,7 @@
       waiting[task.step] -= task.isRunnable() ? 1 : 0;
       task.isDone = true;
       remaining[task.step]--;
+      unseenRuns.clear(task.position);
     }
   }
 
--- a/core/src/main/java/org/persimmonloom/core/scheduling/RunEndHandler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/RunEndHandler.java
@@ -34,6 +34,7 @@
     }
     occurrenceTable.markBegun(occurrence);
     task.lastRun = Math.max(task.lastRun, ended.run());
+    occurrence.runSeen(task, ended.run());
     if (!ended.checkpoint().isEmpty()) {
       task.checkpoint = ended.checkpoint();
     }
--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerReportHandler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerReportHandler.java
@@ -131,6 +131,7 @@
     worker.add(run);
     if (task != null) {
       task.lastRun = Math.max(task.lastRun, running.run());
+      occurrence.runSeen(task, running.run());
       if (task.isRunnable() || occurrence.step(task.step).speculative()) {
         occurrence.addRun(task, run);
       }
--- a/core/src/test/java/org/persimmonloom/core/scheduling/FormerServiceTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/FormerServiceTest.java
@@ -112,4 +112,25 @@
     fleet.report();
     assertThat(fleet.decideAndExecute()).isEmpty();
   }
+
+  /** Guards against workflows that wait for silent workers although all their runs are known. */
+  @Test
+  void workflowWhoseRunsAreReportedWaitsForNoWorkerOfAnotherService() {
+    route(SERVICE);
+    fleet.submit(
+        "f1",
+        policy(SERVICE),
+        SchedulerFixture.step(1, 500, List.of()),
+        SchedulerFixture.step(1, 500, List.of(0)));
+    runUnreported("w1");
+
+    fleet.takeOver();
+    route(SERVICE);
+    assertThat(fleet.decideAndExecute()).isEmpty();
+    fleet.report("w2");
+    assertThat(fleet.decideAndExecute())
+        .singleElement()
+        .extracting(Order::task)
+        .isEqualTo(new TaskId("f1", 0, 1, 0));
+  }
 }
