Judge leases only up to the time at which no other host can have owned the fleet

Callers could see a task run twice: an owner that can't renew goes on for up to 8 s, and counted the runs of a worker that it does not reach as ended 6 s after its own last lease. The next owner, which may claim after 1.8 s, may have reached that worker and extended the lease.

Leases of this term and of earlier ones are now judged at the last renewal plus 1.8 s at the latest. Cost: in an outage of the store, tasks of workers that fall silent wait until a renewal succeeds.

--- a/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
@@ -217,26 +217,27 @@
     unrecorded.rejected(keys);
   }
 
-  /** Returns the orders to send now, without a limit of starts. */
+  /** Returns the orders to send now, as the only owner and without a limit of starts. */
   public List<Order> decide(long nowMillis, long wallMillis) {
-    return decide(nowMillis, wallMillis, Integer.MAX_VALUE);
+    return decide(nowMillis, wallMillis, Integer.MAX_VALUE, nowMillis);
   }
 
   /**
    * Returns the orders to send now.
    *
-   * <p>For a backlog that appears at once, such as that of a new owner in a burst: tasks beyond the
-   * limit stay waiting. A start that waits to be sent would hold the room of its worker meanwhile,
-   * and would go before more urgent tasks that arrive later.
+   * <p>For a backlog that appears at once, as at a takeover in a burst: tasks beyond the limit stay
+   * waiting. A start in a queue would hold room, and go before more urgent tasks that arrive later.
    *
    * @param nowMillis current time on the monotonic clock
    * @param wallMillis current Unix time, for scheduled occurrences
    * @param maxStarts maximum number of starts; a gang is started as a whole and may exceed it
+   * @param soleOwnerMillis latest monotonic time at which no other host can have owned the fleet;
+   *     another owner may have extended leases after it
    */
-  public List<Order> decide(long nowMillis, long wallMillis, int maxStarts) {
+  public List<Order> decide(long nowMillis, long wallMillis, int maxStarts, long soleOwnerMillis) {
     startsLeft = maxStarts;
     List<Order> orders = new ArrayList<>();
-    workers.expireLeases(nowMillis);
+    workers.expireLeases(soleOwnerMillis, nowMillis);
     RunStops.add(workers.all(), orders, nowMillis);
     for (WorkerState worker : workers.all()) {
       pacing.decide(worker, orders, nowMillis);
--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
@@ -288,11 +288,17 @@
     }
   }
 
-  void expireLeases(long nowMillis) {
-    boolean areEarlierLeasesOver = nowMillis >= earlierLeasesUntilMillis;
+  /**
+   * Applies the ends of leases.
+   *
+   * @param soleOwnerMillis latest time at which no other owner can have extended a lease; one that
+   *     was not over by then may last
+   */
+  void expireLeases(long soleOwnerMillis, long nowMillis) {
+    boolean areEarlierLeasesOver = soleOwnerMillis >= earlierLeasesUntilMillis;
     for (WorkerState worker : byId.values()) {
       terminateIfProven(worker, nowMillis);
-      boolean isLeaseOver = !worker.isReachable && worker.lease.isExpired(nowMillis);
+      boolean isLeaseOver = !worker.isReachable && worker.lease.isExpired(soleOwnerMillis);
       // This owner has extended the lease of a worker that has reported.
       if (areEarlierLeasesOver && (!worker.hasReported || isLeaseOver)) {
         worker.isFromPreviousTerm = false;
--- a/core/src/test/java/org/persimmonloom/core/scheduling/ReferenceScheduler.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/ReferenceScheduler.java
@@ -30,7 +30,7 @@
 
   List<Order> decide(long nowMillis, long wallMillis) {
     List<Order> orders = new ArrayList<>();
-    workers.expireLeases(nowMillis);
+    workers.expireLeases(nowMillis, nowMillis);
     for (WorkerState worker : workers.all()) {
       for (TaskRun run : worker.runs.values()) {
         if (needsStop(run, nowMillis)) {
--- a/core/src/test/java/org/persimmonloom/core/scheduling/steps/StepModelElection.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/steps/StepModelElection.java
@@ -63,6 +63,11 @@
     return counts ? age : Long.MAX_VALUE;
   }
 
+  /** Returns the latest time at which no other host can have owned the fleet. */
+  long soleOwnerMillis(long termFence) {
+    return model.now() - Math.max(0, renewalAge(termFence) - CLAIM_AFTER_MILLIS);
+  }
+
   void stepDown(long termFence) {
     if (fence == termFence) {
       lose("fenced");
--- a/core/src/test/java/org/persimmonloom/core/scheduling/steps/StepModelSession.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/steps/StepModelSession.java
@@ -255,7 +255,8 @@
       return;
     }
     long now = model.now();
-    List<Order> orders = scheduler.decide(now, model.wall(), MAX_STARTS);
+    List<Order> orders =
+        scheduler.decide(now, model.wall(), MAX_STARTS, election.soleOwnerMillis(fence));
     for (Order order : orders) {
       stages.add(() -> channels.send(order));
     }
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerPermission.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerPermission.java
@@ -41,6 +41,15 @@
     return !isEnded && renewalAgeMillis.getAsLong() < renewalTimeoutMillis;
   }
 
+  /**
+   * Returns the latest time, at most the present one, at which no other host can have owned the
+   * fleet, in ms of the monotonic clock.
+   */
+  long soleOwnerMillis(long nowMillis) {
+    long overdueMillis = renewalAgeMillis.getAsLong() - Ownership.CLAIM_AFTER_MILLIS;
+    return nowMillis - Math.max(0, overdueMillis);
+  }
+
   boolean mayOrderHosts() {
     return !isEnded && renewalAgeMillis.getAsLong() < HOST_ORDER_RENEWAL_TIMEOUT_MILLIS;
   }
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
@@ -313,7 +313,7 @@
     }
     long wall = services.wallClock().millis();
     int maxStarts = Math.max(0, MAX_UNSENT_ORDERS - channels.backlog());
-    List<Order> orders = scheduler.decide(now, wall, maxStarts);
+    List<Order> orders = scheduler.decide(now, wall, maxStarts, permission.soleOwnerMillis(now));
     runLog.logOrdered();
     if (permission.mayOrderHosts()) {
       machines.pass(now, wall, orders);
