Let a host list that names an earlier worker end no run of the present one

Callers could see a task run twice: a host list that is older than the worker on a host names the one before it. With one call that fails, which a cut of a second suffices for, the present worker counted as ended, and its tasks started elsewhere beside it. Lists are requested after the worker's last report, but what they show may be older.

A list no longer shows the end of a worker if the one that it names is known to have started earlier, also if that one is gone meanwhile. A successor whose clock was set back is not taken for proof either; the leases decide then.

HostListEvidenceTest.outdatedListWithTheEarlierWorkerEndsNoRuns fails before (expecting empty but was a start of f1.0.0.0). The tests of core.scheduling pass.

--- a/core/src/main/java/org/persimmonloom/core/scheduling/MachineScheduler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/MachineScheduler.java
@@ -146,10 +146,14 @@
         || (state != null && poolsWithUnnamedWorkers.contains(state.facts.service()));
   }
 
-  private static boolean hasTerminated(String worker, MachineFacts facts) {
+  private boolean hasTerminated(String worker, MachineFacts facts) {
     return switch (facts.state()) {
       case MOVING, IN_MAINTENANCE -> true;
-      case UP -> !facts.worker().isEmpty() && !facts.worker().equals(worker);
+      case UP ->
+          !facts.worker().isEmpty()
+              && !facts.worker().equals(worker)
+              // A list with an earlier worker is outdated.
+              && !workers.isEarlierProcess(facts.worker(), worker);
       // The host may only be disconnected while its worker keeps running.
       case DOWN -> false;
     };
--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
@@ -18,6 +18,10 @@
 final class WorkerTable {
   private final Map<String, WorkerState> byId = new HashMap<>();
   private final Map<String, List<WorkerState>> byService = new HashMap<>();
+
+  /** Last known start times of all workers of this term, also of those that are gone. */
+  private final Map<String, Long> bornMillis = new HashMap<>();
+
   private final RunEndHandler endHandler;
   private final OrderResultHandler orderResults;
   private final WorkerReportHandler reports;
@@ -53,6 +57,13 @@
     return byId.get(id);
   }
 
+  /** Returns whether a worker is known to have started before another one. */
+  boolean isEarlierProcess(String id, String other) {
+    long born = bornMillis.getOrDefault(id, 0L);
+    WorkerState worker = byId.get(other);
+    return born != 0 && worker != null && born < worker.bornMillis;
+  }
+
   /** Returns the number of runs of a worker; 0 if it is unknown. */
   int runCount(String id) {
     WorkerState worker = byId.get(id);
@@ -111,6 +122,7 @@
       WorkerState worker = new WorkerState(facts, maxLeaseMillis, true);
       worker.isRecorded = true;
       byId.put(facts.id(), worker);
+      bornMillis.put(facts.id(), facts.bornMillis());
     }
     indexByService();
   }
@@ -140,6 +152,7 @@
     Set<String> present = new HashSet<>();
     for (WorkerFacts facts : listed) {
       present.add(facts.id());
+      bornMillis.put(facts.id(), facts.bornMillis());
       workerListed(facts, isFirstList, nowMillis);
     }
     for (WorkerState worker : byId.values()) {
--- a/core/src/test/java/org/persimmonloom/core/scheduling/HostListEvidenceTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/HostListEvidenceTest.java
@@ -195,4 +195,33 @@
 
     assertThat(fleet.decideAndExecute()).isEmpty();
   }
+
+  /**
+   * Guards against a task that runs twice: an outdated list names the worker that its host had
+   * before, and the present one does not answer a call.
+   */
+  @Test
+  void outdatedListWithTheEarlierWorkerEndsNoRuns() {
+    WorkerFacts earlier = fleet.addWorker("w0");
+    fleet.workers.put("w0", SchedulerFixture.process(earlier, earlier.address(), 500));
+    fleet.scheduler.workersListed(fleet.workers.values(), fleet.now);
+    fleet.workers.remove("w0");
+    startTask();
+    fleet.now += 10;
+    listMachines(
+        fleet.now,
+        machine("m1", MachineFacts.State.UP, "w0"),
+        machine("m2", MachineFacts.State.UP, "w2"));
+    loseWorker("w1");
+
+    assertThat(fleet.decideAndExecute()).isEmpty();
+
+    fleet.now += 10;
+    listMachines(
+        fleet.now,
+        machine("m1", MachineFacts.State.UP, "w3"),
+        machine("m2", MachineFacts.State.UP, "w2"));
+
+    assertThat(fleet.decideAndExecute()).singleElement().extracting(Order::run).isEqualTo(2);
+  }
 }
