Start no task once another host may have claimed the fleet

Callers could see a task start again after it had ended `done`: an owner that gets no answer of the store orders for up to 8 s, while the next owner may claim after 1.8 s. Fences stop it at each worker that the next owner has reached, but a worker that has started again has seen none, and an idle owner polls nobody and so does not learn that it has been followed. It started a task that the next owner had started, read as ended and acknowledged.

An owner whose last renewal is 1.8 s old now starts nothing until it has renewed; stops, polls and leases go on for 8 s.

Cost, not measured: in an outage of the store of more than 1.8 s tasks wait for its end, where they were started for 8 s before.

--- a/core/src/test/java/org/persimmonloom/core/scheduling/steps/StepModelSession.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/steps/StepModelSession.java
@@ -248,6 +248,10 @@
     return !isEnded && election.renewalAge(fence) < StepModel.SETTINGS.ownerRenewalTimeoutMillis();
   }
 
+  private boolean mayStartTasks() {
+    return !isEnded && election.soleOwnerMillis(fence) == model.now();
+  }
+
   private void pass() {
     isPassPending = false;
     configure();
@@ -256,7 +260,8 @@
     }
     long now = model.now();
     List<Order> orders =
-        scheduler.decide(now, model.wall(), MAX_STARTS, election.soleOwnerMillis(fence));
+        scheduler.decide(
+            now, model.wall(), mayStartTasks() ? MAX_STARTS : 0, election.soleOwnerMillis(fence));
     for (Order order : orders) {
       stages.add(() -> channels.send(order));
     }
@@ -332,7 +337,7 @@
   }
 
   boolean isStillValid(Order order) {
-    if (!mayOrderWorkers()) {
+    if (!(order instanceof Order.Start ? mayStartTasks() : mayOrderWorkers())) {
       scheduler.withdraw(order, model.now());
       return false;
     }
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerPermission.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerPermission.java
@@ -41,6 +41,15 @@
     return !isEnded && renewalAgeMillis.getAsLong() < renewalTimeoutMillis;
   }
 
+  /**
+   * Returns whether tasks may be started: no other host can have owned the fleet since the last
+   * renewal. A worker that has started again has seen no fence, so that it would take a start of an
+   * owner whose successor has already given the task to another worker.
+   */
+  boolean mayStartTasks() {
+    return !isEnded && renewalAgeMillis.getAsLong() < Ownership.CLAIM_AFTER_MILLIS;
+  }
+
   /**
    * Returns the latest time, at most the present one, at which no other host can have owned the
    * fleet, in ms of the monotonic clock.
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
@@ -298,7 +298,8 @@
 
   /** Withdraws an order that was queued while this owner lost its permission to send it. */
   private boolean isStillPermitted(Order order) {
-    boolean isPermitted = permission.mayOrderWorkers();
+    boolean isStart = order instanceof Order.Start;
+    boolean isPermitted = isStart ? permission.mayStartTasks() : permission.mayOrderWorkers();
     if (!isPermitted) {
       scheduler.withdraw(order, now());
     }
@@ -312,7 +313,8 @@
       return;
     }
     long wall = services.wallClock().millis();
-    int maxStarts = Math.max(0, MAX_UNSENT_ORDERS - channels.backlog());
+    int unsent = channels.backlog();
+    int maxStarts = permission.mayStartTasks() ? Math.max(0, MAX_UNSENT_ORDERS - unsent) : 0;
     List<Order> orders = scheduler.decide(now, wall, maxStarts, permission.soleOwnerMillis(now));
     runLog.logOrdered();
     if (permission.mayOrderHosts()) {
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnerPermissionTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnerPermissionTest.java
@@ -24,4 +24,12 @@
   void termThatIsOverHasNoSoleOwner() {
     assertThat(soleOwnerMillis(Long.MAX_VALUE)).isLessThan(NOW);
   }
+
+  /** Guards against starts of an owner that another one may have followed. */
+  @Test
+  void noTasksAreStartedOnceOthersMayClaim() {
+    long claimAfter = Ownership.CLAIM_AFTER_MILLIS;
+    assertThat(new OwnerPermission(() -> claimAfter - 1, 8_000).mayStartTasks()).isTrue();
+    assertThat(new OwnerPermission(() -> claimAfter, 8_000).mayStartTasks()).isFalse();
+  }
 }
