--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerPermission.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerPermission.java
@@ -58,6 +58,15 @@
         : nowMillis - ageMillis + HOST_ORDER_RENEWAL_TIMEOUT_MILLIS;
   }
 
+  /**
+   * Returns whether tasks may be started: no other host can have owned the fleet since the last
+   * renewal. A worker that has started again has seen no fence, so that it would take a start of an
+   * owner whose successor has already given the task to another worker.
+   */
+  boolean mayStartTasks() {
+    return !isEnded && renewalAgeMillis.getAsLong() < Ownership.CLAIM_AFTER_MILLIS;
+  }
+
   boolean mayOrderHosts() {
     return !isEnded && renewalAgeMillis.getAsLong() < HOST_ORDER_RENEWAL_TIMEOUT_MILLIS;
   }
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnerPermissionTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnerPermissionTest.java
@@ -32,4 +32,12 @@
     renewalAge.set(Long.MAX_VALUE);
     assertThat(permission.ownedUntilMillis(20_000)).isNegative();
   }
+
+  /** Guards against starts of an owner that another one may have followed. */
+  @Test
+  void noTasksAreStartedOnceOthersMayClaim() {
+    long claimAfter = Ownership.CLAIM_AFTER_MILLIS;
+    assertThat(new OwnerPermission(() -> claimAfter - 1, 8_000).mayStartTasks()).isTrue();
+    assertThat(new OwnerPermission(() -> claimAfter, 8_000).mayStartTasks()).isFalse();
+  }
 }
