Keep one rule for owners that others may have followed: they start nothing

Two parts had found the same cause: an owner that cannot renew goes on for up to 8 s, while another host may claim after 1.8 s, and concludes from its own leases, from lists or from a restarted worker, which has seen no fence, that tasks are free that the next owner knows better. One change let tasks wait for a renewal by kind of evidence, the other starts no task at all until the next renewal.

--- a/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
@@ -217,9 +217,9 @@
     unrecorded.rejected(keys);
   }
 
-  /** Returns the orders of an owner that has just renewed its ownership, without a limit. */
+  /** Returns the orders to send now, without a limit of starts. */
   public List<Order> decide(long nowMillis, long wallMillis) {
-    return decide(nowMillis, wallMillis, nowMillis, Integer.MAX_VALUE);
+    return decide(nowMillis, wallMillis, Integer.MAX_VALUE);
   }
 
   /**
@@ -231,13 +231,12 @@
    *
    * @param nowMillis current time on the monotonic clock
    * @param wallMillis current Unix time, for scheduled occurrences
-   * @param ownedUntilMillis monotonic time before which no other host can have claimed the fleet
    * @param maxStarts maximum number of starts; a gang is started as a whole and may exceed it
    */
-  public List<Order> decide(long nowMillis, long wallMillis, long ownedUntilMillis, int maxStarts) {
+  public List<Order> decide(long nowMillis, long wallMillis, int maxStarts) {
     startsLeft = maxStarts;
     List<Order> orders = new ArrayList<>();
-    workers.expireLeases(nowMillis, ownedUntilMillis);
+    workers.expireLeases(nowMillis);
     RunStops.add(workers.all(), orders, nowMillis);
     for (WorkerState worker : workers.all()) {
       pacing.decide(worker, orders, nowMillis);
@@ -307,10 +306,12 @@
    * an earlier owner started. Those may be workers of services that the queue does not have now.
    */
   private boolean isBlocked(OccurrenceState occurrence, String service) {
-    return occurrence.submittedOffset < takeoverOffset
-        && (occurrence.mayHaveRunElsewhere()
-            ? workers.mayRunEarlierTasks()
-            : workers.mayRunEarlierTasks(service));
+    if (occurrence.submittedOffset >= takeoverOffset) {
+      return false;
+    }
+    return occurrence.mayHaveRunElsewhere()
+        ? workers.hasUnreportedWorker()
+        : workers.hasUnreportedWorker(service);
   }
 
   /** Starts the waiting tasks of a step; returns false if no worker can take one of them. */
@@ -321,7 +322,7 @@
       List<Order> orders,
       long nowMillis) {
     for (TaskState task : occurrence.tasksOf(step)) {
-      if (!task.mayStart(workers.ownedUntilMillis())) {
+      if (!task.isRunnable()) {
         continue;
       }
       if (startsLeft <= 0) {
@@ -348,7 +349,7 @@
     List<TaskState> members = occurrence.tasksOf(step);
     int run = 0;
     for (TaskState task : members) {
-      if (!task.mayStart(workers.ownedUntilMillis())) {
+      if (!task.isRunnable()) {
         return;
       }
       run = Math.max(run, task.lastRun);
--- a/core/src/main/java/org/persimmonloom/core/scheduling/RunEndHandler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/RunEndHandler.java
@@ -102,26 +102,7 @@
     if (task != null) {
       occurrence.removeRun(task, run);
       task.lastReleased = released;
-      task.requiredOwnershipMillis =
-          Math.max(
-              task.requiredOwnershipMillis,
-              requiredOwnershipMillis(release, run.worker, nowMillis));
     }
     listener.runReleased(released);
   }
-
-  /**
-   * Returns until when this owner must have owned the fleet for a release to hold. A process that
-   * answers under this owner's fence has seen no newer one. Where other evidence shows that a
-   * process or a lease is over, a newer owner may have extended the lease before, or have taken
-   * note of the run's end.
-   */
-  private static long requiredOwnershipMillis(
-      RunRelease release, WorkerState worker, long nowMillis) {
-    return switch (release) {
-      case LEASE_EXPIRED, ADDRESS_REUSED, HOST_WITHOUT_WORKER -> nowMillis;
-      case PROCESS_REPLACED, NOT_REPORTED -> worker.newProcessReportedMillis;
-      case END_REPORTED, OTHER_RUN_REPORTED, NOT_SENT, REFUSED -> WorkerState.NEVER;
-    };
-  }
 }
--- a/core/src/main/java/org/persimmonloom/core/scheduling/TaskState.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/TaskState.java
@@ -35,12 +35,6 @@
   /** The run that was released last; null if this owner has released none. */
   ReleasedRun lastReleased;
 
-  /**
-   * Monotonic time until which this owner must have owned the fleet, so that no newer owner knows a
-   * run or an end of this task from a worker that this owner takes for ended.
-   */
-  long requiredOwnershipMillis = WorkerState.NEVER;
-
   TaskState(int position, int step, int index) {
     this.position = position;
     this.step = step;
@@ -50,13 +44,4 @@
   boolean isRunnable() {
     return !isDone && activeRuns.isEmpty();
   }
-
-  /**
-   * Returns whether the task may start again.
-   *
-   * @param ownedUntilMillis monotonic time before which no other host can have claimed the fleet
-   */
-  boolean mayStart(long ownedUntilMillis) {
-    return isRunnable() && requiredOwnershipMillis <= ownedUntilMillis;
-  }
 }
--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerReportHandler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerReportHandler.java
@@ -35,7 +35,6 @@
     boolean isNewProcess = worker.isOtherProcess(report.bornMillis());
     if (isNewProcess) {
       worker.lease = new LeaseClock(maxLeaseMillis);
-      worker.newProcessReportedMillis = nowMillis;
       worker.processedEnd = 0;
       worker.batchedEnd = 0;
       worker.recordedEnd = 0;
--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerState.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerState.java
@@ -63,15 +63,6 @@
   /** Start time of the process that reported last; that of the first entry before any report. */
   long bornMillis;
 
-  /**
-   * When a new process of the worker reported first. It has seen no fence, so that a newer owner
-   * may have polled the process before it without this owner's knowledge.
-   */
-  long newProcessReportedMillis = NEVER;
-
-  /** Whether no other host can have claimed the fleet before the present process reported. */
-  boolean isProcessKnownToOwner = true;
-
   /** Highest number of a run end that was applied to its task. */
   long processedEnd;
 
@@ -166,7 +157,6 @@
         && !isMissingFromHosts()
         && isRecorded
         && hasReported
-        && isProcessKnownToOwner
         && isReachable
         && !facts.draining()
         && !isCordoned
--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
@@ -28,8 +28,6 @@
   private final LeaseHolders leaseHolders = new LeaseHolders();
   private final long maxLeaseMillis;
   private final long earlierLeasesUntilMillis;
-  private final EarlierTaskBounds earlierTaskBounds = new EarlierTaskBounds();
-  private long ownedUntilMillis = WorkerState.NEVER;
   private boolean isListKnown;
 
   /**
@@ -84,21 +82,14 @@
     return byService.getOrDefault(service, List.of());
   }
 
-  /** Returns the time before which no other host can have claimed the fleet, at the last pass. */
-  long ownedUntilMillis() {
-    return ownedUntilMillis;
-  }
-
   /** Returns whether an unreported worker of the service may run tasks of an earlier owner. */
-  boolean mayRunEarlierTasks(String service) {
-    return ofService(service).stream().anyMatch(WorkerState::mayRunEarlierTasks)
-        || earlierTaskBounds.ofService(service) > ownedUntilMillis;
+  boolean hasUnreportedWorker(String service) {
+    return ofService(service).stream().anyMatch(WorkerState::mayRunEarlierTasks);
   }
 
   /** Returns whether an unreported worker of any service may run tasks of an earlier owner. */
-  boolean mayRunEarlierTasks() {
-    return byId.values().stream().anyMatch(WorkerState::mayRunEarlierTasks)
-        || earlierTaskBounds.ofAnyService() > ownedUntilMillis;
+  boolean hasUnreportedWorker() {
+    return byId.values().stream().anyMatch(WorkerState::mayRunEarlierTasks);
   }
 
   /** Returns the unreachable workers that may run tasks of an earlier owner. */
@@ -238,11 +229,7 @@
   void workerReported(WorkerFacts polled, long sentMillis, WorkerReport report, long nowMillis) {
     WorkerState worker = findSameProcess(polled);
     if (worker != null) {
-      boolean mayHaveRunEarlierTasks = worker.mayRunEarlierTasks();
       reports.apply(worker, polled.address(), sentMillis, report, nowMillis);
-      if (mayHaveRunEarlierTasks) {
-        earlierTaskBounds.add(worker, worker.newProcessReportedMillis);
-      }
       wantRecord(worker);
     }
   }
@@ -302,9 +289,6 @@
   private void terminate(
       WorkerState worker, RunRelease release, long evidenceMillis, long nowMillis) {
     dropRuns(worker, release, evidenceMillis, nowMillis);
-    if (worker.mayRunEarlierTasks()) {
-      earlierTaskBounds.add(worker, nowMillis);
-    }
     worker.isTerminated = true;
     worker.isRecorded = false;
     leaseHolders.remove(worker.facts.id());
@@ -318,23 +302,13 @@
     }
   }
 
-  /**
-   * Releases the runs of silent workers whose leases are over.
-   *
-   * @param ownedUntilMillis monotonic time before which no other host can have claimed the fleet
-   */
-  void expireLeases(long nowMillis, long ownedUntilMillis) {
-    this.ownedUntilMillis = ownedUntilMillis;
+  void expireLeases(long nowMillis) {
     boolean areEarlierLeasesOver = nowMillis >= earlierLeasesUntilMillis;
     for (WorkerState worker : byId.values()) {
-      worker.isProcessKnownToOwner = worker.newProcessReportedMillis <= ownedUntilMillis;
       terminateIfProven(worker, nowMillis);
       boolean isLeaseOver = !worker.isReachable && worker.lease.isExpired(nowMillis);
       // This owner has extended the lease of a worker that has reported.
       if (areEarlierLeasesOver && (!worker.hasReported || isLeaseOver)) {
-        if (worker.mayRunEarlierTasks()) {
-          earlierTaskBounds.add(worker, nowMillis);
-        }
         worker.isFromPreviousTerm = false;
       }
       if (isLeaseOver && !worker.runs.isEmpty()) {
--- a/core/src/test/java/org/persimmonloom/core/scheduling/ReferenceScheduler.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/ReferenceScheduler.java
@@ -30,7 +30,7 @@
 
   List<Order> decide(long nowMillis, long wallMillis) {
     List<Order> orders = new ArrayList<>();
-    workers.expireLeases(nowMillis, nowMillis);
+    workers.expireLeases(nowMillis);
     for (WorkerState worker : workers.all()) {
       for (TaskRun run : worker.runs.values()) {
         if (needsStop(run, nowMillis)) {
@@ -80,8 +80,8 @@
         occurrence.submittedOffset < takeoverOffset
             && nowMillis < blockedUntilMillis
             && (occurrence.mayHaveRunElsewhere()
-                ? workers.mayRunEarlierTasks()
-                : workers.mayRunEarlierTasks(service));
+                ? workers.hasUnreportedWorker()
+                : workers.hasUnreportedWorker(service));
     if (wallMillis < occurrence.spec.dueMillis(occurrence.number)
         || !services.contains(service)
         || isBlocked) {
--- a/core/src/test/java/org/persimmonloom/core/scheduling/StartLimitTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/StartLimitTest.java
@@ -26,7 +26,7 @@
   }
 
   private List<Order> decide(int maxStarts) {
-    return fleet.scheduler.decide(fleet.now, fleet.now, fleet.now, maxStarts);
+    return fleet.scheduler.decide(fleet.now, fleet.now, maxStarts);
   }
 
   /** Guards against starts that hold the room of workers while they wait to be sent. */
--- a/core/src/test/java/org/persimmonloom/core/scheduling/steps/StepModelSession.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/steps/StepModelSession.java
@@ -259,9 +259,7 @@
       return;
     }
     long now = model.now();
-    List<Order> orders =
-        scheduler.decide(
-            now, model.wall(), election.soleOwnerMillis(fence), mayStartTasks() ? MAX_STARTS : 0);
+    List<Order> orders = scheduler.decide(now, model.wall(), mayStartTasks() ? MAX_STARTS : 0);
     for (Order order : orders) {
       stages.add(() -> channels.send(order));
     }
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerPermission.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerPermission.java
@@ -10,10 +10,7 @@
  * any thread.
  */
 final class OwnerPermission {
-  /**
-   * Time after a successful renewal in which no other host can have claimed, with a margin. After
-   * it, an owner sends no more orders about hosts.
-   */
+  /** After this time without a successful renewal, an owner sends no more orders about hosts. */
   private static final long HOST_ORDER_RENEWAL_TIMEOUT_MILLIS = 900;
 
   /** Minimum age of the previous owner's last host order when its successor claims. */
@@ -44,20 +41,6 @@
     return !isEnded && renewalAgeMillis.getAsLong() < renewalTimeoutMillis;
   }
 
-  /**
-   * Returns the monotonic time before which no other host can have claimed the ownership. The last
-   * renewal was appended on the condition that no claim preceded it, and a claim follows it after
-   * {@link Ownership#CLAIM_AFTER_MILLIS} at the earliest.
-   *
-   * @param nowMillis a monotonic time that has been reached
-   */
-  long ownedUntilMillis(long nowMillis) {
-    long ageMillis = renewalAgeMillis.getAsLong();
-    return ageMillis == Long.MAX_VALUE
-        ? Long.MIN_VALUE
-        : nowMillis - ageMillis + HOST_ORDER_RENEWAL_TIMEOUT_MILLIS;
-  }
-
   /**
    * Returns whether tasks may be started: no other host can have owned the fleet since the last
    * renewal. A worker that has started again has seen no fence, so that it would take a start of an
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
@@ -315,7 +315,7 @@
     long wall = services.wallClock().millis();
     int unsent = channels.backlog();
     int maxStarts = permission.mayStartTasks() ? Math.max(0, MAX_UNSENT_ORDERS - unsent) : 0;
-    List<Order> orders = scheduler.decide(now, wall, permission.ownedUntilMillis(now), maxStarts);
+    List<Order> orders = scheduler.decide(now, wall, maxStarts);
     runLog.logOrdered();
     if (permission.mayOrderHosts()) {
       machines.pass(now, wall, orders);
--- /dev/null
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnerSessionStartTest.java
@@ -0,0 +1,144 @@
+package org.persimmonloom.runtime.workflow;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.persimmonloom.core.scheduling.CallResult;
+import org.persimmonloom.core.scheduling.HoldOrder;
+import org.persimmonloom.core.scheduling.MachineFacts;
+import org.persimmonloom.core.scheduling.MachineOrder;
+import org.persimmonloom.core.scheduling.Order;
+import org.persimmonloom.core.scheduling.SchedulingSettings;
+import org.persimmonloom.core.scheduling.WaveOrder;
+import org.persimmonloom.core.scheduling.WaveProgress;
+import org.persimmonloom.core.scheduling.WorkerFacts;
+import org.persimmonloom.core.scheduling.WorkerReport;
+import org.persimmonloom.core.workflow.Resources;
+import org.persimmonloom.core.workflow.TableRecord;
+import org.persimmonloom.core.workflow.WorkflowRecords;
+
+/** Tests when a term of ownership starts tasks, with one worker that answers all calls. */
+class OwnerSessionStartTest {
+  private static final LongSupplier CLOCK = WorkflowHost.steadyClock();
+  private static final TableRecord RECORD = new TableRecord("w1", new byte[] {1});
+
+  private final FakeKeyedLog log = new FakeKeyedLog();
+  private final WorkflowReplica workflows = new WorkflowReplica();
+  private final TableFollower follower =
+      new TableFollower(log, Table.WORKFLOWS, workflows, CLOCK, 0, 20);
+  private final OperationsReplica operations = new OperationsReplica(new Decoder());
+  private final AtomicLong renewalAge = new AtomicLong();
+  private final AnsweringWorker worker = new AnsweringWorker();
+  private final OwnerSession session =
+      new OwnerSession(
+          new OwnershipTerm(5, true, 0),
+          new FleetServices(
+              "host",
+              log,
+              worker,
+              new EmptyHostList(),
+              request -> Optional.empty(),
+              new Decoder(),
+              workflows,
+              follower,
+              operations,
+              new SchedulingSettings(6_000, 8_000, 3_000, 900, 120_000),
+              new WorkflowMetrics(),
+              CLOCK,
+              InstantSource.system()),
+          () -> {},
+          renewalAge::get);
+
+  private static final class AnsweringWorker implements WorkerGateway {
+    private final CountDownLatch polled = new CountDownLatch(1);
+    private final CountDownLatch started = new CountDownLatch(1);
+
+    @Override
+    public CompletableFuture<CallResult> send(Order order, long fence) {
+      if (order instanceof Order.Start) {
+        started.countDown();
+      }
+      return CompletableFuture.completedFuture(CallResult.ACCEPTED);
+    }
+
+    @Override
+    public CompletableFuture<HoldAnswer> hold(HoldOrder order, long fence) {
+      polled.countDown();
+      WorkerReport report = new WorkerReport(CLOCK.getAsLong(), 1, List.of(), List.of());
+      return CompletableFuture.completedFuture(new HoldAnswer(CallResult.ACCEPTED, report));
+    }
+  }
+
+  private static final class EmptyHostList implements MachineService {
+    @Override
+    public Optional<List<MachineFacts>> list() {
+      return Optional.of(List.of());
+    }
+
+    @Override
+    public MachineOrder.Result send(MachineOrder order, String owner, long fence) {
+      return MachineOrder.Result.REFUSED;
+    }
+  }
+
+  private static final class Decoder implements PlatformDecoder {
+    @Override
+    public Optional<FleetConfiguration> configuration(TableRecord record) {
+      return Optional.of(new FleetConfiguration(1, List.of(), Set.of("s"), Set.of(), 1_000));
+    }
+
+    @Override
+    public Optional<WaveOrder> wave(TableRecord record) {
+      return Optional.empty();
+    }
+
+    @Override
+    public TableRecord waveStatus(WaveProgress progress) {
+      return RECORD;
+    }
+
+    @Override
+    public Optional<WorkerFacts> worker(TableRecord record) {
+      Resources capacity = new Resources(10_000, 10_000, 0);
+      return Optional.of(
+          new WorkerFacts("w1", "127.0.0.1:9", "s", "z", false, capacity, Set.of(), 1));
+    }
+  }
+
+  @AfterEach
+  void stop() {
+    session.stop();
+    follower.stop();
+  }
+
+  /**
+   * Guards against a task that starts again after its end: an owner that can't renew has been
+   * followed by another one, and starts what that one has started and read as ended.
+   */
+  @Test
+  void ownerThatOthersMayHaveFollowedStartsNothing() throws Exception {
+    log.append(Table.WORKERS, new KeyedLog.Sequence("w1", 1, 1), List.of(RECORD));
+    operations.apply(new StoredRecord(0, RECORD));
+    follower.start();
+    session.start();
+    assertThat(worker.polled.await(5, TimeUnit.SECONDS)).isTrue();
+
+    renewalAge.set(Ownership.CLAIM_AFTER_MILLIS);
+    TableRecord submission = new WorkflowRecords().submission(PeerAppendTest.workflow());
+    log.append(Table.WORKFLOWS, new KeyedLog.Sequence("host", 1, 1), List.of(submission));
+    assertThat(worker.started.await(600, TimeUnit.MILLISECONDS)).isFalse();
+
+    renewalAge.set(0);
+    assertThat(worker.started.await(5, TimeUnit.SECONDS)).isTrue();
+  }
+}
