Drop answers to calls of an ended process in the search of steps

A fault of the model: answers of the store, of workers and of host lists to a process that had been restarted were handled by the process after it, so that a session of the old one went on with an empty table.

--- a/core/src/test/java/org/persimmonloom/core/scheduling/steps/StepModelChannels.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/steps/StepModelChannels.java
@@ -104,9 +104,11 @@
       String id, String address, long limit, StepModel.WorkerOperation operation, Answer answer) {
     long sent = model.now();
     boolean[] isOver = {false};
+    int caller = host.life();
     Answer finish =
         (result, report) ->
-            host.run(
+            host.runIn(
+                caller,
                 Lane.CALLS,
                 0,
                 () -> {
--- a/core/src/test/java/org/persimmonloom/core/scheduling/steps/StepModelHost.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/steps/StepModelHost.java
@@ -92,10 +92,19 @@
 
   /** Runs an action on a thread after a delay, or later if the process stands still then. */
   void run(Lane lane, long delayMillis, Runnable action) {
-    int wanted = life;
+    runIn(life, lane, delayMillis, action);
+  }
+
+  /** Runs an action as above, unless the process has been restarted since its given life. */
+  void runIn(int wanted, Lane lane, long delayMillis, Runnable action) {
     model.at(model.now() + delayMillis, () -> fire(lane, wanted, action));
   }
 
+  /** Returns how often the process was restarted; answers belong to the life of their calls. */
+  int life() {
+    return life;
+  }
+
   private void fire(Lane lane, int wanted, Runnable action) {
     if (wanted != life) {
       return;
@@ -121,9 +130,11 @@
       int from, Lane lane, long limitMillis, Supplier<T> operation, Consumer<T> answer) {
     long sent = model.now();
     boolean[] isOver = {false};
+    int caller = life;
     Consumer<T> finish =
         result ->
-            run(
+            runIn(
+                caller,
                 lane,
                 0,
                 () -> {
--- a/core/src/test/java/org/persimmonloom/core/scheduling/steps/StepModelSession.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/steps/StepModelSession.java
@@ -214,9 +214,11 @@
       return;
     }
     long sent = model.now();
+    int caller = host.life();
     model.listMachines(
         listed ->
-            host.run(
+            host.runIn(
+                caller,
                 Lane.LOOP,
                 0,
                 () -> {
