--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnerSessionStartTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnerSessionStartTest.java
@@ -5,7 +5,6 @@
 import java.time.InstantSource;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -15,15 +14,9 @@
 import org.junit.jupiter.api.Test;
 import org.persimmonloom.core.scheduling.CallResult;
 import org.persimmonloom.core.scheduling.HoldOrder;
-import org.persimmonloom.core.scheduling.MachineFacts;
-import org.persimmonloom.core.scheduling.MachineOrder;
 import org.persimmonloom.core.scheduling.Order;
 import org.persimmonloom.core.scheduling.SchedulingSettings;
-import org.persimmonloom.core.scheduling.WaveOrder;
-import org.persimmonloom.core.scheduling.WaveProgress;
-import org.persimmonloom.core.scheduling.WorkerFacts;
 import org.persimmonloom.core.scheduling.WorkerReport;
-import org.persimmonloom.core.workflow.Resources;
 import org.persimmonloom.core.workflow.TableRecord;
 import org.persimmonloom.core.workflow.WorkflowRecords;
 
@@ -36,7 +29,8 @@
   private final WorkflowReplica workflows = new WorkflowReplica();
   private final TableFollower follower =
       new TableFollower(log, Table.WORKFLOWS, workflows, CLOCK, 0, 20);
-  private final OperationsReplica operations = new OperationsReplica(new Decoder());
+  private final OperationsReplica operations =
+      new OperationsReplica(new OwnerSessionTest.FixedConfigurationDecoder());
   private final AtomicLong renewalAge = new AtomicLong();
   private final AnsweringWorker worker = new AnsweringWorker();
   private final OwnerSession session =
@@ -46,9 +40,9 @@
               "host",
               log,
               worker,
-              new EmptyHostList(),
+              new OwnerSessionTest.EmptyMachineService(),
               request -> Optional.empty(),
-              new Decoder(),
+              new OwnerSessionTest.FixedConfigurationDecoder(),
               workflows,
               follower,
               operations,
@@ -79,42 +73,6 @@
     }
   }
 
-  private static final class EmptyHostList implements MachineService {
-    @Override
-    public Optional<List<MachineFacts>> list() {
-      return Optional.of(List.of());
-    }
-
-    @Override
-    public MachineOrder.Result send(MachineOrder order, String owner, long fence) {
-      return MachineOrder.Result.REFUSED;
-    }
-  }
-
-  private static final class Decoder implements PlatformDecoder {
-    @Override
-    public Optional<FleetConfiguration> configuration(TableRecord record) {
-      return Optional.of(new FleetConfiguration(1, List.of(), Set.of("s"), Set.of(), 1_000));
-    }
-
-    @Override
-    public Optional<WaveOrder> wave(TableRecord record) {
-      return Optional.empty();
-    }
-
-    @Override
-    public TableRecord waveStatus(WaveProgress progress) {
-      return RECORD;
-    }
-
-    @Override
-    public Optional<WorkerFacts> worker(TableRecord record) {
-      Resources capacity = new Resources(10_000, 10_000, 0);
-      return Optional.of(
-          new WorkerFacts("w1", "127.0.0.1:9", "s", "z", false, capacity, Set.of(), 1));
-    }
-  }
-
   @AfterEach
   void stop() {
     session.stop();
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnerSessionTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnerSessionTest.java
@@ -95,7 +95,7 @@
     }
   }
 
-  private static final class EmptyMachineService implements MachineService {
+  static final class EmptyMachineService implements MachineService {
     @Override
     public Optional<List<MachineFacts>> list() {
       return Optional.of(List.of());
@@ -107,7 +107,7 @@
     }
   }
 
-  private static final class FixedConfigurationDecoder implements PlatformDecoder {
+  static final class FixedConfigurationDecoder implements PlatformDecoder {
     @Override
     public Optional<FleetConfiguration> configuration(TableRecord record) {
       return Optional.of(new FleetConfiguration(1, List.of(), Set.of("s"), Set.of(), 1_000));
