Take no report of an earlier process for one of a new process that has not listed all its ends

Callers could see a task run twice after a take-over: the owner learns of a worker's new process by its report, before an entry names it. If that report does not list all ends, the report of the process before it still counted as the list of all ends (hasListedAllEnds), so that workflows of earlier terms started elsewhere. That the reports of the users show this way is not shown. WorkerProcessTest.reportOfThePreviousProcessShowsNoEndsOfTheNewOne failed before the change (a start was ordered); WorkerProcessTest passes with it. Other tests were not run on it.

--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerReportHandler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerReportHandler.java
@@ -56,7 +56,8 @@
       worker.firstReportMillis = nowMillis;
     }
     worker.isReachable = true;
-    worker.hasListedAllEnds |= report.listsAllEnds();
+    boolean hasListedEarlier = worker.hasListedAllEnds && !isNewProcess;
+    worker.hasListedAllEnds = hasListedEarlier || report.listsAllEnds();
     worker.hasUnlistedEnds = !report.listsAllEnds();
     worker.listedEnds = report.ended();
     long processedBefore = worker.processedEnd;
--- a/core/src/test/java/org/persimmonloom/core/scheduling/WorkerProcessTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/WorkerProcessTest.java
@@ -321,4 +321,25 @@
     listSecondProcess();
     assertThat(fleet.decide()).hasSize(1);
   }
+
+  /**
+   * Guards against a task that runs twice: a report of the previous process counts for a new one,
+   * whose own report does not list all its ends.
+   */
+  @Test
+  void reportOfThePreviousProcessShowsNoEndsOfTheNewOne() {
+    fleet.addWorker("w2");
+    fleet.submit("f1", SchedulerFixture.step(1, 500, List.of()));
+    fleet.takeOver();
+    fleet.report();
+    fleet.now += 10;
+    fleet.scheduler.workerReported(
+        worker,
+        fleet.now - 1,
+        new WorkerReport(
+            fleet.now, SchedulerFixture.BORN_MILLIS + 500, List.of(), List.of(), false),
+        fleet.now);
+
+    assertThat(fleet.decideAndExecute()).isEmpty();
+  }
 }
