List an outdated host list that ends a silent worker of the previous term

A new owner takes a silent worker of the previous term for ended if no host names it. The test fails on (expecting empty but was a start of f1.0.0.0).

--- a/core/src/test/java/org/persimmonloom/core/scheduling/HostListEvidenceTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/HostListEvidenceTest.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import java.util.Set;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.persimmonloom.core.workflow.Resources;
 
@@ -224,4 +225,30 @@
 
     assertThat(fleet.decideAndExecute()).singleElement().extracting(Order::run).isEqualTo(2);
   }
+
+  /**
+   * Guards against a task that runs twice: after a takeover, an outdated list names the worker that
+   * the host of a silent worker had before.
+   */
+  @Test
+  @Tag("known-red")
+  void outdatedListWithTheEarlierWorkerDoesNotEndASilentWorkerOfThePreviousTerm() {
+    submitBeforeTakeover();
+    WorkerFacts second = fleet.workers.get("w2");
+    WorkerFacts earlier = fleet.addWorker("w0");
+    fleet.workers.put("w0", SchedulerFixture.process(earlier, "10.0.0.9:80", 500));
+    fleet.scheduler.workersListed(fleet.workers.values(), fleet.now);
+    fleet.workers.remove("w0");
+    fleet.scheduler.workersListed(fleet.workers.values(), fleet.now);
+    assertThat(second.bornMillis()).isGreaterThan(500);
+    fleet.report("w2");
+    loseWorker("w2");
+    fleet.now += 10;
+    listMachines(
+        fleet.now,
+        machine("m1", MachineFacts.State.UP, "w1"),
+        machine("m2", MachineFacts.State.UP, "w0"));
+
+    assertThat(fleet.decideAndExecute()).isEmpty();
+  }
 }
