Test that a queued start is not sent once others may have followed

OwnerSessionStartTest passed (1 of 1) with the check at sending (OwnerSession.isStillPermitted) taken out: its task is submitted only after the age of the renewal is set, so nothing is queued then. The new test queues starts behind two of the same worker that are not answered. It fails with the check taken out (a further start is sent) and passes with it.

--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnerSessionStartTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnerSessionStartTest.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
@@ -24,8 +25,10 @@
 import org.persimmonloom.core.scheduling.WorkerFacts;
 import org.persimmonloom.core.scheduling.WorkerReport;
 import org.persimmonloom.core.workflow.Resources;
+import org.persimmonloom.core.workflow.StepSpec;
 import org.persimmonloom.core.workflow.TableRecord;
 import org.persimmonloom.core.workflow.WorkflowRecords;
+import org.persimmonloom.core.workflow.WorkflowSpec;
 
 /** Tests when a term of ownership starts tasks, with one worker that answers all calls. */
 class OwnerSessionStartTest {
@@ -62,13 +65,19 @@
   private static final class AnsweringWorker implements WorkerGateway {
     private final CountDownLatch polled = new CountDownLatch(1);
     private final CountDownLatch started = new CountDownLatch(1);
+    private final Semaphore starts = new Semaphore(0);
+
+    /** Answer to each order. */
+    private volatile CompletableFuture<CallResult> answer =
+        CompletableFuture.completedFuture(CallResult.ACCEPTED);
 
     @Override
     public CompletableFuture<CallResult> send(Order order, long fence) {
       if (order instanceof Order.Start) {
         started.countDown();
+        starts.release();
       }
-      return CompletableFuture.completedFuture(CallResult.ACCEPTED);
+      return answer;
     }
 
     @Override
@@ -141,4 +150,42 @@
     renewalAge.set(0);
     assertThat(worker.started.await(5, TimeUnit.SECONDS)).isTrue();
   }
+
+  /**
+   * Guards against a task that starts again after its end: a start waits behind others of its
+   * worker until another owner may have followed.
+   */
+  @Test
+  void queuedStartIsNotSentOnceOthersMayHaveFollowed() throws Exception {
+    log.append(Table.WORKERS, new KeyedLog.Sequence("w1", 1, 1), List.of(RECORD));
+    operations.apply(new StoredRecord(0, RECORD));
+    follower.start();
+    session.start();
+    assertThat(worker.polled.await(5, TimeUnit.SECONDS)).isTrue();
+
+    CompletableFuture<CallResult> answer = new CompletableFuture<>();
+    worker.answer = answer;
+    WorkflowSpec single = PeerAppendTest.workflow();
+    StepSpec step = single.steps().get(0);
+    WorkflowSpec wide =
+        new WorkflowSpec(
+            single.id(),
+            single.policy(),
+            "",
+            List.of(step, step, step, step, step, step),
+            0,
+            0,
+            0,
+            1);
+    TableRecord submission = new WorkflowRecords().submission(wide);
+    log.append(Table.WORKFLOWS, new KeyedLog.Sequence("host", 1, 1), List.of(submission));
+    assertThat(worker.starts.tryAcquire(2, 5, TimeUnit.SECONDS)).isTrue();
+
+    renewalAge.set(Ownership.CLAIM_AFTER_MILLIS);
+    answer.complete(CallResult.ACCEPTED);
+    assertThat(worker.starts.tryAcquire(600, TimeUnit.MILLISECONDS)).isFalse();
+
+    renewalAge.set(0);
+    assertThat(worker.starts.tryAcquire(5, TimeUnit.SECONDS)).isTrue();
+  }
 }
