List a workflow that waits for other services for a run that has ended

The end of a run that was stopped, lapsed or broken, or failed in a lasting step, is not recorded, so once it has been acknowledged nothing reports it in later terms. The test fails on (expected size 1 but was 0).

--- a/core/src/test/java/org/persimmonloom/core/scheduling/FormerServiceTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/FormerServiceTest.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.persimmonloom.core.workflow.QueuePolicy;
 import org.persimmonloom.core.workflow.Resources;
@@ -133,4 +134,27 @@
         .extracting(Order::task)
         .isEqualTo(new TaskId("f1", 0, 1, 0));
   }
+
+  /**
+   * Guards against workflows that wait for a silent worker of another service for a run whose end
+   * the earlier owner has recorded and acknowledged, which no worker reports again.
+   */
+  @Test
+  @Tag("known-red")
+  void workflowWhoseRunWasStoppedAndAcknowledgedWaitsForNoWorkerOfAnotherService() {
+    route(SERVICE);
+    submit(SERVICE);
+    fleet.report();
+    assertThat(fleet.decideAndExecute()).hasSize(1);
+    fleet.recordProgress();
+    fleet.endRun("w1", new TaskId("f1", 0, 0, 0), 1, EndCause.STOPPED);
+    fleet.report();
+    fleet.recordProgress();
+    fleet.ended.get("w1").clear();
+
+    fleet.takeOver();
+    route(SERVICE);
+    fleet.report("w2");
+    assertThat(fleet.decideAndExecute()).hasSize(1);
+  }
 }
