--- a/core/src/main/java/org/persimmonloom/core/scheduling/MachineScheduler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/MachineScheduler.java
@@ -42,8 +42,9 @@
   private boolean isListIncomplete;
 
   /**
-   * Pools with a host that is up and listed without a worker: the registration of its worker may
-   * have lapsed. Switched-off hosts are in pools without workers.
+   * Pools with a host that is up and listed without a worker, whose registration may have lapsed,
+   * or with one that is not in the published list, so that this list may be older than the present
+   * worker. Switched-off hosts are in pools without workers.
    */
   private final Set<String> poolsWithUnnamedWorkers = new HashSet<>();
 
@@ -108,11 +109,9 @@
         workers.workerAlive(facts.worker());
       }
       namedWorkers.add(facts.worker());
-      if (facts.worker().isEmpty()) {
-        isAnyHostDown |= facts.state() == MachineFacts.State.DOWN;
-        if (isUp) {
-          poolsWithUnnamedWorkers.add(facts.pool());
-        }
+      isAnyHostDown |= facts.worker().isEmpty() && facts.state() == MachineFacts.State.DOWN;
+      if (isUp && (facts.worker().isEmpty() || workers.hasLeftList(facts.worker()))) {
+        poolsWithUnnamedWorkers.add(facts.pool());
       }
     }
     isListIncomplete =
--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
@@ -57,6 +57,12 @@
     return byId.get(id);
   }
 
+  /** Returns whether a worker was known in this term and is not in the published list now. */
+  boolean hasLeftList(String id) {
+    WorkerState worker = byId.get(id);
+    return bornMillis.containsKey(id) && (worker == null || !worker.isPublished);
+  }
+
   /** Returns whether a worker is known to have started before another one. */
   boolean isEarlierProcess(String id, String other) {
     long born = bornMillis.getOrDefault(id, 0L);
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/Ownership.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/Ownership.java
@@ -341,7 +341,7 @@
     }
     OwnershipRecord newest = table.newest();
     if (newest != null && newest.fence() == renewedFence && newest.incarnation() == incarnation) {
-      renewals.succeeded(renewals.earliestUnconfirmed());
+      renewals.found();
     } else {
       loseOwnership("superseded by " + newest);
     }
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/Renewals.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/Renewals.java
@@ -62,6 +62,16 @@
     return Objects.requireNonNullElseGet(earliestUnconfirmed, () -> new SendTime(0, 0));
   }
 
+  /**
+   * Records a renewal that was found in the table after its answer was lost. Failures since it was
+   * sent remain a sign of an outage.
+   */
+  void found() {
+    SendTime sent = earliestUnconfirmed();
+    earliestUnconfirmed = null;
+    succeeded.renewed(sent.monotonicMillis(), sent.wallMillis());
+  }
+
   /**
    * Records a renewal or claim that was written. Earlier failures, also those of an earlier term,
    * are no sign of an outage after it.
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnerSessionStartTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnerSessionStartTest.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
@@ -17,8 +18,10 @@
 import org.persimmonloom.core.scheduling.Order;
 import org.persimmonloom.core.scheduling.SchedulingSettings;
 import org.persimmonloom.core.scheduling.WorkerReport;
+import org.persimmonloom.core.workflow.StepSpec;
 import org.persimmonloom.core.workflow.TableRecord;
 import org.persimmonloom.core.workflow.WorkflowRecords;
+import org.persimmonloom.core.workflow.WorkflowSpec;
 
 /** Tests when a term of ownership starts tasks, with one worker that answers all calls. */
 class OwnerSessionStartTest {
@@ -56,13 +59,19 @@
   private static final class AnsweringWorker implements WorkerGateway {
     private final CountDownLatch polled = new CountDownLatch(1);
     private final CountDownLatch started = new CountDownLatch(1);
+    private final Semaphore starts = new Semaphore(0);
+
+    /** Answer to each order. */
+    private volatile CompletableFuture<CallResult> answer =
+        CompletableFuture.completedFuture(CallResult.ACCEPTED);
 
     @Override
     public CompletableFuture<CallResult> send(Order order, long fence) {
       if (order instanceof Order.Start) {
         started.countDown();
+        starts.release();
       }
-      return CompletableFuture.completedFuture(CallResult.ACCEPTED);
+      return answer;
     }
 
     @Override
@@ -99,4 +108,42 @@
     renewalAge.set(0);
     assertThat(worker.started.await(5, TimeUnit.SECONDS)).isTrue();
   }
+
+  /**
+   * Guards against a task that starts again after its end: a start waits behind others of its
+   * worker until another owner may have followed.
+   */
+  @Test
+  void queuedStartIsNotSentOnceOthersMayHaveFollowed() throws Exception {
+    log.append(Table.WORKERS, new KeyedLog.Sequence("w1", 1, 1), List.of(RECORD));
+    operations.apply(new StoredRecord(0, RECORD));
+    follower.start();
+    session.start();
+    assertThat(worker.polled.await(5, TimeUnit.SECONDS)).isTrue();
+
+    CompletableFuture<CallResult> answer = new CompletableFuture<>();
+    worker.answer = answer;
+    WorkflowSpec single = PeerAppendTest.workflow();
+    StepSpec step = single.steps().get(0);
+    WorkflowSpec wide =
+        new WorkflowSpec(
+            single.id(),
+            single.policy(),
+            "",
+            List.of(step, step, step, step, step, step),
+            0,
+            0,
+            0,
+            1);
+    TableRecord submission = new WorkflowRecords().submission(wide);
+    log.append(Table.WORKFLOWS, new KeyedLog.Sequence("host", 1, 1), List.of(submission));
+    assertThat(worker.starts.tryAcquire(2, 5, TimeUnit.SECONDS)).isTrue();
+
+    renewalAge.set(Ownership.CLAIM_AFTER_MILLIS);
+    answer.complete(CallResult.ACCEPTED);
+    assertThat(worker.starts.tryAcquire(600, TimeUnit.MILLISECONDS)).isFalse();
+
+    renewalAge.set(0);
+    assertThat(worker.starts.tryAcquire(5, TimeUnit.SECONDS)).isTrue();
+  }
 }
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnerSessionTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnerSessionTest.java
@@ -127,7 +127,7 @@
     public Optional<WorkerFacts> worker(TableRecord record) {
       return Optional.of(
           new WorkerFacts(
-              "w1", "127.0.0.1:9", "s", "z", false, new Resources(1, 1, 0), Set.of(), 1));
+              "w1", "127.0.0.1:9", "s", "z", false, new Resources(10_000, 10_000, 0), Set.of(), 1));
     }
   }
 
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/RenewalsTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/RenewalsTest.java
@@ -44,4 +44,24 @@
     nowMillis += 2_000;
     assertThat(renewals.ageMillis()).isEqualTo(Long.MAX_VALUE);
   }
+
+  /**
+   * Guards against an owner that stops its polls beside a slow store, each time that it finds the
+   * renewal before the last attempt written.
+   */
+  @Test
+  void renewalThatIsFoundAfterFailuresKeepsTheTermGoing() {
+    attempt(true);
+    for (int round = 0; round < 5; round++) {
+      Renewals.SendTime sent = renewals.sending();
+      nowMillis += 1_500;
+      renewals.failed(sent);
+      nowMillis += 500;
+      renewals.sending();
+      nowMillis += 300;
+      renewals.found();
+      assertThat(renewals.ageMillis()).isEqualTo(2_300);
+      nowMillis += 500;
+    }
+  }
 }
