--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/OperationsReplica.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/OperationsReplica.java
@@ -19,6 +19,7 @@
   private final PlatformDecoder decoder;
   private final Map<Integer, WaveOrder> waves = new ConcurrentHashMap<>();
   private volatile FleetConfiguration current;
+  private volatile long currentOffset = -1;
   private volatile Runnable observer = () -> {};
 
   public OperationsReplica(PlatformDecoder decoder) {
@@ -30,6 +31,11 @@
     return Optional.ofNullable(current);
   }
 
+  /** Returns the offset of the record of the configuration in force; -1 before the first one. */
+  long configurationOffset() {
+    return currentOffset;
+  }
+
   /** Returns the maintenance waves ordered by operators. */
   public Collection<WaveOrder> waves() {
     return waves.values();
@@ -91,10 +97,13 @@
     }
     FleetConfiguration candidate = accepted.configuration;
     if (candidate != null && isNewer(candidate, current)) {
+      long previousVersion = current == null ? 0 : current.version();
       current = candidate;
+      currentOffset = accepted.configurationOffset;
       LOG.info(
-          "event=configuration version={} routes={} offset={}",
+          "event=configuration version={} previous={} routes={} offset={}",
           candidate.version(),
+          previousVersion,
           candidate.routes().size(),
           accepted.configurationOffset);
       isChanged = true;
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/TableFollower.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/TableFollower.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -61,6 +62,7 @@
 
   private static final Logger LOG = LogManager.getLogger(TableFollower.class);
   private static final long RETRY_DELAY_MILLIS = 100;
+  private static final long NO_READ = Long.MIN_VALUE;
 
   private final KeyedLog log;
   private final Table table;
@@ -74,6 +76,10 @@
   private volatile long pauseMillis;
   private volatile boolean isLoaded;
   private volatile long caughtUpMillis = Long.MIN_VALUE / 2;
+  private volatile long readStartMillis = NO_READ;
+  private volatile String lastReadResult = "none";
+  private volatile long lastReadMillis;
+  private volatile long loads;
   private long nextOffset;
   private boolean wasAvailable = true;
 
@@ -145,6 +151,53 @@
     }
   }
 
+  /**
+   * The follower's own reads, which explain the age of its table. Reads by {@link #refresh} are not
+   * included.
+   *
+   * @param lastResult result of the last read that has ended
+   * @param lastMillis duration of that read in ms
+   * @param inProgressMillis time since the read in progress began, in ms; 0 between reads
+   * @param loads number of loads of the whole table
+   */
+  record ReadStatus(String lastResult, long lastMillis, long inProgressMillis, long loads) {
+    @Override
+    public String toString() {
+      return "last_read=%s last_read_ms=%d reading_ms=%d loads=%d"
+          .formatted(lastResult, lastMillis, inProgressMillis, loads);
+    }
+  }
+
+  /** Returns the state of the follower's reads at the monotonic time, in ms. */
+  ReadStatus readStatus(long nowMillis) {
+    long startMillis = readStartMillis;
+    long inProgressMillis = startMillis == NO_READ ? 0 : nowMillis - startMillis;
+    return new ReadStatus(lastReadResult, lastReadMillis, inProgressMillis, loads);
+  }
+
+  /** Carries out a read of the follower's thread. */
+  private LogReadResult timed(Supplier<LogReadResult> read) {
+    long startMillis = clock.getAsLong();
+    readStartMillis = startMillis;
+    try {
+      LogReadResult result = read.get();
+      lastReadResult = describe(result);
+      return result;
+    } finally {
+      lastReadMillis = clock.getAsLong() - startMillis;
+      readStartMillis = NO_READ;
+    }
+  }
+
+  private static String describe(LogReadResult result) {
+    if (result instanceof LogReadResult.Records records) {
+      return "records:" + records.records().size();
+    }
+    return result instanceof LogReadResult.Unavailable unavailable
+        ? "unavailable:" + unavailable.reason().replace(' ', '_')
+        : "expired";
+  }
+
   /** Position of the replica after a read. */
   private enum Progress {
     AT_END,
@@ -200,7 +253,8 @@
       return;
     }
     long previousEnd = end();
-    Progress progress = applyRead(log.read(table, previousEnd, waitMillis), sentMillis);
+    Progress progress =
+        applyRead(timed(() -> log.read(table, previousEnd, waitMillis)), sentMillis);
     boolean hasNew = end() > previousEnd;
     if (progress == Progress.BEHIND && !listener.needsEveryRecord()) {
       load(sentMillis);
@@ -226,7 +280,7 @@
   }
 
   private void load(long sentMillis) throws InterruptedException {
-    LogReadResult result = log.readNewest(table);
+    LogReadResult result = timed(() -> log.readNewest(table));
     logAvailabilityChange(result);
     if (!(result instanceof LogReadResult.Records records)) {
       TimeUnit.MILLISECONDS.sleep(RETRY_DELAY_MILLIS);
@@ -255,6 +309,7 @@
       load.publish();
       nextOffset = loadedEnd;
       isLoaded = true;
+      loads++;
       caughtUpMillis = sentMillis;
       return true;
     } finally {
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowHost.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowHost.java
@@ -41,6 +41,7 @@
   private final ScheduledExecutorService placementLoop;
   private final Ownership ownership;
   private final FleetServices services;
+  private final RequestRouter router;
   private final WorkflowMetrics metrics = new WorkflowMetrics();
   private final LongSupplier clock;
   private volatile boolean isStopping;
@@ -72,6 +73,7 @@
         new HostRecord(peerAddress.getHostString() + ':' + peerAddress.getPort(), processors);
     operations = new OperationsReplica(decoder);
     configurationFollower = new TableFollower(log, Table.OPERATIONS, operations, clock, 1_000, 0);
+    router = new RequestRouter(operations, configurationFollower, metrics, clock);
     WorkflowReplica workflows = new WorkflowReplica();
     workflowFollower =
         new TableFollower(
@@ -195,6 +197,11 @@
     return operations.configuration();
   }
 
+  /** Returns the finder of the routes of requests. */
+  public RequestRouter router() {
+    return router;
+  }
+
   /** Returns the service for submissions, cancellations and workflow states. */
   public SubmissionService submissions() {
     return submissions;
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowMetrics.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowMetrics.java
@@ -48,6 +48,11 @@
           .help("released runs that their worker shows later, by what had released them")
           .labelNames("proof")
           .register(registry);
+  final Counter unknownRoutes =
+      Counter.builder()
+          .name("persimmonloom_unknown_routes_total")
+          .help("requests for which the configuration in force has no route")
+          .register(registry);
   final Counter machineOrders =
       Counter.builder()
           .name("persimmonloom_machine_orders_total")
--- /dev/null
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/FakeConfigurations.java
@@ -0,0 +1,57 @@
+package org.persimmonloom.runtime.workflow;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.persimmonloom.core.scheduling.WaveOrder;
+import org.persimmonloom.core.scheduling.WaveProgress;
+import org.persimmonloom.core.scheduling.WorkerFacts;
+import org.persimmonloom.core.workflow.QueuePolicy;
+import org.persimmonloom.core.workflow.TableRecord;
+
+/** Encodes configurations of one service as text: the version, then the prefixes of its routes. */
+final class FakeConfigurations implements PlatformDecoder {
+  static final String HOST_NAME = "host";
+
+  private static final String KEY = "config";
+
+  static TableRecord record(long version, String... prefixes) {
+    String text = version + " " + String.join(" ", prefixes);
+    return new TableRecord(KEY, text.getBytes(StandardCharsets.UTF_8));
+  }
+
+  @Override
+  public Optional<FleetConfiguration> configuration(TableRecord record) {
+    if (!record.key().equals(KEY)) {
+      return Optional.empty();
+    }
+    String[] words = new String(record.value(), StandardCharsets.UTF_8).split(" ");
+    List<FleetConfiguration.Route> routes =
+        Arrays.stream(words).skip(1).map(FakeConfigurations::route).toList();
+    return Optional.of(
+        new FleetConfiguration(
+            Long.parseLong(words[0]), routes, Set.of("service"), Set.of(), 1 << 18));
+  }
+
+  private static FleetConfiguration.Route route(String prefix) {
+    return new FleetConfiguration.Route(
+        HOST_NAME, prefix, new QueuePolicy("queue" + prefix, "service", 0, 1, 1, 0, 0));
+  }
+
+  @Override
+  public Optional<WaveOrder> wave(TableRecord record) {
+    return Optional.empty();
+  }
+
+  @Override
+  public TableRecord waveStatus(WaveProgress progress) {
+    throw new UnsupportedOperationException();
+  }
+
+  @Override
+  public Optional<WorkerFacts> worker(TableRecord record) {
+    return Optional.empty();
+  }
+}
