--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/OperationsReplica.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/OperationsReplica.java
@@ -18,8 +18,7 @@
 
   private final PlatformDecoder decoder;
   private final Map<Integer, WaveOrder> waves = new ConcurrentHashMap<>();
-  private volatile FleetConfiguration current;
-  private volatile long currentOffset = -1;
+  private volatile InForce current;
   private volatile Runnable observer = () -> {};
 
   public OperationsReplica(PlatformDecoder decoder) {
@@ -28,12 +27,12 @@
 
   /** Returns the configuration in force; empty before the first one is read. */
   public Optional<FleetConfiguration> configuration() {
-    return Optional.ofNullable(current);
+    return Optional.ofNullable(current).map(InForce::configuration);
   }
 
-  /** Returns the offset of the record of the configuration in force; -1 before the first one. */
-  long configurationOffset() {
-    return currentOffset;
+  /** Returns the record of the configuration in force; empty before the first one is read. */
+  Optional<StoredRecord> configurationRecord() {
+    return Optional.ofNullable(current).map(InForce::stored);
   }
 
   /** Returns the maintenance waves ordered by operators. */
@@ -64,30 +63,28 @@
     return false;
   }
 
+  /** A configuration with the record that holds it. */
+  private record InForce(FleetConfiguration configuration, StoredRecord stored) {}
+
   /** Configuration and waves of some records, before any of them takes effect. */
   private final class Contents {
     final Map<Integer, WaveOrder> waves = new HashMap<>();
-    FleetConfiguration configuration;
-    long configurationOffset;
+    InForce configuration;
 
     void add(StoredRecord stored) {
       decoder
           .configuration(stored.record())
           .filter(candidate -> isNewer(candidate, configuration))
-          .ifPresent(
-              candidate -> {
-                configuration = candidate;
-                configurationOffset = stored.offset();
-              });
+          .ifPresent(candidate -> configuration = new InForce(candidate, stored));
       decoder.wave(stored.record()).ifPresent(wave -> waves.put(wave.number(), wave));
     }
   }
 
-  private static boolean isNewer(FleetConfiguration candidate, FleetConfiguration known) {
-    return known == null || candidate.version() > known.version();
+  private static boolean isNewer(FleetConfiguration candidate, InForce known) {
+    return known == null || candidate.version() > known.configuration().version();
   }
 
-  private void accept(Contents accepted) {
+  private synchronized void accept(Contents accepted) {
     boolean isChanged = false;
     for (WaveOrder wave : accepted.waves.values()) {
       if (!wave.equals(waves.put(wave.number(), wave))) {
@@ -95,17 +92,16 @@
         isChanged = true;
       }
     }
-    FleetConfiguration candidate = accepted.configuration;
-    if (candidate != null && isNewer(candidate, current)) {
-      long previousVersion = current == null ? 0 : current.version();
+    InForce candidate = accepted.configuration;
+    if (candidate != null && isNewer(candidate.configuration(), current)) {
+      long previousVersion = current == null ? 0 : current.configuration().version();
       current = candidate;
-      currentOffset = accepted.configurationOffset;
       LOG.info(
           "event=configuration version={} previous={} routes={} offset={}",
-          candidate.version(),
+          candidate.configuration().version(),
           previousVersion,
-          candidate.routes().size(),
-          accepted.configurationOffset);
+          candidate.configuration().routes().size(),
+          candidate.stored().offset());
       isChanged = true;
     }
     if (isChanged) {
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/PeerClient.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/PeerClient.java
@@ -30,6 +30,15 @@
   /** Path prefix of a workflow's state; the workflow's identifier follows. */
   static final String STATE_PATH = "/workflows/";
 
+  /** Path to query the newest configuration that a host knows. */
+  static final String CONFIGURATION_PATH = "/configuration";
+
+  /** Query parameter: version that the querying host knows. */
+  static final String VERSION_PARAMETER = "version";
+
+  /** Query parameter: age in ms beyond which the queried host reads the log first. */
+  static final String MAX_AGE_PARAMETER = "max_age_ms";
+
   /** Path to query whether a host would claim the ownership. */
   static final String CANDIDATE_PATH = "/candidate";
 
@@ -72,6 +81,23 @@
    */
   record OwnershipAnswer(boolean isAppended, long end) {}
 
+  /**
+   * The newest configuration that a peer knows.
+   *
+   * @param ageMillis time for which it is known to be the newest one, in ms
+   * @param offset offset of its record in the log
+   * @param newer its record; empty if the version is not newer than that of the query
+   */
+  record Configuration(long ageMillis, long offset, List<TableRecord> newer) {
+    /** Copies the records; an age below 0 would count as a later confirmation. */
+    Configuration {
+      newer = List.copyOf(newer);
+      if (ageMillis < 0) {
+        throw new IllegalArgumentException("age " + ageMillis);
+      }
+    }
+  }
+
   /** State of a workflow in a peer's replica. */
   record State(WorkflowState state) {}
 
@@ -167,6 +193,23 @@
     }
   }
 
+  /** Returns the newest configuration that a peer knows; empty if there is no usable answer. */
+  Optional<Configuration> configuration(String address, long version, long maxAgeMillis) {
+    String query =
+        "?%s=%d&%s=%d".formatted(VERSION_PARAMETER, version, MAX_AGE_PARAMETER, maxAgeMillis);
+    Request request =
+        new Request.Builder().url("http://" + address + CONFIGURATION_PATH + query).build();
+    var call = client.newCall(request);
+    call.timeout().timeout(STATE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    try (Response response = call.execute()) {
+      return response.code() == OK
+          ? codec.decode(response.body().bytes(), Configuration.class).toJavaOptional()
+          : Optional.empty();
+    } catch (IOException e) {
+      return Optional.empty();
+    }
+  }
+
   /**
    * Returns whether the host at the address would claim the ownership if there were no owner; false
    * if the query fails.
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/PeerServer.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/PeerServer.java
@@ -9,7 +9,9 @@
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.util.Deque;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
@@ -31,6 +33,7 @@
   private final Codec codec = new Codec(Map.of());
   private final KeyedLog log;
   private final SubmissionService submissions;
+  private final ConfigurationVerifier configuration;
   private final TableWriter writer;
   private final WorkflowMetrics metrics;
   private final BooleanSupplier mayClaim;
@@ -40,6 +43,7 @@
   PeerServer(
       KeyedLog log,
       SubmissionService submissions,
+      ConfigurationVerifier configuration,
       TableWriter writer,
       WorkflowMetrics metrics,
       BooleanSupplier mayClaim,
@@ -48,6 +52,7 @@
     this.log = log;
     this.mayClaim = mayClaim;
     this.submissions = submissions;
+    this.configuration = configuration;
     this.writer = writer;
     this.metrics = metrics;
     this.clock = clock;
@@ -78,6 +83,8 @@
       exchange.dispatch(() -> sendState(exchange, path.substring(PeerClient.STATE_PATH.length())));
     } else if (path.equals(PeerClient.CANDIDATE_PATH)) {
       exchange.setStatusCode(mayClaim.getAsBoolean() ? 200 : 503).endExchange();
+    } else if (path.equals(PeerClient.CONFIGURATION_PATH)) {
+      handleConfiguration(exchange);
     } else if (path.equals(METRICS_PATH)) {
       exchange.dispatch(() -> sendMetrics(exchange));
     } else {
@@ -113,6 +120,33 @@
         });
   }
 
+  private void handleConfiguration(HttpServerExchange exchange) {
+    OptionalLong version = number(exchange, PeerClient.VERSION_PARAMETER);
+    OptionalLong maxAgeMillis = number(exchange, PeerClient.MAX_AGE_PARAMETER);
+    if (version.isEmpty() || maxAgeMillis.isEmpty()) {
+      exchange.setStatusCode(400).endExchange();
+      return;
+    }
+    exchange.dispatch(
+        () ->
+            configuration
+                .answerPeer(version.getAsLong(), maxAgeMillis.getAsLong())
+                .thenAccept(
+                    answer ->
+                        answer.ifPresentOrElse(
+                            known -> send(exchange, known),
+                            () -> exchange.setStatusCode(503).endExchange())));
+  }
+
+  private static OptionalLong number(HttpServerExchange exchange, String parameter) {
+    Deque<String> values = exchange.getQueryParameters().get(parameter);
+    try {
+      return values == null ? OptionalLong.empty() : OptionalLong.of(Long.parseLong(values.peek()));
+    } catch (NumberFormatException e) {
+      return OptionalLong.empty();
+    }
+  }
+
   private void handleOwnership(HttpServerExchange exchange, byte[] body) {
     var append = codec.decode(body, PeerClient.OwnershipAppend.class);
     if (append.isLeft() || !append.get().record().hasStorableKey()) {
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/RequestRouter.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/RequestRouter.java
@@ -1,25 +1,50 @@
 package org.persimmonloom.runtime.workflow;
 
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
 /**
- * Finds the routes of callers' requests by the configuration in force, and logs each request for
- * which there is none, with what explains its configuration. Safe for any thread.
+ * Finds the routes of callers' requests by the configuration in force.
+ *
+ * <p>A decision needs a configuration that was the newest one a short time ago; otherwise it waits
+ * until that is known. If it cannot be known, a request for a known route is served, because no
+ * host may be able to know more, and one for an unknown route is not said to have none. Safe for
+ * any thread.
  */
 public final class RequestRouter {
+  /** Less than the time within which a change has to be in force, 2 s on small deployments. */
+  static final long MAX_AGE_OF_KNOWN_MILLIS = 1_900;
+
+  /** Limits the reads that requests for unknown routes cause. */
+  static final long MAX_AGE_OF_UNKNOWN_MILLIS = 250;
+
   private static final Logger LOG = LogManager.getLogger(RequestRouter.class);
   private static final int UNKNOWN_ROUTE_LINES_PER_SECOND = 20;
   private static final int MAX_LOGGED_CHARACTERS = 120;
 
   private final OperationsReplica operations;
   private final TableFollower follower;
+  private final ConfigurationVerifier verifier;
   private final WorkflowMetrics metrics;
   private final LongSupplier clock;
   private final LogLimit unknownRouteLines = new LogLimit(UNKNOWN_ROUTE_LINES_PER_SECOND);
 
+  /** Where a request belongs. */
+  public sealed interface Routing {
+    /** The request belongs to a queue. */
+    record Found(FleetConfiguration configuration, FleetConfiguration.Route route)
+        implements Routing {}
+
+    /** The newest configuration has no route for the request. */
+    record Unknown() implements Routing {}
+
+    /** This host does not know whether there is a route. */
+    record Unconfirmed() implements Routing {}
+  }
+
   /**
    * Creates a router.
    *
@@ -28,34 +53,64 @@
   RequestRouter(
       OperationsReplica operations,
       TableFollower follower,
+      ConfigurationVerifier verifier,
       WorkflowMetrics metrics,
       LongSupplier clock) {
     this.operations = operations;
     this.follower = follower;
+    this.verifier = verifier;
     this.metrics = metrics;
     this.clock = clock;
   }
 
-  /** Returns the route of a request; empty if the configuration has none. */
-  public Optional<FleetConfiguration.Route> route(
-      FleetConfiguration configuration, String hostName, String path) {
+  /**
+   * Returns where a request belongs. The result is usually complete; otherwise it is completed on
+   * another thread, and never with an exception.
+   */
+  public CompletableFuture<Routing> route(String hostName, String path) {
+    if (operations.configuration().isEmpty()) {
+      return CompletableFuture.completedFuture(new Routing.Unconfirmed());
+    }
+    // Before the configuration: one that is read later may only be newer.
+    boolean isConfirmedForKnown = verifier.isConfirmed(MAX_AGE_OF_KNOWN_MILLIS);
+    boolean isConfirmedForUnknown = verifier.isConfirmed(MAX_AGE_OF_UNKNOWN_MILLIS);
+    boolean isKnown = operations.configuration().orElseThrow().route(hostName, path).isPresent();
+    if (isKnown ? isConfirmedForKnown : isConfirmedForUnknown) {
+      return CompletableFuture.completedFuture(decide(hostName, path, true));
+    }
+    boolean wasFailing = verifier.isFailing();
+    CompletableFuture<Boolean> confirmation =
+        verifier.confirm(isKnown ? MAX_AGE_OF_KNOWN_MILLIS : MAX_AGE_OF_UNKNOWN_MILLIS);
+    if (isKnown && wasFailing) {
+      // Further waiting would delay callers throughout an outage of the store.
+      return CompletableFuture.completedFuture(decide(hostName, path, false));
+    }
+    return confirmation.thenApply(isConfirmed -> decide(hostName, path, isConfirmed));
+  }
+
+  private Routing decide(String hostName, String path, boolean isConfirmed) {
+    FleetConfiguration configuration = operations.configuration().orElseThrow();
     Optional<FleetConfiguration.Route> route = configuration.route(hostName, path);
-    if (route.isEmpty()) {
-      logUnknown(configuration, hostName, path);
+    if (route.isPresent()) {
+      return new Routing.Found(configuration, route.get());
     }
-    return route;
+    metrics.unknownRoutes.labelValues(isConfirmed ? "unknown" : "unconfirmed").inc();
+    logWithoutRoute(isConfirmed, configuration, hostName, path);
+    return isConfirmed ? new Routing.Unknown() : new Routing.Unconfirmed();
   }
 
-  private void logUnknown(FleetConfiguration configuration, String hostName, String path) {
-    metrics.unknownRoutes.inc();
+  private void logWithoutRoute(
+      boolean isConfirmed, FleetConfiguration configuration, String hostName, String path) {
     long nowMillis = clock.getAsLong();
     if (unknownRouteLines.mayLog(nowMillis)) {
       LOG.info(
-          "event=route_unknown host={} path={} version={} offset={} age_ms={} {} suppressed={}",
+          "event=route_{} host={} path={} version={} offset={} age_ms={} read_age_ms={} {} suppressed={}",
+          isConfirmed ? "unknown" : "unconfirmed",
           printable(hostName),
           printable(path),
           configuration.version(),
-          operations.configurationOffset(),
+          operations.configurationRecord().map(StoredRecord::offset).orElse(-1L),
+          verifier.ageMillis(),
           nowMillis - follower.caughtUpMillis(),
           follower.readStatus(nowMillis),
           unknownRouteLines.takeSuppressed());
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/TableFollower.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/TableFollower.java
@@ -81,7 +81,7 @@
   private volatile long lastReadMillis;
   private volatile long loads;
   private long nextOffset;
-  private boolean wasAvailable = true;
+  private volatile boolean wasAvailable = true;
 
   /**
    * Creates a follower.
@@ -141,6 +141,11 @@
     return caughtUpMillis;
   }
 
+  /** Returns whether the last read reached the log. */
+  boolean isAvailable() {
+    return wasAvailable;
+  }
+
   /** Returns the offset after the last applied record. */
   public long end() {
     lock.lock();
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowHost.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowHost.java
@@ -22,14 +22,10 @@
   /** Wait time of a read of the host table, which rarely changes. */
   private static final int HOSTS_READ_WAIT_MILLIS = 5_000;
 
-  /** Maximum time since the last complete read of the configuration for this host to be ready. */
-  private static final long MAX_CONFIGURATION_AGE_MILLIS = 2_500;
-
   private static final long PLACEMENT_CHECK_INTERVAL_MILLIS = 1_000;
 
-  private final TableFollower configurationFollower;
+  private final ConfigurationService configuration;
   private final TableFollower workflowFollower;
-  private final OperationsReplica operations;
   private final TableWriter writer;
   private final TableFollower hostFollower;
   private final TableWriter hostWriter;
@@ -41,7 +37,6 @@
   private final ScheduledExecutorService placementLoop;
   private final Ownership ownership;
   private final FleetServices services;
-  private final RequestRouter router;
   private final WorkflowMetrics metrics = new WorkflowMetrics();
   private final LongSupplier clock;
   private volatile boolean isStopping;
@@ -71,23 +66,15 @@
     this.clock = clock;
     registration =
         new HostRecord(peerAddress.getHostString() + ':' + peerAddress.getPort(), processors);
-    operations = new OperationsReplica(decoder);
-    configurationFollower = new TableFollower(log, Table.OPERATIONS, operations, clock, 1_000, 0);
-    router = new RequestRouter(operations, configurationFollower, metrics, clock);
     WorkflowReplica workflows = new WorkflowReplica();
     workflowFollower =
         new TableFollower(
             log, Table.WORKFLOWS, workflows, clock, 1_000, FleetServices.FOLLOWER_PAUSE_MILLIS);
     writer = new TableWriter(log, Table.WORKFLOWS, name + '-' + incarnation, 1, metrics, clock);
     hosts = new HostDirectory(name);
+    configuration = new ConfigurationService(log, decoder, peers, hosts, metrics, clock);
     placement = new OwnershipPlacement(hosts, processors, peers::mayClaim);
-    placementLoop =
-        Executors.newSingleThreadScheduledExecutor(
-            task -> {
-              Thread thread = new Thread(task, "ownership-placement");
-              thread.setDaemon(true);
-              return thread;
-            });
+    placementLoop = Executors.newSingleThreadScheduledExecutor(WorkflowHost::placementThread);
     hostFollower = new TableFollower(log, Table.HOSTS, hosts, clock, HOSTS_READ_WAIT_MILLIS, 0);
     hostWriter = new TableWriter(log, Table.HOSTS, name + '-' + incarnation, 1, metrics, clock);
     submissions =
@@ -101,7 +88,15 @@
             metrics,
             clock);
     peerServer =
-        new PeerServer(log, submissions, writer, metrics, this::mayClaim, clock, peerAddress);
+        new PeerServer(
+            log,
+            submissions,
+            configuration.verifier(),
+            writer,
+            metrics,
+            this::mayClaim,
+            clock,
+            peerAddress);
     ownership =
         new Ownership(
             new OwnershipTable(log, new PeerOwnershipRelay(peers, hosts)),
@@ -121,16 +116,22 @@
             decoder,
             workflows,
             workflowFollower,
-            operations,
+            configuration.operations(),
             scheduling,
             metrics,
             clock,
             InstantSource.system());
   }
 
+  private static Thread placementThread(Runnable task) {
+    Thread thread = new Thread(task, "ownership-placement");
+    thread.setDaemon(true);
+    return thread;
+  }
+
   /** Starts reading the platform's log. */
   public void start() {
-    configurationFollower.start();
+    configuration.start();
     workflowFollower.start();
     writer.start();
     hostFollower.start();
@@ -174,7 +175,7 @@
 
   /** Stops reading and writing. */
   public void stop() {
-    configurationFollower.stop();
+    configuration.stop();
     workflowFollower.stop();
     writer.stop();
     hostFollower.stop();
@@ -184,22 +185,17 @@
 
   /** Returns whether this host is ready for new connections. */
   public boolean isReady() {
-    boolean isConfigured = operations.configuration().isPresent();
-    long age = clock.getAsLong() - configurationFollower.caughtUpMillis();
-    return !isStopping
-        && isConfigured
-        && age < MAX_CONFIGURATION_AGE_MILLIS
-        && submissions.isCurrent();
+    return !isStopping && configuration.isReady() && submissions.isCurrent();
   }
 
   /** Returns the configuration in force; empty before the first one is read. */
   public Optional<FleetConfiguration> configuration() {
-    return operations.configuration();
+    return configuration.operations().configuration();
   }
 
   /** Returns the finder of the routes of requests. */
   public RequestRouter router() {
-    return router;
+    return configuration.router();
   }
 
   /** Returns the service for submissions, cancellations and workflow states. */
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowMetrics.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowMetrics.java
@@ -51,7 +51,8 @@
   final Counter unknownRoutes =
       Counter.builder()
           .name("persimmonloom_unknown_routes_total")
-          .help("requests for which the configuration in force has no route")
+          .help("requests for which the configuration in force has no route, by what that proves")
+          .labelNames("answer")
           .register(registry);
   final Counter machineOrders =
       Counter.builder()
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/CutOffLog.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/CutOffLog.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 import org.persimmonloom.core.workflow.TableRecord;
 
@@ -19,6 +20,9 @@
 
   private final KeyedLog log;
 
+  /** Number of reads of records, whether they reached the log or not. */
+  final AtomicLong reads = new AtomicLong();
+
   /** The present cut; null while the way is open. */
   volatile Cut cut;
 
@@ -48,6 +52,7 @@
 
   @Override
   public LogReadResult read(Table table, long from, int waitMillis) {
+    reads.incrementAndGet();
     return call(() -> log.read(table, from, waitMillis), new LogReadResult.Unavailable("cut off"));
   }
 
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/PeerAppendTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/PeerAppendTest.java
@@ -43,9 +43,20 @@
     final TableFollower follower;
     final TableWriter writer;
     final SubmissionService submissions;
+    final OperationsReplica operations = new OperationsReplica(new FakeConfigurations());
+    final TableFollower configurationFollower;
+    final ConfigurationVerifier verifier;
 
     Host(FakeKeyedLog log, HostDirectory directory) {
       follower = new TableFollower(log, Table.WORKFLOWS, workflows, CLOCK, 0, 20);
+      configurationFollower = new TableFollower(log, Table.OPERATIONS, operations, CLOCK, 0, 20);
+      verifier =
+          new ConfigurationVerifier(
+              operations,
+              configurationFollower,
+              new PeerClient(new OkHttpClient()),
+              directory,
+              CLOCK);
       writer = new TableWriter(log, Table.WORKFLOWS, "host", 1, METRICS, CLOCK);
       submissions =
           new SubmissionService(
@@ -68,7 +79,14 @@
     }
     server =
         new PeerServer(
-            log, helper.submissions, helper.writer, METRICS, () -> mayClaim, CLOCK, address);
+            log,
+            helper.submissions,
+            helper.verifier,
+            helper.writer,
+            METRICS,
+            () -> mayClaim,
+            CLOCK,
+            address);
     server.start();
     helper.writer.start();
     helper.follower.start();
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/RequestRouterTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/RequestRouterTest.java
@@ -2,68 +2,186 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongSupplier;
+import okhttp3.OkHttpClient;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
-/** Tests what is logged about requests without a route. */
+/**
+ * Tests decisions about routes on a host that the store may turn away, beside one that it serves.
+ */
 class RequestRouterTest {
   private static final int FLOOD = 500;
+  private static final WorkflowMetrics METRICS = new WorkflowMetrics();
 
   private final FakeKeyedLog log = new FakeKeyedLog();
-  private final AtomicLong clock = new AtomicLong(1_000);
-  private final OperationsReplica operations = new OperationsReplica(new FakeConfigurations());
-  private final TableFollower follower =
-      new TableFollower(log, Table.OPERATIONS, operations, clock::get, 0, 0);
-  private final WorkflowMetrics metrics = new WorkflowMetrics();
-  private final RequestRouter router = new RequestRouter(operations, follower, metrics, clock::get);
+  private final CutOffLog helperLog = new CutOffLog(log);
+  private final CutOffLog hostLog = new CutOffLog(log);
+  private final AtomicLong skippedMillis = new AtomicLong();
+  private final LongSupplier clock =
+      () -> WorkflowHost.steadyClock().getAsLong() + skippedMillis.get();
+  private final Host helper = new Host(helperLog);
+  private final Host host = new Host(hostLog);
+  private PeerServer server;
+  private long written;
+
+  /** The components of an entry host that decide about routes. */
+  private final class Host {
+    final HostDirectory directory = new HostDirectory("own");
+    final OperationsReplica operations = new OperationsReplica(new FakeConfigurations());
+    final TableFollower follower;
+    final ConfigurationVerifier verifier;
+    final RequestRouter router;
+
+    Host(KeyedLog log) {
+      follower = new TableFollower(log, Table.OPERATIONS, operations, clock, 0, 20);
+      PeerClient peers = new PeerClient(new OkHttpClient());
+      verifier = new ConfigurationVerifier(operations, follower, peers, directory, clock);
+      router = new RequestRouter(operations, follower, verifier, METRICS, clock);
+    }
+
+    void load() throws InterruptedException {
+      follower.start();
+      while (!follower.isLoaded()) {
+        TimeUnit.MILLISECONDS.sleep(5);
+      }
+    }
+
+    RequestRouter.Routing route(String path) throws Exception {
+      return router.route(FakeConfigurations.HOST_NAME, path).get(20, TimeUnit.SECONDS);
+    }
+
+    void stop() {
+      follower.stop();
+      verifier.stop();
+    }
+  }
+
+  @BeforeEach
+  void start() throws IOException, InterruptedException {
+    InetSocketAddress address;
+    try (ServerSocket socket = new ServerSocket(0)) {
+      address = new InetSocketAddress("127.0.0.1", socket.getLocalPort());
+    }
+    server = new PeerServer(log, null, helper.verifier, null, METRICS, () -> true, clock, address);
+    server.start();
+    String helperAddress = "127.0.0.1:" + address.getPort();
+    host.directory.apply(
+        new StoredRecord(
+            0, new HostDirectory("helper").registration(new HostRecord(helperAddress, 1))));
+    write(7, "/a/");
+    helper.load();
+    host.load();
+  }
 
   @AfterEach
   void stop() {
-    follower.stop();
+    server.stop();
+    helper.stop();
+    host.stop();
   }
 
-  /** Guards against a 404 that cannot be explained: by which configuration, and how old it was. */
-  @Test
-  void requestWithoutARouteIsLoggedWithTheAgeOfTheConfiguration() throws InterruptedException {
+  private void write(long version, String... prefixes) {
+    written++;
     log.append(
         Table.OPERATIONS,
-        new KeyedLog.Sequence("operator", 1, 1),
-        List.of(FakeConfigurations.record(7, "/a/")));
-    follower.start();
-    while (!follower.isLoaded()) {
-      TimeUnit.MILLISECONDS.sleep(5);
-    }
-    follower.stop();
-    log.isDown = true;
-    TimeUnit.MILLISECONDS.sleep(50);
-    clock.addAndGet(4_000);
-    FleetConfiguration configuration = operations.configuration().orElseThrow();
+        new KeyedLog.Sequence("operator", 1, written),
+        List.of(FakeConfigurations.record(version, prefixes)));
+  }
+
+  /** Lets the time pass after which no decision can rely on earlier reads. */
+  private void outdate() {
+    skippedMillis.addAndGet(RequestRouter.MAX_AGE_OF_KNOWN_MILLIS + 1);
+  }
+
+  /**
+   * Guards against 404 for a route that a confirmed version has added, from a host that the store
+   * turns away while it serves the others.
+   */
+  @Test
+  void addedRouteIsKnownToAHostThatTheStoreTurnsAway() throws Exception {
+    hostLog.cut = CutOffLog.Cut.REFUSED;
+    write(9, "/a/", "/b/");
+    outdate();
+    assertThat(host.route("/b/1")).isInstanceOf(RequestRouter.Routing.Found.class);
+    assertThat(host.route("/c/1")).isInstanceOf(RequestRouter.Routing.Unknown.class);
+  }
+
+  /** Guards against the same if the store answers this host nothing. */
+  @Test
+  void addedRouteIsKnownToAHostThatGetsNoAnswers() throws Exception {
+    hostLog.cut = CutOffLog.Cut.SILENT;
+    write(9, "/a/", "/b/");
+    outdate();
+    assertThat(host.route("/b/1")).isInstanceOf(RequestRouter.Routing.Found.class);
+  }
+
+  /** Guards against work for a route that was removed, or for the service that it had before. */
+  @Test
+  void removedRouteIsUnknownToAHostThatTheStoreTurnsAway() throws Exception {
+    hostLog.cut = CutOffLog.Cut.REFUSED;
+    write(9, "/b/");
+    outdate();
+    assertThat(host.route("/a/1")).isInstanceOf(RequestRouter.Routing.Unknown.class);
+  }
+
+  /** Guards against a 404 by a configuration that nobody has confirmed. */
+  @Test
+  void routeIsNotSaidToBeUnknownIfNoHostReachesTheStore() throws Exception {
+    hostLog.cut = CutOffLog.Cut.REFUSED;
+    helperLog.cut = CutOffLog.Cut.REFUSED;
+    outdate();
+    assertThat(host.route("/b/1")).isInstanceOf(RequestRouter.Routing.Unconfirmed.class);
+    assertThat(host.route("/a/1")).isInstanceOf(RequestRouter.Routing.Found.class);
+  }
+
+  /** Guards against an older version that replaces a newer one, here that of another host. */
+  @Test
+  void olderVersionOfAnotherHostIsNotTaken() throws Exception {
+    helperLog.cut = CutOffLog.Cut.REFUSED;
+    TimeUnit.MILLISECONDS.sleep(100);
+    write(9, "/a/", "/b/");
+    outdate();
+    assertThat(host.route("/b/1")).isInstanceOf(RequestRouter.Routing.Found.class);
+    hostLog.cut = CutOffLog.Cut.REFUSED;
+    outdate();
+    assertThat(host.route("/b/1")).isInstanceOf(RequestRouter.Routing.Found.class);
+    assertThat(host.operations.configuration().orElseThrow().version()).isEqualTo(9);
+  }
+
+  /** Guards against a 404 that cannot be explained: by which configuration, and how old it was. */
+  @Test
+  void requestWithoutARouteIsLoggedWithTheAgeOfTheConfiguration() throws Exception {
+    hostLog.cut = CutOffLog.Cut.REFUSED;
     try (LogLines lines = new LogLines("event=route_unknown")) {
-      assertThat(router.route(configuration, "host", "/a/1")).isPresent();
-      assertThat(router.route(configuration, "host", "/b/\n1")).isEmpty();
+      host.route("/b/\n1");
       assertThat(lines.poll(1_000))
-          .contains("path=/b/?1 version=7 offset=0 age_ms=4000 last_read=")
+          .contains("path=/b/?1 version=7 offset=0 age_ms=")
+          .contains("read_age_ms=")
           .contains("loads=1");
     }
   }
 
-  /** Guards against logs that a flood of unknown paths fills. */
+  /** Guards against a flood of unknown paths that fills the log or loads the store. */
   @Test
-  void floodOfUnknownPathsIsLoggedInPart() {
-    operations.apply(new StoredRecord(0, FakeConfigurations.record(7, "/a/")));
-    FleetConfiguration configuration = operations.configuration().orElseThrow();
+  void floodOfUnknownPathsCausesFewLinesAndReads() throws Exception {
+    host.follower.stop();
+    long readsBefore = hostLog.reads.get();
+    long startMillis = clock.getAsLong();
     try (LogLines lines = new LogLines("event=route_unknown")) {
       for (int i = 0; i < FLOOD; i++) {
-        router.route(configuration, "host", "/b/" + i);
+        assertThat(host.route("/b/" + i)).isInstanceOf(RequestRouter.Routing.Unknown.class);
       }
-      assertThat(lines.rest()).hasSizeBetween(1, 50);
-      assertThat(metrics.unknownRoutes.get()).isEqualTo(FLOOD);
-      clock.addAndGet(1_000);
-      router.route(configuration, "host", "/b/");
-      assertThat(lines.rest()).singleElement().asString().contains("suppressed=480");
+      long seconds = 1 + (clock.getAsLong() - startMillis) / 1_000;
+      assertThat(lines.rest()).hasSizeBetween(1, (int) (50 * seconds));
+      assertThat(hostLog.reads.get() - readsBefore).isLessThan(10 * seconds);
     }
   }
 }
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/TableRecordFieldsTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/TableRecordFieldsTest.java
@@ -29,7 +29,7 @@
     fields.addAll(EncodedFields.of("(ownership answer)", PeerClient.OwnershipAnswer.class));
     fields.addAll(EncodedFields.of("(append)", PeerClient.Records.class));
     fields.addAll(EncodedFields.of("(state)", PeerClient.State.class));
-
+    fields.addAll(EncodedFields.of("(configuration)", PeerClient.Configuration.class));
     fields.addAll(EncodedFields.of("(lease holder)", WorkerFacts.class));
 
     assertThat(fields).isEqualTo(EncodedFields.recorded("table-records.txt"));
