--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/ConfigurationService.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/ConfigurationService.java
@@ -17,7 +17,6 @@
   private final TableFollower follower;
   private final ConfigurationVerifier verifier;
   private final RequestRouter router;
-  private final LongSupplier clock;
 
   /**
    * Creates the service.
@@ -31,7 +30,6 @@
       HostDirectory hosts,
       WorkflowMetrics metrics,
       LongSupplier clock) {
-    this.clock = clock;
     operations = new OperationsReplica(decoder);
     follower = new TableFollower(log, Table.OPERATIONS, operations, clock, READ_WAIT_MILLIS, 0);
     verifier = new ConfigurationVerifier(operations, follower, peers, hosts, clock);
@@ -49,8 +47,7 @@
 
   /** Returns whether this host has a configuration and reads the table itself. */
   boolean isReady() {
-    return operations.configuration().isPresent()
-        && clock.getAsLong() - follower.caughtUpMillis() < MAX_READY_AGE_MILLIS;
+    return operations.configuration().isPresent() && follower.ageMillis() < MAX_READY_AGE_MILLIS;
   }
 
   OperationsReplica operations() {
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/RequestRouter.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/RequestRouter.java
@@ -111,7 +111,7 @@
           configuration.version(),
           operations.configurationRecord().map(StoredRecord::offset).orElse(-1L),
           verifier.ageMillis(),
-          nowMillis - follower.caughtUpMillis(),
+          follower.ageMillis(),
           follower.readStatus(nowMillis),
           unknownRouteLines.takeSuppressed());
     }
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/SubmissionService.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/SubmissionService.java
@@ -72,8 +72,7 @@
 
   /** Returns whether this host's replica of the table is current. */
   public boolean isCurrent() {
-    return follower.isLoaded()
-        && clock.getAsLong() - follower.caughtUpMillis() < MAX_REPLICA_AGE_MILLIS;
+    return follower.isLoaded() && follower.ageMillis() < MAX_REPLICA_AGE_MILLIS;
   }
 
   /** Returns whether this host's replica has the workflow. */
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/TableFollower.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/TableFollower.java
@@ -141,6 +141,11 @@
     return caughtUpMillis;
   }
 
+  /** Returns the time since the last read that reached the table's end was sent, in ms. */
+  long ageMillis() {
+    return clock.getAsLong() - caughtUpMillis;
+  }
+
   /** Returns whether the last read reached the log. */
   boolean isAvailable() {
     return wasAvailable;
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowHost.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowHost.java
@@ -19,6 +19,9 @@
 public final class WorkflowHost {
   private static final Logger LOG = LogManager.getLogger(WorkflowHost.class);
 
+  /** Wait time of a read of the workflow table. */
+  private static final int WORKFLOWS_READ_WAIT_MILLIS = 1_000;
+
   /** Wait time of a read of the host table, which rarely changes. */
   private static final int HOSTS_READ_WAIT_MILLIS = 5_000;
 
@@ -66,13 +69,12 @@
     this.clock = clock;
     registration =
         new HostRecord(peerAddress.getHostString() + ':' + peerAddress.getPort(), processors);
+    LongSupplier replicaClock = new SuspensionAwareClock(clock, InstantSource.system());
     WorkflowReplica workflows = new WorkflowReplica();
-    workflowFollower =
-        new TableFollower(
-            log, Table.WORKFLOWS, workflows, clock, 1_000, FleetServices.FOLLOWER_PAUSE_MILLIS);
+    workflowFollower = workflowFollower(log, workflows, replicaClock);
     writer = new TableWriter(log, Table.WORKFLOWS, name + '-' + incarnation, 1, metrics, clock);
     hosts = new HostDirectory(name);
-    configuration = new ConfigurationService(log, decoder, peers, hosts, metrics, clock);
+    configuration = new ConfigurationService(log, decoder, peers, hosts, metrics, replicaClock);
     placement = new OwnershipPlacement(hosts, processors, peers::mayClaim);
     placementLoop = Executors.newSingleThreadScheduledExecutor(WorkflowHost::placementThread);
     hostFollower = new TableFollower(log, Table.HOSTS, hosts, clock, HOSTS_READ_WAIT_MILLIS, 0);
@@ -123,6 +125,17 @@
             InstantSource.system());
   }
 
+  private static TableFollower workflowFollower(
+      KeyedLog log, WorkflowReplica workflows, LongSupplier clock) {
+    return new TableFollower(
+        log,
+        Table.WORKFLOWS,
+        workflows,
+        clock,
+        WORKFLOWS_READ_WAIT_MILLIS,
+        FleetServices.FOLLOWER_PAUSE_MILLIS);
+  }
+
   private static Thread placementThread(Runnable task) {
     Thread thread = new Thread(task, "ownership-placement");
     thread.setDaemon(true);
