--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/ConfigurationVerifier.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/ConfigurationVerifier.java
@@ -28,9 +28,6 @@
   /** Time after which other hosts are asked beside the log; several usual reads. */
   private static final long PEER_DELAY_MILLIS = 150;
 
-  /** Time that a decision waits at most; leaves a caller time to try another host. */
-  private static final long TIMEOUT_MILLIS = 1_200;
-
   /** Time that another host waits for this host's read. */
   private static final long PEER_ANSWER_MILLIS = 300;
 
@@ -107,7 +104,7 @@
   /**
    * Reads the configuration unless it is confirmed; returns false if that does not succeed in time.
    */
-  CompletableFuture<Boolean> confirm(long maxAgeMillis) {
+  CompletableFuture<Boolean> confirm(long maxAgeMillis, long timeoutMillis) {
     long nowMillis = clock.getAsLong();
     long neededMillis = nowMillis - maxAgeMillis;
     if (isConfirmedAt(neededMillis)) {
@@ -132,7 +129,7 @@
     byPeers.thenRun(() -> completeIfConfirmed(result, neededMillis));
     CompletableFuture.allOf(byLog, byPeers)
         .thenRun(() -> result.complete(isConfirmedAt(neededMillis)));
-    result.completeOnTimeout(false, TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    result.completeOnTimeout(false, timeoutMillis, TimeUnit.MILLISECONDS);
     return result.thenApply(
         isConfirmed -> {
           if (!isConfirmed) {
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/RequestRouter.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/RequestRouter.java
@@ -21,6 +21,15 @@
   /** Limits the reads that requests for unknown routes cause. */
   static final long MAX_AGE_OF_UNKNOWN_MILLIS = 250;
 
+  /**
+   * Time that a request for a known route waits; enough to ask other hosts, and short for callers
+   * during an outage of the store.
+   */
+  private static final long KNOWN_WAIT_MILLIS = 300;
+
+  /** Time that a request for an unknown route waits; leaves its caller time to try another host. */
+  private static final long UNKNOWN_WAIT_MILLIS = 1_000;
+
   private static final Logger LOG = LogManager.getLogger(RequestRouter.class);
   private static final int UNKNOWN_ROUTE_LINES_PER_SECOND = 20;
   private static final int MAX_LOGGED_CHARACTERS = 120;
@@ -80,7 +89,9 @@
     }
     boolean wasFailing = verifier.isFailing();
     CompletableFuture<Boolean> confirmation =
-        verifier.confirm(isKnown ? MAX_AGE_OF_KNOWN_MILLIS : MAX_AGE_OF_UNKNOWN_MILLIS);
+        isKnown
+            ? verifier.confirm(MAX_AGE_OF_KNOWN_MILLIS, KNOWN_WAIT_MILLIS)
+            : verifier.confirm(MAX_AGE_OF_UNKNOWN_MILLIS, UNKNOWN_WAIT_MILLIS);
     if (isKnown && wasFailing) {
       // Further waiting would delay callers throughout an outage of the store.
       return CompletableFuture.completedFuture(decide(hostName, path, false));
