--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
@@ -63,6 +63,17 @@
     return bornMillis.containsKey(id) && (worker == null || !worker.isPublished);
   }
 
+  /** Returns whether a worker was in a published list of this term or recorded before it. */
+  boolean isKnown(String id) {
+    return bornMillis.containsKey(id);
+  }
+
+  /** Returns whether a worker is in the published list now. */
+  boolean isPublished(String id) {
+    WorkerState worker = byId.get(id);
+    return worker != null && worker.isPublished;
+  }
+
   /** Returns whether a worker is known to have started before another one. */
   boolean isEarlierProcess(String id, String other) {
     long born = bornMillis.getOrDefault(id, 0L);
--- a/core/src/test/java/org/persimmonloom/core/scheduling/HostListEvidenceTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/HostListEvidenceTest.java
@@ -110,6 +110,7 @@
   @Test
   void listAndAFailedCallEndTheRunsAtOnce() {
     startTask();
+    fleet.addUnrecordedWorker("w9");
     fleet.now += 10;
     listMachines(fleet.now, machine("m1", MachineFacts.State.UP, "w9"));
     loseWorker("w1");
@@ -123,6 +124,7 @@
     long sentMillis = fleet.now;
     fleet.report();
     loseWorker("w1");
+    fleet.addUnrecordedWorker("w9");
     MachineFacts replaced = machine("m1", MachineFacts.State.UP, "w9");
     listMachines(sentMillis, replaced);
     fleet.now += 10;
@@ -177,6 +179,7 @@
     listMachines(fleet.now, first);
     assertThat(fleet.decideAndExecute()).isEmpty();
 
+    fleet.addUnrecordedWorker("w3");
     fleet.now += 10;
     listMachines(fleet.now, first, machine("m2", MachineFacts.State.UP, "w3"));
     assertThat(fleet.decideAndExecute()).hasSize(1);
@@ -216,6 +219,7 @@
 
     assertThat(fleet.decideAndExecute()).isEmpty();
 
+    fleet.addUnrecordedWorker("w3");
     fleet.now += 10;
     listMachines(
         fleet.now,
@@ -225,6 +229,43 @@
     assertThat(fleet.decideAndExecute()).singleElement().extracting(Order::run).isEqualTo(2);
   }
 
+  /**
+   * Guards against a task that runs twice: an outdated list names a worker that this owner has
+   * never known, the earlier one of a host whose present worker does not answer a call.
+   */
+  @Test
+  void unknownWorkerOfAHostEndsNoRunsWhileThePresentOneIsPublished() {
+    startTask();
+    fleet.now += 10;
+    MachineFacts outdated = machine("m1", MachineFacts.State.UP, "w9");
+    listMachines(fleet.now, outdated, machine("m2", MachineFacts.State.UP, "w2"));
+    loseWorker("w1");
+    assertThat(fleet.decideAndExecute()).isEmpty();
+
+    fleet.workers.remove("w1");
+    fleet.scheduler.workersListed(fleet.workers.values(), fleet.now);
+    fleet.now += 10;
+    listMachines(fleet.now, outdated, machine("m2", MachineFacts.State.UP, "w2"));
+    assertThat(fleet.decideAndExecute()).singleElement().extracting(Order::run).isEqualTo(2);
+  }
+
+  /** Guards against the same for a silent worker of the previous term, which no host names. */
+  @Test
+  void unknownWorkerOfAHostHidesASilentWorkerWhileThatIsPublished() {
+    submitBeforeTakeover();
+    loseWorker("w2");
+    MachineFacts first = machine("m1", MachineFacts.State.UP, "w1");
+    MachineFacts outdated = machine("m2", MachineFacts.State.UP, "w9");
+    listMachines(fleet.now, first, outdated);
+    assertThat(fleet.decideAndExecute()).isEmpty();
+
+    fleet.workers.remove("w2");
+    fleet.scheduler.workersListed(fleet.workers.values(), fleet.now);
+    fleet.now += 10;
+    listMachines(fleet.now, first, outdated);
+    assertThat(fleet.decideAndExecute()).hasSize(1);
+  }
+
   /**
    * Guards against a task that runs twice: after a takeover, an outdated list names the worker that
    * the host of a silent worker had before.
--- a/core/src/test/java/org/persimmonloom/core/scheduling/TakeoverTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/TakeoverTest.java
@@ -212,6 +212,7 @@
     WorkerFacts moved = fleet.addWorker("w2");
     submitBeforeTakeover();
     fleet.report("w2");
+    fleet.addUnrecordedWorker("w3");
     listMachines(
         machine("m1", MachineFacts.State.UP, "w1"), machine("m2", MachineFacts.State.UP, "w3"));
     fleet.scheduler.holdFailed(moved, CallResult.NOT_SENT, fleet.now);
