--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/ConfigurationVerifier.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/ConfigurationVerifier.java
@@ -46,6 +46,7 @@
   private final SharedAttempt peerQueries;
   private volatile long confirmedByPeersMillis = NEVER;
   private volatile long failedMillis = NEVER;
+  private volatile boolean hasFailed;
 
   /**
    * Creates a verifier.
@@ -91,9 +92,9 @@
     return operations.configuration().isPresent() && confirmedMillis() >= millis;
   }
 
-  /** Returns whether the last reads have failed, and none has succeeded since. */
+  /** Returns whether the configuration has become old and the last reads on demand have failed. */
   boolean isFailing() {
-    return failedMillis > confirmedMillis();
+    return hasFailed && !isConfirmed(RequestRouter.MAX_AGE_OF_KNOWN_MILLIS);
   }
 
   /** Returns whether the configuration in force was the newest one at most some time ago. */
@@ -134,6 +135,7 @@
         isConfirmed -> {
           if (!isConfirmed) {
             failedMillis = clock.getAsLong();
+            hasFailed = true;
           }
           return isConfirmed;
         });
@@ -141,6 +143,7 @@
 
   private void completeIfConfirmed(CompletableFuture<Boolean> result, long neededMillis) {
     if (isConfirmedAt(neededMillis)) {
+      hasFailed = false;
       result.complete(true);
     }
   }
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/RequestRouter.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/RequestRouter.java
@@ -28,7 +28,7 @@
   private static final long KNOWN_WAIT_MILLIS = 300;
 
   /** Time that a request for an unknown route waits; leaves its caller time to try another host. */
-  private static final long UNKNOWN_WAIT_MILLIS = 1_000;
+  private static final long UNKNOWN_WAIT_MILLIS = 700;
 
   private static final Logger LOG = LogManager.getLogger(RequestRouter.class);
   private static final int UNKNOWN_ROUTE_LINES_PER_SECOND = 20;
@@ -92,8 +92,8 @@
         isKnown
             ? verifier.confirm(MAX_AGE_OF_KNOWN_MILLIS, KNOWN_WAIT_MILLIS)
             : verifier.confirm(MAX_AGE_OF_UNKNOWN_MILLIS, UNKNOWN_WAIT_MILLIS);
-    if (isKnown && wasFailing) {
-      // Further waiting would delay callers throughout an outage of the store.
+    if (wasFailing) {
+      // Waiting would delay callers throughout an outage; the reads go on without them.
       return CompletableFuture.completedFuture(decide(hostName, path, false));
     }
     return confirmation.thenApply(isConfirmed -> decide(hostName, path, isConfirmed));
