--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/ConfigurationVerifier.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/ConfigurationVerifier.java
@@ -16,8 +16,8 @@
  * the log does not answer this host, by other hosts.
  *
  * <p>Reads are shared by all waiting decisions, and a recent one serves further decisions, so that
- * any number of requests causes few reads a second. The configuration in force at a time is the
- * newest one whose write ended before that time. Safe for any thread.
+ * any number of requests causes few reads a second. The configuration is confirmed at a time if it
+ * includes every write that had been acknowledged by then. Safe for any thread.
  */
 final class ConfigurationVerifier {
   private static final Logger LOG = LogManager.getLogger(ConfigurationVerifier.class);
@@ -116,16 +116,7 @@
     }
     CompletableFuture<Boolean> result = new CompletableFuture<>();
     CompletableFuture<Void> byLog = logRead.runSince(neededMillis);
-    CompletableFuture<Void> delay = new CompletableFuture<>();
-    delay.completeOnTimeout(
-        null, follower.isAvailable() ? PEER_DELAY_MILLIS : 0, TimeUnit.MILLISECONDS);
-    CompletableFuture<Void> byPeers =
-        CompletableFuture.anyOf(byLog, delay)
-            .thenCompose(
-                any ->
-                    isConfirmedAt(neededMillis)
-                        ? CompletableFuture.completedFuture(null)
-                        : peerQueries.runSince(neededMillis));
+    CompletableFuture<Void> byPeers = queryPeersUnlessConfirmed(byLog, neededMillis);
     byLog.thenRun(() -> completeIfConfirmed(result, neededMillis));
     byPeers.thenRun(() -> completeIfConfirmed(result, neededMillis));
     CompletableFuture.allOf(byLog, byPeers)
@@ -141,6 +132,20 @@
         });
   }
 
+  /** Asks other hosts once the read of the log has failed, or soon if it has no answer. */
+  private CompletableFuture<Void> queryPeersUnlessConfirmed(
+      CompletableFuture<Void> byLog, long neededMillis) {
+    CompletableFuture<Void> delay = new CompletableFuture<>();
+    delay.completeOnTimeout(
+        null, follower.isAvailable() ? PEER_DELAY_MILLIS : 0, TimeUnit.MILLISECONDS);
+    return CompletableFuture.anyOf(byLog, delay)
+        .thenCompose(
+            any ->
+                isConfirmedAt(neededMillis)
+                    ? CompletableFuture.completedFuture(null)
+                    : peerQueries.runSince(neededMillis));
+  }
+
   private void completeIfConfirmed(CompletableFuture<Boolean> result, long neededMillis) {
     if (isConfirmedAt(neededMillis)) {
       hasFailed = false;
