--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/ConfigurationVerifier.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/ConfigurationVerifier.java
@@ -22,8 +22,8 @@
 final class ConfigurationVerifier {
   private static final Logger LOG = LogManager.getLogger(ConfigurationVerifier.class);
 
-  /** The store may turn some of them away too. */
-  private static final int MAX_PEERS_TRIED = 3;
+  /** Several, since the store may turn some of them away too, and some may stand still. */
+  private static final int MAX_PEERS_ASKED = 3;
 
   /** Time after which other hosts are asked beside the log; several usual reads. */
   private static final long PEER_DELAY_MILLIS = 150;
@@ -181,18 +181,29 @@
             });
   }
 
+  /** Asks other hosts at the same time; returns after the first recent answer or the last one. */
   private void queryPeers() {
     List<String> addresses = hosts.otherAddresses();
-    for (String address : addresses.subList(0, Math.min(MAX_PEERS_TRIED, addresses.size()))) {
-      long sentMillis = clock.getAsLong();
-      long version = operations.configuration().map(FleetConfiguration::version).orElse(-1L);
-      Optional<PeerClient.Configuration> answer =
-          peers.configuration(address, version, RequestRouter.MAX_AGE_OF_UNKNOWN_MILLIS);
-      answer.ifPresent(configuration -> adopt(configuration, sentMillis, address));
-      if (answer.isPresent() && isRecent(answer.get())) {
-        hosts.recordSuccess(address);
-        return;
-      }
+    CompletableFuture<Void> recentAnswer = new CompletableFuture<>();
+    CompletableFuture<?>[] queries =
+        addresses.stream()
+            .limit(MAX_PEERS_ASKED)
+            .map(address -> CompletableFuture.runAsync(() -> query(address, recentAnswer), threads))
+            .toArray(CompletableFuture<?>[]::new);
+    CompletableFuture.allOf(queries).whenComplete((all, error) -> recentAnswer.complete(null));
+    recentAnswer.join();
+  }
+
+  private void query(String address, CompletableFuture<Void> recentAnswer) {
+    long sentMillis = clock.getAsLong();
+    long version = operations.configuration().map(FleetConfiguration::version).orElse(-1L);
+    Optional<PeerClient.Configuration> answer =
+        peers.configuration(address, version, RequestRouter.MAX_AGE_OF_UNKNOWN_MILLIS);
+    answer.ifPresent(configuration -> adopt(configuration, sentMillis, address));
+    if (answer.isPresent() && isRecent(answer.get())) {
+      hosts.recordSuccess(address);
+      recentAnswer.complete(null);
+    } else {
       hosts.recordFailure(address);
     }
   }
@@ -210,6 +221,10 @@
           answer.ageMillis());
       operations.apply(new StoredRecord(answer.offset(), record));
     }
-    confirmedByPeersMillis = Math.max(confirmedByPeersMillis, sentMillis - answer.ageMillis());
+    confirmedByPeers(sentMillis - answer.ageMillis());
+  }
+
+  private synchronized void confirmedByPeers(long millis) {
+    confirmedByPeersMillis = Math.max(confirmedByPeersMillis, millis);
   }
 }
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/RequestRouterTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/RequestRouterTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.util.List;
@@ -132,6 +133,25 @@
     assertThat(host.route("/a/1")).isInstanceOf(RequestRouter.Routing.Unknown.class);
   }
 
+  /**
+   * Guards against work for a route that was removed, because the first other host that is asked
+   * stands still while another one would answer.
+   */
+  @Test
+  void hostThatStandsStillDelaysNoAnswerOfAnother() throws Exception {
+    try (ServerSocket standing = new ServerSocket(0, 8, InetAddress.getLoopbackAddress())) {
+      String address = "127.0.0.1:" + standing.getLocalPort();
+      // Its name sorts before that of the other host, so that it is the first one.
+      host.directory.apply(
+          new StoredRecord(
+              1, new HostDirectory("a-standing").registration(new HostRecord(address, 1))));
+      hostLog.cut = CutOffLog.Cut.REFUSED;
+      write(9, "/b/");
+      outdate();
+      assertThat(host.route("/a/1")).isInstanceOf(RequestRouter.Routing.Unknown.class);
+    }
+  }
+
   /** Guards against a 404 by a configuration that nobody has confirmed. */
   @Test
   void routeIsNotSaidToBeUnknownIfNoHostReachesTheStore() throws Exception {
