--- a/tool/src/main/java/org/persimmonloom/tool/measure/PassFleet.java
+++ b/tool/src/main/java/org/persimmonloom/tool/measure/PassFleet.java
@@ -60,7 +60,7 @@
       queues.put(policy.queue(), policy);
       services.add(policy.service());
     }
-    scheduler.configure(queues, services, Set.of(SPARE));
+    scheduler.configure(queues, services, Set.of(SPARE), Set.of());
     for (int i = 0; i < workerCount; i++) {
       addWorker(i);
     }
