--- a/core/src/main/java/org/persimmonloom/core/scheduling/MachineScheduler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/MachineScheduler.java
@@ -149,12 +149,15 @@
    */
   private boolean mayBeUnnamed(String worker) {
     WorkerState state = workers.find(worker);
-    return isAnyHostDown
-        || isListIncomplete
-        || (state != null && poolsWithUnnamedWorkers.contains(state.facts.service()))
-        || (state != null
-            && state.isPublished
-            && poolsWithUnknownWorkers.contains(state.facts.service()));
+    if (isAnyHostDown || isListIncomplete) {
+      return true;
+    }
+    if (state == null) {
+      return false;
+    }
+    String pool = state.facts.service();
+    return poolsWithUnnamedWorkers.contains(pool)
+        || (state.isPublished && poolsWithUnknownWorkers.contains(pool));
   }
 
   private boolean hasTerminated(String worker, MachineFacts facts) {
@@ -163,9 +166,7 @@
       case UP ->
           !facts.worker().isEmpty()
               && !facts.worker().equals(worker)
-              // A list with an earlier worker is outdated.
-              && !workers.isEarlierProcess(facts.worker(), worker)
-              && (workers.isKnown(facts.worker()) || !workers.isPublished(worker));
+              && workers.mayHaveReplaced(facts.worker(), worker);
       // The host may only be disconnected while its worker keeps running.
       case DOWN -> false;
     };
--- a/core/src/main/java/org/persimmonloom/core/scheduling/OccurrenceState.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/OccurrenceState.java
@@ -64,14 +64,14 @@
     }
   }
 
-  void setPolicy(QueuePolicy current) {
+  /**
+   * Sets the policy of the queue.
+   *
+   * @param wasRerouted whether the queue may have had another service under an earlier owner
+   */
+  void setPolicy(QueuePolicy current, boolean wasRerouted) {
     policy = current;
-    isRerouted |= !current.service().equals(spec.policy().service());
-  }
-
-  /** Notes that the queue may have had another service under an earlier owner. */
-  void queueRerouted() {
-    isRerouted = true;
+    isRerouted |= wasRerouted || !current.service().equals(spec.policy().service());
   }
 
   /**
--- a/core/src/main/java/org/persimmonloom/core/scheduling/OccurrenceTable.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/OccurrenceTable.java
@@ -62,17 +62,13 @@
     policies = Map.copyOf(queues);
     reroutedQueues.addAll(rerouted);
     for (List<OccurrenceState> occurrences : workflows.values()) {
-      for (OccurrenceState occurrence : occurrences) {
-        occurrence.setPolicy(policy(occurrence.spec));
-        markIfRerouted(occurrence);
-      }
+      occurrences.forEach(this::applyPolicy);
     }
   }
 
-  private void markIfRerouted(OccurrenceState occurrence) {
-    if (reroutedQueues.contains(occurrence.spec.policy().queue())) {
-      occurrence.queueRerouted();
-    }
+  private void applyPolicy(OccurrenceState occurrence) {
+    WorkflowSpec spec = occurrence.spec;
+    occurrence.setPolicy(policy(spec), reroutedQueues.contains(spec.policy().queue()));
   }
 
   /**
@@ -113,8 +109,7 @@
       }
       OccurrenceState occurrence =
           new OccurrenceState(spec, number, entry.submittedOffset(), submitted);
-      occurrence.setPolicy(policy(spec));
-      markIfRerouted(occurrence);
+      applyPolicy(occurrence);
       progress.ifPresent(occurrence::restore);
       occurrences.add(occurrence);
     }
--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerTable.java
@@ -68,17 +68,19 @@
     return bornMillis.containsKey(id);
   }
 
-  /** Returns whether a worker is in the published list now. */
-  boolean isPublished(String id) {
-    WorkerState worker = byId.get(id);
-    return worker != null && worker.isPublished;
-  }
-
-  /** Returns whether a worker is known to have started before another one. */
-  boolean isEarlierProcess(String id, String other) {
-    long born = bornMillis.getOrDefault(id, 0L);
+  /**
+   * Returns whether a worker that the host list names may have replaced another one. If not, the
+   * list is outdated: the worker is known to have started earlier, or it has never been published
+   * while the other one still is.
+   */
+  boolean mayHaveReplaced(String named, String other) {
     WorkerState worker = byId.get(other);
-    return born != 0 && worker != null && born < worker.bornMillis;
+    if (worker == null) {
+      return true;
+    }
+    long born = bornMillis.getOrDefault(named, 0L);
+    boolean isEarlier = born != 0 && born < worker.bornMillis;
+    return !isEarlier && (isKnown(named) || !worker.isPublished);
   }
 
   /** Returns the number of runs of a worker; 0 if it is unknown. */
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/ConfigurationVerifier.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/ConfigurationVerifier.java
@@ -45,8 +45,9 @@
   private final SharedAttempt logRead;
   private final SharedAttempt peerQueries;
   private volatile long confirmedByPeersMillis = NEVER;
+
+  /** When the last read on demand has failed; reset by one that succeeds. */
   private volatile long failedMillis = NEVER;
-  private volatile boolean hasFailed;
 
   /**
    * Creates a verifier.
@@ -94,7 +95,7 @@
 
   /** Returns whether the configuration has become old and the last reads on demand have failed. */
   boolean isFailing() {
-    return hasFailed && !isConfirmed(RequestRouter.MAX_AGE_OF_KNOWN_MILLIS);
+    return failedMillis != NEVER && !isConfirmed(RequestRouter.MAX_AGE_OF_KNOWN_MILLIS);
   }
 
   /** Returns whether the configuration in force was the newest one at most some time ago. */
@@ -126,7 +127,6 @@
         isConfirmed -> {
           if (!isConfirmed) {
             failedMillis = clock.getAsLong();
-            hasFailed = true;
           }
           return isConfirmed;
         });
@@ -148,7 +148,7 @@
 
   private void completeIfConfirmed(CompletableFuture<Boolean> result, long neededMillis) {
     if (isConfirmedAt(neededMillis)) {
-      hasFailed = false;
+      failedMillis = NEVER;
       result.complete(true);
     }
   }
@@ -172,11 +172,12 @@
     // Before the record: one that is read later may only be newer.
     long ageMillis = ageMillis();
     return operations
-        .configurationRecord()
+        .inForce()
         .map(
-            stored -> {
-              long known = operations.configuration().orElseThrow().version();
-              List<TableRecord> newer = known > version ? List.of(stored.record()) : List.of();
+            known -> {
+              StoredRecord stored = known.stored();
+              boolean isNewer = known.configuration().version() > version;
+              List<TableRecord> newer = isNewer ? List.of(stored.record()) : List.of();
               return new PeerClient.Configuration(ageMillis, stored.offset(), newer);
             });
   }
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/OperationsReplica.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/OperationsReplica.java
@@ -49,12 +49,12 @@
 
   /** Returns the configuration in force; empty before the first one is read. */
   public Optional<FleetConfiguration> configuration() {
-    return Optional.ofNullable(current).map(InForce::configuration);
+    return inForce().map(InForce::configuration);
   }
 
-  /** Returns the record of the configuration in force; empty before the first one is read. */
-  Optional<StoredRecord> configurationRecord() {
-    return Optional.ofNullable(current).map(InForce::stored);
+  /** Returns the configuration in force with its record; empty before the first one is read. */
+  Optional<InForce> inForce() {
+    return Optional.ofNullable(current);
   }
 
   /** Returns the maintenance waves ordered by operators. */
@@ -105,7 +105,7 @@
   }
 
   /** A configuration with the record that holds it. */
-  private record InForce(FleetConfiguration configuration, StoredRecord stored) {}
+  record InForce(FleetConfiguration configuration, StoredRecord stored) {}
 
   /** Configuration and waves of some records, before any of them takes effect. */
   private final class Contents {
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/PeerClient.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/PeerClient.java
@@ -173,11 +173,7 @@
   }
 
   StateAnswer state(String address, String workflow) {
-    Request request =
-        new Request.Builder().url("http://" + address + STATE_PATH + workflow).build();
-    var call = client.newCall(request);
-    call.timeout().timeout(STATE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
-    try (Response response = call.execute()) {
+    try (Response response = get(address, STATE_PATH + workflow)) {
       if (response.code() == NOT_FOUND) {
         return new StateAnswer(true, Optional.empty());
       }
@@ -197,11 +193,7 @@
   Optional<Configuration> configuration(String address, long version, long maxAgeMillis) {
     String query =
         "?%s=%d&%s=%d".formatted(VERSION_PARAMETER, version, MAX_AGE_PARAMETER, maxAgeMillis);
-    Request request =
-        new Request.Builder().url("http://" + address + CONFIGURATION_PATH + query).build();
-    var call = client.newCall(request);
-    call.timeout().timeout(STATE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
-    try (Response response = call.execute()) {
+    try (Response response = get(address, CONFIGURATION_PATH + query)) {
       return response.code() == OK
           ? codec.decode(response.body().bytes(), Configuration.class).toJavaOptional()
           : Optional.empty();
@@ -215,13 +207,18 @@
    * if the query fails.
    */
   boolean mayClaim(String address) {
-    Request request = new Request.Builder().url("http://" + address + CANDIDATE_PATH).build();
-    var call = client.newCall(request);
-    call.timeout().timeout(STATE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
-    try (Response response = call.execute()) {
+    try (Response response = get(address, CANDIDATE_PATH)) {
       return response.code() == OK;
     } catch (IOException e) {
       return false;
     }
   }
+
+  /** Sends a query, which must be answered within the time of a state query. */
+  private Response get(String address, String pathAndQuery) throws IOException {
+    Request request = new Request.Builder().url("http://" + address + pathAndQuery).build();
+    var call = client.newCall(request);
+    call.timeout().timeout(STATE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    return call.execute();
+  }
 }
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/RequestRouter.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/RequestRouter.java
@@ -77,15 +77,17 @@
    * another thread, and never with an exception.
    */
   public CompletableFuture<Routing> route(String hostName, String path) {
-    if (operations.configuration().isEmpty()) {
-      return CompletableFuture.completedFuture(new Routing.Unconfirmed());
-    }
     // Before the configuration: one that is read later may only be newer.
     boolean isConfirmedForKnown = verifier.isConfirmed(MAX_AGE_OF_KNOWN_MILLIS);
     boolean isConfirmedForUnknown = verifier.isConfirmed(MAX_AGE_OF_UNKNOWN_MILLIS);
-    boolean isKnown = operations.configuration().orElseThrow().route(hostName, path).isPresent();
+    Optional<OperationsReplica.InForce> known = operations.inForce();
+    if (known.isEmpty()) {
+      return CompletableFuture.completedFuture(new Routing.Unconfirmed());
+    }
+    Optional<FleetConfiguration.Route> route = known.get().configuration().route(hostName, path);
+    boolean isKnown = route.isPresent();
     if (isKnown ? isConfirmedForKnown : isConfirmedForUnknown) {
-      return CompletableFuture.completedFuture(decide(hostName, path, true));
+      return CompletableFuture.completedFuture(decide(known.get(), route, hostName, path, true));
     }
     boolean wasFailing = verifier.isFailing();
     CompletableFuture<Boolean> confirmation =
@@ -99,28 +101,38 @@
     return confirmation.thenApply(isConfirmed -> decide(hostName, path, isConfirmed));
   }
 
+  /** Decides by the configuration that is in force now. */
   private Routing decide(String hostName, String path, boolean isConfirmed) {
-    FleetConfiguration configuration = operations.configuration().orElseThrow();
-    Optional<FleetConfiguration.Route> route = configuration.route(hostName, path);
+    OperationsReplica.InForce known = operations.inForce().orElseThrow();
+    return decide(known, known.configuration().route(hostName, path), hostName, path, isConfirmed);
+  }
+
+  private Routing decide(
+      OperationsReplica.InForce known,
+      Optional<FleetConfiguration.Route> route,
+      String hostName,
+      String path,
+      boolean isConfirmed) {
     if (route.isPresent()) {
-      return new Routing.Found(configuration, route.get());
+      return new Routing.Found(known.configuration(), route.get());
     }
-    metrics.unknownRoutes.labelValues(isConfirmed ? "unknown" : "unconfirmed").inc();
-    logWithoutRoute(isConfirmed, configuration, hostName, path);
+    String answer = isConfirmed ? "unknown" : "unconfirmed";
+    metrics.unknownRoutes.labelValues(answer).inc();
+    logWithoutRoute(answer, known, hostName, path);
     return isConfirmed ? new Routing.Unknown() : new Routing.Unconfirmed();
   }
 
   private void logWithoutRoute(
-      boolean isConfirmed, FleetConfiguration configuration, String hostName, String path) {
+      String answer, OperationsReplica.InForce known, String hostName, String path) {
     long nowMillis = clock.getAsLong();
     if (unknownRouteLines.mayLog(nowMillis)) {
       LOG.info(
           "event=route_{} host={} path={} version={} offset={} age_ms={} read_age_ms={} {} suppressed={}",
-          isConfirmed ? "unknown" : "unconfirmed",
+          answer,
           printable(hostName),
           printable(path),
-          configuration.version(),
-          operations.configurationRecord().map(StoredRecord::offset).orElse(-1L),
+          known.configuration().version(),
+          known.stored().offset(),
           verifier.ageMillis(),
           follower.ageMillis(),
           follower.readStatus(nowMillis),
