Let the test of silent connections open both connections for certain

Cause, by reading: the test posts two calls and relies on the first one being in progress when the second begins; if the thread that posts is preempted in between, the first call is answered and its connection reused, as it should be. The client is not at fault. Now neither call is answered before the server has both, so that all assertions stand as before and the connections do not depend on the scheduler.

--- a/runtime/src/test/java/org/persimmonloom/runtime/http/NonBlockingHttpClientTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/http/NonBlockingHttpClientTest.java
@@ -146,6 +146,12 @@
     return client.post(new HttpPost(address, "/path", Map.of("X-Name", "v"), body, limitMillis));
   }
 
+  private void awaitRequests(int count) throws InterruptedException {
+    while (requests.get() < count) {
+      TimeUnit.MILLISECONDS.sleep(5);
+    }
+  }
+
   private static String text(HttpReply reply) {
     return new String(reply.body(), StandardCharsets.US_ASCII);
   }
@@ -190,9 +196,13 @@
 
   /** Guards against a call without an end, and against further calls on a silent connection. */
   @Test
-  void silentConnectionsAreClosedAfterACallWithoutAnswer() {
+  void silentConnectionsAreClosedAfterACallWithoutAnswer() throws Exception {
+    // Neither call is answered before both are sent, so that they need two connections.
+    behaviour = Behaviour.ANSWER_WHEN_RESUMED;
     List<CompletableFuture<HttpReply>> both =
         List.of(post("a", LONG_MILLIS), post("b", LONG_MILLIS));
+    awaitRequests(2);
+    isResumed.countDown();
     both.forEach(CompletableFuture::join);
     assertThat(connections).hasValue(2);
     behaviour = Behaviour.BE_SILENT;
@@ -265,9 +275,7 @@
   void responseReadAfterThePauseOfAProcessCountsAsNone() throws Exception {
     behaviour = Behaviour.ANSWER_WHEN_RESUMED;
     CompletableFuture<HttpReply> call = post("a", LONG_MILLIS);
-    while (requests.get() == 0) {
-      TimeUnit.MILLISECONDS.sleep(5);
-    }
+    awaitRequests(1);
     pausedMillis.addAndGet(LONG_MILLIS + 1);
     isResumed.countDown();
     HttpReply reply = call.join();
