Log the evidence that tells the ways to UNASKED apart

Cause: neither logs nor metrics tell the hypotheses of the incident apart: a start does not say how old the owner's table was, a 410 leaves no line, and a changed spec or checkpoint cannot be seen.

Change: runs_ordered has the ages of the table and of the renewal, the offset of the submission and digests of spec and checkpoint; submission has the digest; workflow_unknown and workflow_unconfirmed explain each 410 and 503 of a search (at most 50 lines a second); gauges of both ages on the owner; a counter of 410s.

--- a/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
@@ -393,7 +393,7 @@
             task.checkpoint,
             permits.permit(occurrence, task.step, worker, nowMillis));
     orders.add(order);
-    runListener.runOrdered(order, Optional.ofNullable(task.lastReleased));
+    runListener.runOrdered(order, occurrence.submittedOffset, task.lastReleased());
     // Records the number of the run, which no later owner may use again.
     occurrenceTable.markDirty(occurrence);
   }
--- a/core/src/main/java/org/persimmonloom/core/scheduling/TaskState.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/TaskState.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.SortedSet;
 import java.util.TreeSet;
@@ -44,4 +45,9 @@
   boolean isRunnable() {
     return !isDone && activeRuns.isEmpty();
   }
+
+  /** Returns the last run that this owner has released; empty if it knows none. */
+  Optional<ReleasedRun> lastReleased() {
+    return Optional.ofNullable(lastReleased);
+  }
 }
--- a/core/src/test/java/org/persimmonloom/core/scheduling/steps/StepModelRunLog.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/steps/StepModelRunLog.java
@@ -18,7 +18,7 @@
   }
 
   @Override
-  public void runOrdered(Order.Start start, Optional<ReleasedRun> previous) {
+  public void runOrdered(Order.Start start, long submittedOffset, Optional<ReleasedRun> previous) {
     model.trace(
         "host %d fence %d orders %s run %d on %s after %s",
         host,
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/ConfigurationVerifier.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/ConfigurationVerifier.java
@@ -65,13 +65,7 @@
     this.peers = peers;
     this.hosts = hosts;
     this.clock = clock;
-    threads =
-        Executors.newCachedThreadPool(
-            task -> {
-              Thread thread = new Thread(task, "verify-configuration");
-              thread.setDaemon(true);
-              return thread;
-            });
+    threads = Executors.newCachedThreadPool(DaemonThreads.named("verify-configuration"));
     logRead = new SharedAttempt(threads, clock, follower::refresh);
     peerQueries = new SharedAttempt(threads, clock, this::queryPeers);
   }
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
@@ -52,6 +52,7 @@
   private final long fence;
   private final FleetServices services;
   private final Runnable stepDown;
+  private final OwnerAges ages;
   private final OwnerPermission permission;
   private final HostOrderAnnouncements announcements;
   private final HostOrderGate hostOrderGate;
@@ -87,16 +88,12 @@
     hostOrderGate = new HostOrderGate(permission::mayOrderHosts);
     load = new OwnerLoad(services.metrics());
     loop = new OwnerLoop(fence, load);
-    summary = new OwnerSummary(fence, load);
-    runLog = new RunLog(fence, renewalAgeMillis, services.metrics());
+    ages =
+        new OwnerAges(renewalAgeMillis, services.workflowFollower()::ageMillis, services.metrics());
+    summary = new OwnerSummary(fence, load, ages);
+    runLog = new RunLog(fence, ages, services.metrics());
     callExecutor =
-        (ThreadPoolExecutor)
-            Executors.newCachedThreadPool(
-                task -> {
-                  Thread thread = new Thread(task, "owner-call");
-                  thread.setDaemon(true);
-                  return thread;
-                });
+        (ThreadPoolExecutor) Executors.newCachedThreadPool(DaemonThreads.named("owner-call"));
     permitRequests = new PermitRequests(services.placementPolicy(), callExecutor, services.clock());
     writer =
         new TableWriter(
@@ -290,6 +287,7 @@
   private void pass() {
     long started = System.nanoTime();
     isPassPending = false;
+    ages.record();
     decideAndSend(now());
     load.recordPass(System.nanoTime() - started);
   }
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSummary.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSummary.java
@@ -10,16 +10,18 @@
 
   private final long fence;
   private final OwnerLoad load;
+  private final OwnerAges ages;
 
-  OwnerSummary(long fence, OwnerLoad load) {
+  OwnerSummary(long fence, OwnerLoad load, OwnerAges ages) {
     this.fence = fence;
     this.load = load;
+    this.ages = ages;
   }
 
   /** Logs the current state, and the load since the last call. */
   void log(FleetScheduler scheduler, int calls, int queuedOrders, long nowMillis, long wallMillis) {
     LOG.info("event=fleet fence={} {}", fence, scheduler.outline(nowMillis));
-    LOG.info("event=owner_load fence={} {}", fence, load.takeSummary(calls, queuedOrders));
+    LOG.info("event=owner_load fence={} {} {}", fence, load.takeSummary(calls, queuedOrders), ages);
     logIfAny("event=pools fence={} {}", scheduler.machines().outlinePools());
     logIfAny("event=not_started fence={} {}", scheduler.outlineNotStarted(nowMillis, wallMillis));
     logIfAny("event=waves fence={} {}", scheduler.machines().outline(nowMillis));
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/RunLog.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/RunLog.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.StringJoiner;
-import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.persimmonloom.core.scheduling.EndCause;
@@ -21,6 +20,7 @@
 import org.persimmonloom.core.scheduling.RunningTask;
 import org.persimmonloom.core.scheduling.WorkerReport;
 import org.persimmonloom.core.workflow.TaskId;
+import org.persimmonloom.core.workflow.TextDigest;
 
 /**
  * Writes the life of the runs of one term to the log: why a task was free when its start was
@@ -40,7 +40,7 @@
   private static final int MAX_REMEMBERED_RELEASES = 4_096;
 
   private final long fence;
-  private final LongSupplier renewalAgeMillis;
+  private final OwnerAges ages;
   private final Counter released;
   private final Counter contradicted;
   private final List<String> ordered = new ArrayList<>();
@@ -63,29 +63,34 @@
   /** Ends of a worker's process that were read. */
   private record ReadEnds(long bornMillis, long number) {}
 
-  /**
-   * Creates the log of one term.
-   *
-   * @param renewalAgeMillis time since the term's last renewal was sent, in ms
-   */
-  RunLog(long fence, LongSupplier renewalAgeMillis, WorkflowMetrics metrics) {
+  /** Creates the log of one term. */
+  RunLog(long fence, OwnerAges ages, WorkflowMetrics metrics) {
     this.fence = fence;
-    this.renewalAgeMillis = renewalAgeMillis;
+    this.ages = ages;
     released = metrics.releasedRuns;
     contradicted = metrics.contradictedReleases;
   }
 
   @Override
-  public void runOrdered(Order.Start start, Optional<ReleasedRun> previous) {
+  public void runOrdered(Order.Start start, long submittedOffset, Optional<ReleasedRun> previous) {
     String free = previous.map(run -> " after #" + run.number() + ' ' + run.release()).orElse("");
-    ordered.add(start.task() + "#" + start.run() + " on " + start.worker().id() + free);
+    ordered.add(
+        "%s#%d on %s%s submitted %d spec %s checkpoint %s"
+            .formatted(
+                start.task(),
+                start.run(),
+                start.worker().id(),
+                free,
+                submittedOffset,
+                TextDigest.of(start.payload()),
+                TextDigest.of(start.checkpoint())));
   }
 
   /** Writes the starts that were decided since the last call. */
   void logOrdered() {
     for (int from = 0; from < ordered.size(); from += MAX_RUNS_PER_LINE) {
       List<String> part = ordered.subList(from, Math.min(ordered.size(), from + MAX_RUNS_PER_LINE));
-      LOG.info("event=runs_ordered fence={} runs={}", fence, part);
+      LOG.info("event=runs_ordered fence={} {} runs={}", fence, ages, part);
     }
     ordered.clear();
   }
@@ -105,16 +110,10 @@
           run.release(),
           run.releasedMillis() - run.evidenceMillis(),
           run.lastReportMillis() == 0 ? -1 : run.releasedMillis() - run.lastReportMillis(),
-          renewalAge());
+          ages.renewalMillis());
     }
   }
 
-  /** Returns the age of the last renewal in ms; -1 if the term is over or may be. */
-  private long renewalAge() {
-    long ageMillis = renewalAgeMillis.getAsLong();
-    return ageMillis == Long.MAX_VALUE ? -1 : ageMillis;
-  }
-
   /**
    * Writes the ends of a report that no earlier report of the same process has listed, and the runs
    * that it shows although they were released.
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/SubmissionService.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/SubmissionService.java
@@ -1,5 +1,6 @@
 package org.persimmonloom.runtime.workflow;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -8,6 +9,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.persimmonloom.core.workflow.TableRecord;
+import org.persimmonloom.core.workflow.TextDigest;
 import org.persimmonloom.core.workflow.WorkflowRecords;
 import org.persimmonloom.core.workflow.WorkflowSpec;
 import org.persimmonloom.core.workflow.WorkflowState;
@@ -34,6 +36,7 @@
   private static final Logger LOG = LogManager.getLogger(SubmissionService.class);
 
   private static final int MAX_PEERS_TRIED = 2;
+  private static final int UNKNOWN_WORKFLOW_LINES_PER_SECOND = 50;
 
   /**
    * Maximum time since this host's replica caught up with the log for the replica to count as
@@ -50,6 +53,7 @@
   private final WorkflowMetrics metrics;
   private final LongSupplier clock;
   private final WorkflowRecords records = new WorkflowRecords();
+  private final LogLimit unknownLines = new LogLimit(UNKNOWN_WORKFLOW_LINES_PER_SECOND);
 
   SubmissionService(
       WorkflowReplica workflows,
@@ -86,16 +90,17 @@
       return CompletableFuture.completedFuture(Result.ACCEPTED);
     }
     LOG.info(
-        "event=submission workflow={} queue={} steps={}",
+        "event=submission workflow={} queue={} steps={} spec={}",
         spec.id(),
         spec.policy().queue(),
-        spec.outline());
+        spec.outline(),
+        TextDigest.of(spec.payload()));
     return append(spec.id(), "submit", List.of(records.submission(spec)));
   }
 
   /** Cancels a workflow; no effect if it has ended. */
   public CompletableFuture<Result> cancel(String id) {
-    WorkflowLookup lookup = lookUp(id);
+    WorkflowLookup lookup = lookUp(id, "cancel");
     if (lookup.state().isEmpty()) {
       Result result = lookup.isUnknown() ? Result.UNKNOWN_WORKFLOW : Result.REFUSED;
       return CompletableFuture.completedFuture(result);
@@ -191,23 +196,56 @@
    * replica is not current, other hosts are queried.
    */
   public WorkflowLookup lookUp(String id) {
+    return lookUp(id, "show");
+  }
+
+  private WorkflowLookup lookUp(String id, String operation) {
     WorkflowLookup local = lookUpLocally(id);
     Optional<WorkflowState> state = local.state();
     if (state.isPresent() && (state.get().isFinal() || local.isConclusive())) {
       return local;
     }
-    if (state.isEmpty() && follower.refresh()) {
-      return lookUpLocally(id);
+    String read = "none";
+    if (state.isEmpty()) {
+      if (follower.refresh()) {
+        return logged(lookUpLocally(id), id, operation, "ok", List.of());
+      }
+      read = "failed";
+    }
+    List<String> peerAnswers = new ArrayList<>();
+    WorkflowLookup lookup =
+        lookUpAtPeers(id, peerAnswers)
+            .map(found -> new WorkflowLookup(Optional.of(found), false))
+            .orElseGet(() -> lookUpLocally(id));
+    return logged(lookup, id, operation, read, peerAnswers);
+  }
+
+  /** Writes a line if the workflow was not found, so that the answer can be explained. */
+  private WorkflowLookup logged(
+      WorkflowLookup lookup, String id, String operation, String read, List<String> peerAnswers) {
+    if (lookup.state().isPresent()) {
+      return lookup;
+    }
+    if (lookup.isUnknown()) {
+      metrics.unknownWorkflows.labelValues(operation).inc();
+    }
+    if (unknownLines.mayLog(clock.getAsLong())) {
+      LOG.info(
+          "event=workflow_{} workflow={} operation={} suppressed={} {}",
+          lookup.isUnknown() ? "unknown" : "unconfirmed",
+          id,
+          operation,
+          unknownLines.takeSuppressed(),
+          new LookupEvidence(follower.ageMillis(), follower.end(), read, peerAnswers));
     }
-    return lookUpAtPeers(id)
-        .map(found -> new WorkflowLookup(Optional.of(found), false))
-        .orElseGet(() -> lookUpLocally(id));
+    return lookup;
   }
 
-  private Optional<WorkflowState> lookUpAtPeers(String id) {
+  private Optional<WorkflowState> lookUpAtPeers(String id, List<String> answers) {
     List<String> addresses = hosts.otherAddresses();
     for (String address : addresses.subList(0, Math.min(MAX_PEERS_TRIED, addresses.size()))) {
       PeerClient.StateAnswer answer = peers.state(address, id);
+      answers.add(address + '=' + answer);
       if (answer.isAnswered()) {
         hosts.recordSuccess(address);
         return answer.state();
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowHost.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowHost.java
@@ -76,7 +76,8 @@
     hosts = new HostDirectory(name);
     configuration = new ConfigurationService(log, decoder, peers, hosts, metrics, replicaClock);
     placement = new OwnershipPlacement(hosts, processors, peers::mayClaim);
-    placementLoop = Executors.newSingleThreadScheduledExecutor(WorkflowHost::placementThread);
+    placementLoop =
+        Executors.newSingleThreadScheduledExecutor(DaemonThreads.named("ownership-placement"));
     hostFollower = new TableFollower(log, Table.HOSTS, hosts, clock, HOSTS_READ_WAIT_MILLIS, 0);
     hostWriter = new TableWriter(log, Table.HOSTS, name + '-' + incarnation, 1, metrics, clock);
     submissions =
@@ -136,12 +137,6 @@
         FleetServices.FOLLOWER_PAUSE_MILLIS);
   }
 
-  private static Thread placementThread(Runnable task) {
-    Thread thread = new Thread(task, "ownership-placement");
-    thread.setDaemon(true);
-    return thread;
-  }
-
   /** Starts reading the platform's log. */
   public void start() {
     configuration.start();
@@ -230,6 +225,8 @@
   private synchronized void endTerm() {
     if (session != null) {
       metrics.fence.set(0);
+      metrics.workflowsAgeSeconds.set(0);
+      metrics.renewalAgeSeconds.set(0);
       session.stop();
       session = null;
       LOG.info("event=term_ended host_is_stopping={}", isStopping);
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowMetrics.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowMetrics.java
@@ -54,6 +54,12 @@
           .help("requests for which the configuration in force has no route, by what that proves")
           .labelNames("answer")
           .register(registry);
+  final Counter unknownWorkflows =
+      Counter.builder()
+          .name("persimmonloom_unknown_workflows_total")
+          .help("requests about workflows that were answered as unknown")
+          .labelNames("operation")
+          .register(registry);
   final Counter machineOrders =
       Counter.builder()
           .name("persimmonloom_machine_orders_total")
@@ -66,6 +72,17 @@
           .help("fence of this host's ownership; 0 without ownership")
           .register(registry);
 
+  final Gauge workflowsAgeSeconds =
+      Gauge.builder()
+          .name("persimmonloom_owner_workflows_age_seconds")
+          .help("age of what the owner knows of the workflows, at its last pass")
+          .register(registry);
+  final Gauge renewalAgeSeconds =
+      Gauge.builder()
+          .name("persimmonloom_owner_renewal_age_seconds")
+          .help("time since the owner's last renewal was sent, at its last pass")
+          .register(registry);
+
   final Histogram passSeconds =
       Histogram.builder()
           .name("persimmonloom_owner_pass_seconds")
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/RunLogTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/RunLogTest.java
@@ -25,14 +25,14 @@
   private static final WorkerFacts SECOND = worker("w2");
 
   private final WorkflowMetrics metrics = new WorkflowMetrics();
-  private final RunLog log = new RunLog(7, () -> 350, metrics);
+  private final RunLog log = new RunLog(7, new OwnerAges(() -> 350, () -> 40, metrics), metrics);
 
   private static WorkerFacts worker(String id) {
     return new WorkerFacts(id, "10.0.0.1:80", "s", "a", false, Resources.NONE, Set.of(), 1_000);
   }
 
-  private static Order.Start start(WorkerFacts worker, int run) {
-    return new Order.Start(worker, TASK, run, "", 6_000, "", "");
+  private static Order.Start start(WorkerFacts worker, int run, String checkpoint) {
+    return new Order.Start(worker, TASK, run, "payload", 6_000, checkpoint, "");
   }
 
   @Test
@@ -40,17 +40,20 @@
     ReleasedRun released =
         new ReleasedRun(TASK, 1, "w1", RunRelease.LEASE_EXPIRED, 1_000, 900, 1_020);
     try (LogLines lines = new LogLines("event=run")) {
-      log.runOrdered(start(FIRST, 1), Optional.empty());
+      log.runOrdered(start(FIRST, 1, ""), 12, Optional.empty());
       log.logOrdered();
       log.runReleased(released);
-      log.runOrdered(start(SECOND, 2), Optional.of(released));
+      log.runOrdered(start(SECOND, 2, "saved"), 12, Optional.of(released));
       log.logOrdered();
       assertThat(lines.rest())
           .containsExactly(
-              "event=runs_ordered fence=7 runs=[f1.0.1.2#1 on w1]",
+              "event=runs_ordered fence=7 workflows_age_ms=40 renewal_age_ms=350"
+                  + " runs=[f1.0.1.2#1 on w1 submitted 12 spec ea9649ea checkpoint -]",
               "event=run_released task=f1.0.1.2 run=1 worker=w1 fence=7 proof=LEASE_EXPIRED"
                   + " proof_age_ms=20 reported_ms=120 renewal_age_ms=350",
-              "event=runs_ordered fence=7 runs=[f1.0.1.2#2 on w2 after #1 LEASE_EXPIRED]");
+              "event=runs_ordered fence=7 workflows_age_ms=40 renewal_age_ms=350"
+                  + " runs=[f1.0.1.2#2 on w2 after #1 LEASE_EXPIRED submitted 12 spec ea9649ea"
+                  + " checkpoint 131d4fb7]");
     }
     assertThat(metrics.releasedRuns.labelValues("LEASE_EXPIRED").get()).isEqualTo(1);
   }
