Call a workflow unknown only after a read that follows the question

Callers got 410 for GET and DELETE of a workflow that another host had accepted, from a host whose reads of the log failed. They took the cancellation for acknowledged; nothing was recorded, and the tasks started later.

Cause: after a failed read the replica counted as conclusive by its age (below 2.5 s), and PeerServer answered 404 by the same age without a read. The host believed the first other host that said so.

Unknown is now said only after a read of the log up to its end that begins after the question, by this host or by the one that it asks; otherwise the answer is 503. The platform's reads are linearizable, so such a read has each submission that was acknowledged before. A 404 without the header of the new version is not believed.

The age of the replica stays in use for readiness, claims and the count of waiting workflows, and for the state of a workflow that the replica has.

TableLoadTest asks the replica itself instead of lookUpLocally, which returned the same state.

--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/LookupEvidence.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/LookupEvidence.java
@@ -7,10 +7,13 @@
  *
  * @param replicaAgeMillis age of this host's replica after the search, in ms
  * @param replicaEnd offset after the last record of the replica
- * @param read result of the read of the log during the search; empty if there was none
- * @param peers answers of other hosts, in the order of asking
+ * @param read result of the read of the log that began after the question; "unanswered" while there
+ *     is none
+ * @param waitedMillis duration of the search, in ms
+ * @param peers answers of other hosts, in the order of their arrival
  */
-record LookupEvidence(long replicaAgeMillis, long replicaEnd, String read, List<String> peers) {
+record LookupEvidence(
+    long replicaAgeMillis, long replicaEnd, String read, long waitedMillis, List<String> peers) {
   /** Copies the answers. */
   LookupEvidence {
     peers = List.copyOf(peers);
@@ -18,7 +21,7 @@
 
   @Override
   public String toString() {
-    return "replica_age_ms=%d end=%d read=%s peers=%s"
-        .formatted(replicaAgeMillis, replicaEnd, read, peers);
+    return "replica_age_ms=%d end=%d read=%s waited_ms=%d peers=%s"
+        .formatted(replicaAgeMillis, replicaEnd, read, waitedMillis, peers);
   }
 }
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/PeerClient.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/PeerClient.java
@@ -30,6 +30,12 @@
   /** Path prefix of a workflow's state; the workflow's identifier follows. */
   static final String STATE_PATH = "/workflows/";
 
+  /**
+   * Header of the response that a workflow is unknown. Earlier versions do not send it; they answer
+   * without a read of the log, which proves nothing.
+   */
+  static final String LOG_READ_HEADER = "Persimmonloom-Log-Read";
+
   /** Path to query the newest configuration that a host knows. */
   static final String CONFIGURATION_PATH = "/configuration";
 
@@ -109,8 +115,8 @@
   }
 
   /**
-   * Result of a state query; answered without a state if the peer's current replica has no such
-   * workflow.
+   * Result of a state query; answered without a state if the peer has read the log up to its end
+   * since the query and found no such workflow.
    */
   record StateAnswer(boolean isAnswered, Optional<WorkflowState> state) {}
 
@@ -174,7 +180,7 @@
 
   StateAnswer state(String address, String workflow) {
     try (Response response = get(address, STATE_PATH + workflow)) {
-      if (response.code() == NOT_FOUND) {
+      if (response.code() == NOT_FOUND && response.header(LOG_READ_HEADER) != null) {
         return new StateAnswer(true, Optional.empty());
       }
       if (response.code() != OK) {
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/PeerServer.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/PeerServer.java
@@ -4,6 +4,7 @@
 import io.undertow.Undertow;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -28,6 +29,7 @@
   /** Time after which an append without a result is reported as unknown. */
   private static final long RESPONSE_TIMEOUT_MILLIS = 700;
 
+  private static final HttpString LOG_READ = new HttpString(PeerClient.LOG_READ_HEADER);
   private static final String METRICS_PATH = "/metrics";
 
   private final Codec codec = new Codec(Map.of());
@@ -185,11 +187,18 @@
   }
 
   private void sendState(HttpServerExchange exchange, String workflow) {
-    WorkflowLookup lookup = submissions.lookUpLocally(workflow);
-    if (lookup.state().isPresent()) {
-      send(exchange, new PeerClient.State(lookup.state().get()));
-    } else {
-      exchange.setStatusCode(lookup.isUnknown() ? 404 : 503).endExchange();
-    }
+    submissions
+        .lookUpForPeer(workflow)
+        .thenAccept(
+            lookup -> {
+              if (lookup.state().isPresent()) {
+                send(exchange, new PeerClient.State(lookup.state().get()));
+              } else if (lookup.isUnknown()) {
+                exchange.getResponseHeaders().put(LOG_READ, "1");
+                exchange.setStatusCode(404).endExchange();
+              } else {
+                exchange.setStatusCode(503).endExchange();
+              }
+            });
   }
 }
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/SubmissionService.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/SubmissionService.java
@@ -1,8 +1,6 @@
 package org.persimmonloom.runtime.workflow;
 
-import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -12,7 +10,6 @@
 import org.persimmonloom.core.workflow.TextDigest;
 import org.persimmonloom.core.workflow.WorkflowRecords;
 import org.persimmonloom.core.workflow.WorkflowSpec;
-import org.persimmonloom.core.workflow.WorkflowState;
 
 /**
  * Accepts and cancels workflows and returns their states on one entry host.
@@ -36,16 +33,8 @@
   private static final Logger LOG = LogManager.getLogger(SubmissionService.class);
 
   private static final int MAX_PEERS_TRIED = 2;
-  private static final int UNKNOWN_WORKFLOW_LINES_PER_SECOND = 50;
-
-  /**
-   * Maximum time since this host's replica caught up with the log for the replica to count as
-   * current.
-   */
-  private static final long MAX_REPLICA_AGE_MILLIS = 2_500;
-
   private final WorkflowReplica workflows;
-  private final TableFollower follower;
+  private final WorkflowSearch search;
   private final TableWriter writer;
   private final PeerClient peers;
   private final HostDirectory hosts;
@@ -53,7 +42,6 @@
   private final WorkflowMetrics metrics;
   private final LongSupplier clock;
   private final WorkflowRecords records = new WorkflowRecords();
-  private final LogLimit unknownLines = new LogLimit(UNKNOWN_WORKFLOW_LINES_PER_SECOND);
 
   SubmissionService(
       WorkflowReplica workflows,
@@ -66,7 +54,7 @@
       LongSupplier clock) {
     this.metrics = metrics;
     this.workflows = workflows;
-    this.follower = follower;
+    search = new WorkflowSearch(workflows, follower, peers, hosts, metrics, clock);
     this.writer = writer;
     this.peers = peers;
     this.hosts = hosts;
@@ -74,9 +62,16 @@
     this.clock = clock;
   }
 
-  /** Returns whether this host's replica of the table is current. */
+  void stop() {
+    search.stop();
+  }
+
+  /**
+   * Returns whether this host's replica of the table has caught up with the log a short time ago.
+   * That does not prove that a workflow which it does not have is unknown.
+   */
   public boolean isCurrent() {
-    return follower.isLoaded() && follower.ageMillis() < MAX_REPLICA_AGE_MILLIS;
+    return search.isCurrent();
   }
 
   /** Returns whether this host's replica has the workflow. */
@@ -100,7 +95,7 @@
 
   /** Cancels a workflow; no effect if it has ended. */
   public CompletableFuture<Result> cancel(String id) {
-    WorkflowLookup lookup = lookUp(id, "cancel");
+    WorkflowLookup lookup = search.search(id, "cancel").join();
     if (lookup.state().isEmpty()) {
       Result result = lookup.isUnknown() ? Result.UNKNOWN_WORKFLOW : Result.REFUSED;
       return CompletableFuture.completedFuture(result);
@@ -184,75 +179,17 @@
     }
   }
 
-  /** Looks a workflow up in this host's replica. */
-  WorkflowLookup lookUpLocally(String id) {
-    // Before the search: a replica that becomes current later may not have been so during it.
-    boolean isConclusive = isCurrent();
-    return new WorkflowLookup(workflows.state(id), isConclusive);
-  }
-
   /**
-   * Looks a workflow up. If this host's replica does not have it, the log is read once more; if the
-   * replica is not current, other hosts are queried.
+   * Looks a workflow up; see {@link WorkflowSearch#search}. Waits for the log and other hosts if
+   * this host's replica does not have it.
    */
   public WorkflowLookup lookUp(String id) {
-    return lookUp(id, "show");
-  }
-
-  private WorkflowLookup lookUp(String id, String operation) {
-    WorkflowLookup local = lookUpLocally(id);
-    Optional<WorkflowState> state = local.state();
-    if (state.isPresent() && (state.get().isFinal() || local.isConclusive())) {
-      return local;
-    }
-    String read = "none";
-    if (state.isEmpty()) {
-      if (follower.refresh()) {
-        return logged(lookUpLocally(id), id, operation, "ok", List.of());
-      }
-      read = "failed";
-    }
-    List<String> peerAnswers = new ArrayList<>();
-    WorkflowLookup lookup =
-        lookUpAtPeers(id, peerAnswers)
-            .map(found -> new WorkflowLookup(Optional.of(found), false))
-            .orElseGet(() -> lookUpLocally(id));
-    return logged(lookup, id, operation, read, peerAnswers);
-  }
-
-  /** Writes a line if the workflow was not found, so that the answer can be explained. */
-  private WorkflowLookup logged(
-      WorkflowLookup lookup, String id, String operation, String read, List<String> peerAnswers) {
-    if (lookup.state().isPresent()) {
-      return lookup;
-    }
-    if (lookup.isUnknown()) {
-      metrics.unknownWorkflows.labelValues(operation).inc();
-    }
-    if (unknownLines.mayLog(clock.getAsLong())) {
-      LOG.info(
-          "event=workflow_{} workflow={} operation={} suppressed={} {}",
-          lookup.isUnknown() ? "unknown" : "unconfirmed",
-          id,
-          operation,
-          unknownLines.takeSuppressed(),
-          new LookupEvidence(follower.ageMillis(), follower.end(), read, peerAnswers));
-    }
-    return lookup;
+    return search.search(id, "show").join();
   }
 
-  private Optional<WorkflowState> lookUpAtPeers(String id, List<String> answers) {
-    List<String> addresses = hosts.otherAddresses();
-    for (String address : addresses.subList(0, Math.min(MAX_PEERS_TRIED, addresses.size()))) {
-      PeerClient.StateAnswer answer = peers.state(address, id);
-      answers.add(address + '=' + answer);
-      if (answer.isAnswered()) {
-        hosts.recordSuccess(address);
-        return answer.state();
-      }
-      hosts.recordFailure(address);
-    }
-    return Optional.empty();
+  /** Looks a workflow up for another host. */
+  CompletableFuture<WorkflowLookup> lookUpForPeer(String id) {
+    return search.searchForPeer(id);
   }
 
   /** Returns the number of workflows of a queue without a started task. */
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowHost.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowHost.java
@@ -189,6 +189,7 @@
     hostFollower.stop();
     hostWriter.stop();
     peerServer.stop();
+    submissions.stop();
   }
 
   /** Returns whether this host is ready for new connections. */
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/TableLoadTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/TableLoadTest.java
@@ -170,7 +170,7 @@
     List<SubmissionService.Result> cancelled = new CopyOnWriteArrayList<>();
     beforeRecord =
         () -> {
-          shown.add(submissions.lookUpLocally(series.id()).state());
+          shown.add(workflows.state(series.id()));
           shown.add(submissions.lookUp(series.id()).state());
           cancelled.add(submissions.cancel(series.id()).getNow(null));
         };
@@ -200,7 +200,7 @@
     beforeRead =
         () -> {
           if (follower.isLoaded()) {
-            shown.add(submissions.lookUpLocally(series.id()).state());
+            shown.add(workflows.state(series.id()));
           }
         };
     load();
@@ -217,7 +217,7 @@
     append(records.submission(series), progress(0, WorkflowState.COMPLETE));
     load();
     List<Optional<WorkflowState>> shown = new CopyOnWriteArrayList<>();
-    beforeRecord = () -> shown.add(submissions.lookUpLocally(series.id()).state());
+    beforeRecord = () -> shown.add(workflows.state(series.id()));
     log.expiredReads = 1;
     await(() -> shown.size() >= 2 && follower.isLoaded());
     assertThat(shown).containsOnly(Optional.of(WorkflowState.ACTIVE));
