Keep the checkpoint of the newest run of a task

A task that had run on two workers could resume from the checkpoint of its older run, and did the work between the two again. The scheduler kept the checkpoint that it had read last, while reports of different workers arrive in any order, above all at a new owner. It now keeps the number of the run with the checkpoint; an older run no longer replaces it, and a run without a checkpoint leaves that of an older run in force.

--- a/core/src/main/java/org/persimmonloom/core/scheduling/RunEndHandler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/RunEndHandler.java
@@ -35,9 +35,7 @@
     occurrenceTable.markBegun(occurrence);
     task.lastRun = Math.max(task.lastRun, ended.run());
     occurrence.runSeen(task, ended.run());
-    if (!ended.checkpoint().isEmpty()) {
-      task.checkpoint = ended.checkpoint();
-    }
+    task.recordCheckpoint(ended.run(), ended.checkpoint());
     switch (ended.cause()) {
       case DONE -> taskDone(worker, occurrence, task);
       case FAILED -> taskFailed(worker, occurrence, task, ended.run(), nowMillis);
--- a/core/src/main/java/org/persimmonloom/core/scheduling/TaskRun.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/TaskRun.java
@@ -40,8 +40,6 @@
    */
   boolean mayHaveUnlistedEnd;
 
-  String checkpoint = "";
-
   /** Speed that the worker last reported; see {@link RunningTask#percent}. */
   int speedPercent;
 
--- a/core/src/main/java/org/persimmonloom/core/scheduling/TaskState.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/TaskState.java
@@ -31,8 +31,12 @@
    */
   final SortedSet<Integer> failedRuns = new TreeSet<>();
 
+  /** Newest checkpoint; empty if there is none. Set only by {@link #recordCheckpoint}. */
   String checkpoint = "";
 
+  /** Number of the run that produced the checkpoint; 0 if there is none. */
+  int checkpointRun;
+
   /** The run that was released last; null if this owner has released none. */
   ReleasedRun lastReleased;
 
@@ -42,6 +46,17 @@
     this.index = index;
   }
 
+  /**
+   * Records the checkpoint of a run; no effect if it is empty or that of a higher run is known. The
+   * reports of different workers arrive in any order.
+   */
+  void recordCheckpoint(int run, String reported) {
+    if (!reported.isEmpty() && run >= checkpointRun) {
+      checkpoint = reported;
+      checkpointRun = run;
+    }
+  }
+
   boolean isRunnable() {
     return !isDone && activeRuns.isEmpty();
   }
--- a/core/src/main/java/org/persimmonloom/core/scheduling/WorkerReportHandler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/WorkerReportHandler.java
@@ -94,7 +94,6 @@
       occurrenceTable.markBegun(occurrence);
       run.speedPercent = running.percent();
       run.load = running.load();
-      run.checkpoint = running.checkpoint();
       run.mayHaveUnlistedEnd = false;
       if (run.phase == TaskRun.Phase.STARTING) {
         run.phase = TaskRun.Phase.RUNNING;
@@ -102,8 +101,8 @@
         run.isUnanswered = false;
       }
       TaskState task = occurrence == null ? null : occurrence.task(running.task());
-      if (task != null && !running.checkpoint().isEmpty()) {
-        task.checkpoint = running.checkpoint();
+      if (task != null) {
+        task.recordCheckpoint(running.run(), running.checkpoint());
       }
     }
     for (TaskRun run : List.copyOf(worker.runs.values())) {
