Resume a gang from the newest checkpoint of any member

A gang began anew, or at an older point, although a member had reported a newer checkpoint: all members were started with the checkpoint of the first one, which may have reported none, for example because it was lost with its worker. Any member's value is valid for the gang, and all must carry the same, so the members now share the one of the newest run that has any.

Two cases of CheckpointTest failed before. ReferenceScheduler chooses the checkpoint by the same rule in code of its own.

--- a/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/FleetScheduler.java
@@ -363,9 +363,8 @@
     if (chosen == null) {
       return;
     }
-    String checkpoint = members.get(0).checkpoint;
+    occurrence.shareNewestCheckpoint(step);
     for (TaskState task : members) {
-      task.checkpoint = checkpoint;
       start(occurrence, task, run + 1, chosen.get(task), orders, nowMillis);
     }
   }
--- a/core/src/main/java/org/persimmonloom/core/scheduling/OccurrenceState.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/OccurrenceState.java
@@ -2,6 +2,7 @@
 
 import java.util.Arrays;
 import java.util.BitSet;
+import java.util.Comparator;
 import java.util.List;
 import org.persimmonloom.core.workflow.OccurrenceProgress;
 import org.persimmonloom.core.workflow.QueuePolicy;
@@ -135,6 +136,17 @@
     return Arrays.asList(tasks).subList(first, first + step(step).tasks());
   }
 
+  /**
+   * Gives all members of a gang the checkpoint of the newest run that has one. That of any member
+   * is valid for the gang, and all members must carry the same.
+   */
+  void shareNewestCheckpoint(int step) {
+    List<TaskState> members = tasksOf(step);
+    TaskState newest =
+        members.stream().max(Comparator.comparingInt(task -> task.checkpointRun)).orElseThrow();
+    members.forEach(task -> task.recordCheckpoint(newest.checkpointRun, newest.checkpoint));
+  }
+
   TaskId taskId(TaskState task) {
     return new TaskId(spec.id(), number, task.step, task.index);
   }
--- a/core/src/test/java/org/persimmonloom/core/scheduling/ReferenceScheduler.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/ReferenceScheduler.java
@@ -126,9 +126,13 @@
     int run = members.stream().mapToInt(task -> task.lastRun).max().orElseThrow();
     Map<TaskState, WorkerState> chosen = Placement.chooseForGang(pool, occurrence, members, now);
     if (chosen != null) {
-      String checkpoint = members.get(0).checkpoint;
+      TaskState newest = members.get(0);
       for (TaskState task : members) {
-        task.checkpoint = checkpoint;
+        newest = task.checkpointRun > newest.checkpointRun ? task : newest;
+      }
+      for (TaskState task : members) {
+        task.checkpoint = newest.checkpoint;
+        task.checkpointRun = newest.checkpointRun;
         start(occurrence, task, run + 1, chosen.get(task), orders, now);
       }
     }
