Run only the first body of a workflow that is submitted twice

A client that used an identifier again with another body got tasks of both. The owner went on with the first submission, but the log keeps only the newest one, so the next owner started steps of the second; a series of more occurrences that followed a complete workflow was started by the same owner as well, since the workflow no longer counted as complete. A repeat of the same body after the end was kept in the log for ever.

The owner now writes the first submission again when it reads another body for a workflow that it has, and removes the submission of one that has ended. Both are records of the present formats, written by the fenced writer before the progress that follows, so that the newest records, from which a later owner and a compacted log start, are those of the first body. A repeat of the same body is not written again.

One is known red: an owner that ends between the second submission and its next record of progress, which is due each 25 ms, leaves the second body to its successor.

--- a/core/src/main/java/org/persimmonloom/core/scheduling/OccurrenceTable.java
+++ b/core/src/main/java/org/persimmonloom/core/scheduling/OccurrenceTable.java
@@ -5,12 +5,14 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.IntStream;
 import org.persimmonloom.core.workflow.OccurrenceProgress;
 import org.persimmonloom.core.workflow.QueuePolicy;
 import org.persimmonloom.core.workflow.StepSpec;
@@ -43,6 +45,12 @@
   /** Workflows that have ended, but whose older records may still be read from the log. */
   private final Set<String> ended = new HashSet<>();
 
+  /**
+   * Records that undo repeated submissions in the log, by workflow. Only the newest submission of a
+   * workflow is kept there, and a later owner would take it for the one that has begun.
+   */
+  private final Map<String, TableRecord> corrections = new LinkedHashMap<>();
+
   private final WorkArrivals arrivals = new WorkArrivals();
   private final Set<OccurrenceState> dirty = new LinkedHashSet<>();
 
@@ -88,9 +96,14 @@
       return;
     }
     List<OccurrenceState> known = workflows.get(entry.id());
-    if (entry.state() == WorkflowState.CANCELLED) {
+    if (known == null && entry.spec().isPresent() && isOver(entry, isBacklog)) {
+      corrections.put(entry.id(), records.submissionRemoval(entry.id()));
+      ended.add(entry.id());
+    } else if (entry.state() == WorkflowState.CANCELLED) {
       cancel(entry, known, nowMillis);
-    } else if (known == null && entry.spec().isPresent() && !entry.state().isFinal()) {
+    } else if (known != null) {
+      known.stream().findFirst().ifPresent(first -> keepFirst(first.spec, entry));
+    } else if (entry.spec().isPresent()) {
       WorkflowSpec spec = entry.spec().get();
       long age = isBacklog ? wallMillis - spec.acceptedMillis() : 0;
       long submitted = nowMillis - Math.max(0, Math.min(age, MAX_BACKLOG_AGE_MILLIS));
@@ -99,12 +112,39 @@
     }
   }
 
+  /**
+   * Returns whether a stored submission is that of a workflow that has ended. This owner has all
+   * others since their submission, so progress of one that it does not have shows that an owner has
+   * ended it and removed its submission, which was repeated later.
+   */
+  private static boolean isOver(WorkflowEntry entry, boolean isBacklog) {
+    Set<Integer> recorded = entry.recordedOccurrences();
+    boolean hasEnded = recorded.stream().allMatch(number -> isEnded(entry.progress(number)));
+    if (!isBacklog && !recorded.isEmpty() && hasEnded) {
+      return true;
+    }
+    return entry.state() == WorkflowState.CANCELLED
+        ? IntStream.range(0, entry.spec().orElseThrow().occurrences())
+            .allMatch(number -> isEnded(entry.progress(number)))
+        : entry.state().isFinal();
+  }
+
+  private static boolean isEnded(Optional<OccurrenceProgress> progress) {
+    return progress.filter(recorded -> recorded.state().isFinal()).isPresent();
+  }
+
+  private void keepFirst(WorkflowSpec first, WorkflowEntry entry) {
+    if (entry.spec().filter(newest -> !newest.hasSameBody(first)).isPresent()) {
+      corrections.put(entry.id(), records.submission(first));
+    }
+  }
+
   private void add(WorkflowEntry entry, long submitted) {
     WorkflowSpec spec = entry.spec().orElseThrow();
     List<OccurrenceState> occurrences = new ArrayList<>();
     for (int number = 0; number < spec.occurrences(); number++) {
       Optional<OccurrenceProgress> progress = entry.progress(number);
-      if (progress.filter(recorded -> recorded.state().isFinal()).isPresent()) {
+      if (isEnded(progress)) {
         continue;
       }
       OccurrenceState occurrence =
@@ -156,6 +196,7 @@
 
   private void remove(String workflow) {
     workflows.remove(workflow);
+    corrections.remove(workflow);
     ended.add(workflow);
   }
 
@@ -184,12 +225,13 @@
   }
 
   /**
-   * Returns the records of the oldest unrecorded changes, up to a limit, and marks these changes as
-   * recorded. The removal of a submission follows the last record of its workflow, since the
-   * workflow could not be completed without the submission.
+   * Returns the corrections of submissions and the records of the oldest unrecorded changes, up to
+   * a limit, and marks these changes as recorded. The removal of a submission follows the last
+   * record of its workflow, since the workflow could not be completed without the submission.
    */
   List<TableRecord> takeRecords(long wallMillis) {
-    List<TableRecord> taken = new ArrayList<>();
+    List<TableRecord> taken = new ArrayList<>(corrections.values());
+    corrections.clear();
     int occurrences = 0;
     int tasks = 0;
     Iterator<OccurrenceState> oldest = dirty.iterator();
--- a/core/src/main/java/org/persimmonloom/core/workflow/WorkflowSpec.java
+++ b/core/src/main/java/org/persimmonloom/core/workflow/WorkflowSpec.java
@@ -32,6 +32,15 @@
     steps = List.copyOf(steps);
   }
 
+  /** Returns whether the submitter sent the same, whatever the host that accepted it added. */
+  public boolean hasSameBody(WorkflowSpec other) {
+    return payload.equals(other.payload)
+        && steps.equals(other.steps)
+        && repeatCount == other.repeatCount
+        && firstMillis == other.firstMillis
+        && intervalMillis == other.intervalMillis;
+  }
+
   /** Returns the number of occurrences, at least 1. */
   public int occurrences() {
     return Math.max(1, repeatCount);
