Record the cancellation of an unknown workflow before it is acknowledged

A client whose submission had no answer gave up, sent DELETE, and got 410. Nothing was recorded, so that the submission, which the host repeats until the store answers, or which the store carries out seconds later, started all its tasks after the acknowledged cancellation. A late duplicate of the submission did the same.

DELETE of an unknown workflow now appends the cancellation record, under the key and with the value of any other, before it answers 410; if that fails it is answered as any other cancellation that could not be recorded. A submission that follows is cancelled from the start, by the states of the table (the newest cancellation counts whatever its order) and by the scheduler, which records the end and removes the submission. The scheduler needed no change; tests cover both orders and a load.

A workflow of which only a cancellation exists is not shown, and not counted as waiting.

Cost: one append for each DELETE of an unknown identifier.

--- a/core/src/main/java/org/persimmonloom/core/workflow/WorkflowEntry.java
+++ b/core/src/main/java/org/persimmonloom/core/workflow/WorkflowEntry.java
@@ -67,6 +67,19 @@
     return submittedOffset;
   }
 
+  /**
+   * Returns whether the workflow was submitted. If not, it was cancelled while it was unknown, so
+   * that a submission that follows starts nothing; it must not be shown.
+   */
+  public boolean isSubmitted() {
+    return spec != null || !progress.isEmpty();
+  }
+
+  /** Returns the log offset of the newest cancellation; -1 if there is none. */
+  long cancelledOffset() {
+    return cancelledOffset;
+  }
+
   /** Returns whether a cancellation is recorded. */
   public boolean isCancelled() {
     return cancelledOffset >= 0;
--- a/core/src/main/java/org/persimmonloom/core/workflow/WorkflowTable.java
+++ b/core/src/main/java/org/persimmonloom/core/workflow/WorkflowTable.java
@@ -125,6 +125,20 @@
     return removals;
   }
 
+  /**
+   * Returns the log offsets of the cancellations of workflows that were not submitted, by the
+   * identifiers of the workflows.
+   */
+  public Map<String, Long> unsubmittedCancellations() {
+    Map<String, Long> offsets = new HashMap<>();
+    for (WorkflowEntry entry : entries.values()) {
+      if (!entry.isSubmitted()) {
+        offsets.put(entry.id(), entry.cancelledOffset());
+      }
+    }
+    return offsets;
+  }
+
   /** Returns the number of records that could not be decoded. */
   public long unreadableCount() {
     return unreadableCount;
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/SubmissionService.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/SubmissionService.java
@@ -93,12 +93,19 @@
     return append(spec.id(), "submit", List.of(records.submission(spec)));
   }
 
-  /** Cancels a workflow; no effect if it has ended. */
+  /**
+   * Cancels a workflow; no effect if it has ended. The cancellation of an unknown workflow is
+   * recorded too: a submission of it without an answer may still be appended, and starts nothing
+   * then.
+   */
   public CompletableFuture<Result> cancel(String id) {
     WorkflowLookup lookup = search.search(id, "cancel").join();
+    if (lookup.isUnknown()) {
+      return append(id, "cancel_unknown", List.of(records.cancellation(id)))
+          .thenApply(result -> result == Result.ACCEPTED ? Result.UNKNOWN_WORKFLOW : result);
+    }
     if (lookup.state().isEmpty()) {
-      Result result = lookup.isUnknown() ? Result.UNKNOWN_WORKFLOW : Result.REFUSED;
-      return CompletableFuture.completedFuture(result);
+      return CompletableFuture.completedFuture(Result.REFUSED);
     }
     if (lookup.state().get().isFinal()) {
       return CompletableFuture.completedFuture(Result.ACCEPTED);
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowReplica.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowReplica.java
@@ -148,7 +148,7 @@
 
   /** Returns the state of a workflow; empty if it is unknown. */
   public synchronized Optional<WorkflowState> state(String id) {
-    return contents.table.find(id).map(WorkflowEntry::state);
+    return contents.table.find(id).filter(WorkflowEntry::isSubmitted).map(WorkflowEntry::state);
   }
 
   /** Returns the records that remove workflows which ended longer ago than {@code keptMillis}. */
@@ -156,6 +156,11 @@
     return contents.table.removals(wallMillis, keptMillis);
   }
 
+  /** Returns the offsets of the cancellations of workflows that were not submitted. */
+  public synchronized Map<String, Long> unsubmittedCancellations() {
+    return contents.table.unsubmittedCancellations();
+  }
+
   /** Returns the number of workflows of a queue without a started task. */
   public synchronized int pendingCount(String queue) {
     return contents.table.pendingCount(queue);
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnerSessionStartTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnerSessionStartTest.java
@@ -22,6 +22,7 @@
 import org.persimmonloom.core.workflow.TableRecord;
 import org.persimmonloom.core.workflow.WorkflowRecords;
 import org.persimmonloom.core.workflow.WorkflowSpec;
+import org.persimmonloom.core.workflow.WorkflowState;
 
 /** Tests when a term of ownership starts tasks, with one worker that answers all calls. */
 class OwnerSessionStartTest {
@@ -110,6 +111,55 @@
     assertThat(worker.started.await(5, TimeUnit.SECONDS)).isTrue();
   }
 
+  /**
+   * Guards against tasks of a workflow that was submitted after its cancellation, and against
+   * records of it that stay.
+   */
+  @Test
+  void workflowThatIsSubmittedAfterItsCancellationStartsNothing() throws Exception {
+    WorkflowRecords records = new WorkflowRecords();
+    WorkflowSpec spec = PeerAppendTest.workflow();
+    log.append(Table.WORKERS, new KeyedLog.Sequence("w1", 1, 1), List.of(RECORD));
+    log.append(
+        Table.WORKFLOWS,
+        new KeyedLog.Sequence("host", 1, 1),
+        List.of(records.cancellation(spec.id())));
+    operations.apply(new StoredRecord(0, RECORD));
+    follower.start();
+    session.start();
+    assertThat(worker.polled.await(5, TimeUnit.SECONDS)).isTrue();
+
+    log.append(
+        Table.WORKFLOWS, new KeyedLog.Sequence("host", 1, 2), List.of(records.submission(spec)));
+    assertThat(worker.started.await(600, TimeUnit.MILLISECONDS)).isFalse();
+    assertThat(workflows.state(spec.id())).contains(WorkflowState.CANCELLED);
+    assertThat(log.records(Table.WORKFLOWS))
+        .anyMatch(
+            record ->
+                record.key().equals(records.submissionRemoval(spec.id()).key())
+                    && record.value() == null);
+  }
+
+  /**
+   * Guards against a new owner that starts a workflow which was submitted after its cancellation.
+   */
+  @Test
+  void workflowThatWasSubmittedAfterItsCancellationStartsNothingInTheNextTerm() throws Exception {
+    WorkflowRecords records = new WorkflowRecords();
+    WorkflowSpec spec = PeerAppendTest.workflow();
+    log.append(Table.WORKERS, new KeyedLog.Sequence("w1", 1, 1), List.of(RECORD));
+    log.append(
+        Table.WORKFLOWS,
+        new KeyedLog.Sequence("host", 1, 1),
+        List.of(records.cancellation(spec.id()), records.submission(spec)));
+    operations.apply(new StoredRecord(0, RECORD));
+    follower.start();
+    session.start();
+    assertThat(worker.polled.await(5, TimeUnit.SECONDS)).isTrue();
+    assertThat(worker.started.await(600, TimeUnit.MILLISECONDS)).isFalse();
+    assertThat(workflows.state(spec.id())).contains(WorkflowState.CANCELLED);
+  }
+
   /**
    * Guards against a task that starts again after its end: a start waits behind others of its
    * worker until another owner may have followed.
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/UnknownWorkflowTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/UnknownWorkflowTest.java
@@ -92,6 +92,7 @@
   /** One host's way to the store, which may be cut or be slow. */
   private final class StallingLog implements KeyedLog {
     volatile boolean isCut;
+    volatile boolean isRefusingAppends;
     volatile int reads;
     volatile Runnable beforeAnswer = () -> {};
 
@@ -113,7 +114,9 @@
 
     @Override
     public AppendResult append(Table table, Sequence sequence, List<TableRecord> records) {
-      return isCut ? new AppendResult.Refused("cut off") : store.append(table, sequence, records);
+      return isCut || isRefusingAppends
+          ? new AppendResult.Refused("cut off")
+          : store.append(table, sequence, records);
     }
 
     @Override
@@ -315,6 +318,44 @@
     }
   }
 
+  /**
+   * Guards against tasks that start after an acknowledged cancellation: the submission had no
+   * answer and is appended after the cancellation has found nothing.
+   */
+  @Test
+  void submissionThatIsAppendedAfterItsCancellationStaysCancelled() throws Exception {
+    assertThat(cancel(asked)).isEqualTo(SubmissionService.Result.UNKNOWN_WORKFLOW);
+    assertThat(asked.submissions.lookUp(ID).isUnknown()).isTrue();
+    assertThat(cancel(asked)).isEqualTo(SubmissionService.Result.UNKNOWN_WORKFLOW);
+    acceptElsewhere();
+    assertThat(asked.submissions.lookUp(ID).state()).contains(WorkflowState.CANCELLED);
+    assertThat(asked.submissions.pendingCount("q")).isZero();
+    Host loading = new Host(directory);
+    loading.loadOnce();
+    assertThat(loading.submissions.lookUp(ID).state()).contains(WorkflowState.CANCELLED);
+  }
+
+  /**
+   * Guards against a repeated submission that arrives after the cancellation and is carried out.
+   */
+  @Test
+  void submissionThatIsRepeatedAfterItsCancellationStaysCancelled() {
+    assertThat(cancel(asked)).isEqualTo(SubmissionService.Result.UNKNOWN_WORKFLOW);
+    assertThat(asked.submissions.submit(PeerAppendTest.workflow()).join())
+        .isEqualTo(SubmissionService.Result.ACCEPTED);
+    asked.follower.refresh();
+    assertThat(asked.submissions.lookUp(ID).state()).contains(WorkflowState.CANCELLED);
+    assertThat(asked.submissions.pendingCount("q")).isZero();
+  }
+
+  /** Guards against an acknowledged cancellation whose record was refused. */
+  @Test
+  void cancellationOfAnUnknownWorkflowIsRefusedIfItCannotBeRecorded() {
+    asked.log.isRefusingAppends = true;
+    assertThat(cancel(asked)).isEqualTo(SubmissionService.Result.REFUSED);
+    assertThat(store.records(Table.WORKFLOWS)).isEmpty();
+  }
+
   /** Guards against a host that has started lately and takes its missing table for an empty one. */
   @Test
   void nothingIsUnknownToAHostThatHasNotLoadedItsTable() {
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/WorkflowReplicaTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/WorkflowReplicaTest.java
@@ -40,6 +40,18 @@
     assertThat(passed).contains("later");
   }
 
+  /** Guards against a workflow that nobody has submitted and that is shown all the same. */
+  @Test
+  void cancellationOfAnUnknownWorkflowIsNotShown() {
+    WorkflowSpec spec = PeerAppendTest.workflow();
+    apply(records.cancellation(spec.id()));
+    assertThat(replica.state(spec.id())).isEmpty();
+    assertThat(replica.pendingCount("q")).isZero();
+    apply(records.submission(spec));
+    assertThat(replica.state(spec.id())).contains(WorkflowState.CANCELLED);
+    assertThat(replica.pendingCount("q")).isZero();
+  }
+
   /**
    * Guards against an owner that copies all progress of a workflow for each record of it: a series
    * of 16,000 occurrences stopped its work for 12 s.
