Start no task by a table that is too old to show its cancellation

The owner asked only for the age of its renewal before a start. Renewals and reads of the workflows are separate calls, so that an owner whose reads alone failed or hung went on to start by what it knew.

A start is now decided and sent only while what the owner's loop has applied is younger than 2,200 ms, counted from when the read was sent: with the limit of a call to a worker, 450 ms, it arrives within 3,000 ms of a cancellation that the owner does not know. The owner's reads wait 500 ms instead of 1,000 ms, since the age of an idle table comes close to two waits (measured in the tests: 1,016 to 2,019 ms at a wait of 1,000 ms). From 1,200 ms on the table is read by a second call, because the follower's own may be stuck.

OwnerPermissionTest passes the age of the table as a new argument; its assertions are the same.

--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerAges.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerAges.java
@@ -17,7 +17,7 @@
    * Creates the ages of one term.
    *
    * @param renewalMillis time since the term's last renewal was sent, in ms
-   * @param workflowsMillis time since the workflows were read up to their end, in ms
+   * @param workflowsMillis age of what the owner's loop has applied of the workflows, in ms
    */
   OwnerAges(LongSupplier renewalMillis, LongSupplier workflowsMillis, WorkflowMetrics metrics) {
     this.renewalMillis = renewalMillis;
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerPermission.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerPermission.java
@@ -3,7 +3,7 @@
 import java.util.function.LongSupplier;
 
 /**
- * What an owner may still do, by the time since its last renewal.
+ * What an owner may still do, by the time since its last renewal and the age of what it knows.
  *
  * <p>Orders to workers carry the fence and leases, so an owner goes on with them through a usual
  * outage of the store. Hosts have no leases, so orders about them need a recent renewal. Safe for
@@ -18,6 +18,7 @@
       Ownership.CLAIM_AFTER_MILLIS - HOST_ORDER_RENEWAL_TIMEOUT_MILLIS;
 
   private final LongSupplier renewalAgeMillis;
+  private final LongSupplier workflowsAgeMillis;
   private final long renewalTimeoutMillis;
   private volatile boolean isEnded;
 
@@ -25,10 +26,13 @@
    * Creates the permission of one term.
    *
    * @param renewalAgeMillis time since the last renewal, in ms
+   * @param workflowsAgeMillis age of the workflows by which the owner decides, in ms
    * @param renewalTimeoutMillis time without a renewal after which no orders are sent, in ms
    */
-  OwnerPermission(LongSupplier renewalAgeMillis, long renewalTimeoutMillis) {
+  OwnerPermission(
+      LongSupplier renewalAgeMillis, LongSupplier workflowsAgeMillis, long renewalTimeoutMillis) {
     this.renewalAgeMillis = renewalAgeMillis;
+    this.workflowsAgeMillis = workflowsAgeMillis;
     this.renewalTimeoutMillis = renewalTimeoutMillis;
   }
 
@@ -44,10 +48,13 @@
   /**
    * Returns whether tasks may be started: no other host can have owned the fleet since the last
    * renewal. A worker that has started again has seen no fence, so that it would take a start of an
-   * owner whose successor has already given the task to another worker.
+   * owner whose successor has already given the task to another worker. And a cancellation that the
+   * owner does not know yet was acknowledged so recently that the start may still follow it.
    */
   boolean mayStartTasks() {
-    return !isEnded && renewalAgeMillis.getAsLong() < Ownership.CLAIM_AFTER_MILLIS;
+    return !isEnded
+        && renewalAgeMillis.getAsLong() < Ownership.CLAIM_AFTER_MILLIS
+        && workflowsAgeMillis.getAsLong() < KnownWorkflows.MAX_START_AGE_MILLIS;
   }
 
   boolean mayOrderHosts() {
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnerSession.java
@@ -57,6 +57,7 @@
   private final HostOrderAnnouncements announcements;
   private final HostOrderGate hostOrderGate;
   private final OwnerLoop loop;
+  private final KnownWorkflows knownWorkflows;
   private final ThreadPoolExecutor callExecutor;
   private final TableWriter writer;
   private final TableFollower workerFollower;
@@ -82,18 +83,20 @@
     this.services = services;
     this.stepDown = stepDown;
     fence = term.fence();
-    permission =
-        new OwnerPermission(renewalAgeMillis, services.scheduling().ownerRenewalTimeoutMillis());
-    announcements = new HostOrderAnnouncements(services, fence);
-    hostOrderGate = new HostOrderGate(permission::mayOrderHosts);
     load = new OwnerLoad(services.metrics());
     loop = new OwnerLoop(fence, load);
-    ages =
-        new OwnerAges(renewalAgeMillis, services.workflowFollower()::ageMillis, services.metrics());
-    summary = new OwnerSummary(fence, load, ages);
-    runLog = new RunLog(fence, ages, services.metrics());
     callExecutor =
         (ThreadPoolExecutor) Executors.newCachedThreadPool(DaemonThreads.named("owner-call"));
+    knownWorkflows =
+        new KnownWorkflows(fence, services.workflowFollower(), loop::execute, callExecutor);
+    LongSupplier workflowsAge = knownWorkflows::ageMillis;
+    long renewalTimeoutMillis = services.scheduling().ownerRenewalTimeoutMillis();
+    permission = new OwnerPermission(renewalAgeMillis, workflowsAge, renewalTimeoutMillis);
+    announcements = new HostOrderAnnouncements(services, fence);
+    hostOrderGate = new HostOrderGate(permission::mayOrderHosts);
+    ages = new OwnerAges(renewalAgeMillis, workflowsAge, services.metrics());
+    summary = new OwnerSummary(fence, load, ages);
+    runLog = new RunLog(fence, ages, services.metrics());
     permitRequests = new PermitRequests(services.placementPolicy(), callExecutor, services.clock());
     writer =
         new TableWriter(
@@ -145,7 +148,7 @@
       hostOrderGate.close(HOST_ORDERS_STOP_WAIT_MILLIS);
       announcements.stop();
       services.workflows().removeObserver();
-      services.workflowFollower().setPauseMillis(FleetServices.FOLLOWER_PAUSE_MILLIS);
+      knownWorkflows.stop();
       services.operations().setObserver(() -> {});
       workerFollower.stop();
       if (machines != null) {
@@ -240,7 +243,7 @@
                 loop.execute(() -> handleTakeover(newFence));
               }
             });
-    services.workflowFollower().setPauseMillis(FleetServices.OWNER_PAUSE_MILLIS);
+    knownWorkflows.start();
     workerFollower.start();
     loop.repeat(this::pass, PASS_INTERVAL_MILLIS);
     loop.repeat(this::logSummary, SUMMARY_INTERVAL_MILLIS);
@@ -287,6 +290,7 @@
   private void pass() {
     long started = System.nanoTime();
     isPassPending = false;
+    knownWorkflows.update();
     ages.record();
     decideAndSend(now());
     load.recordPass(System.nanoTime() - started);
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/TableFollower.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/TableFollower.java
@@ -74,6 +74,7 @@
   private final Thread thread;
   private volatile boolean isStopped;
   private volatile long pauseMillis;
+  private volatile int waitLimitMillis = Integer.MAX_VALUE;
   private volatile boolean isLoaded;
   private volatile long caughtUpMillis = Long.MIN_VALUE / 2;
   private volatile long readStartMillis = NO_READ;
@@ -129,6 +130,11 @@
     }
   }
 
+  /** Limits the wait time of the reads that follow, in ms. */
+  void setWaitLimitMillis(int millis) {
+    waitLimitMillis = millis;
+  }
+
   /** Returns whether the table is loaded. */
   public boolean isLoaded() {
     return isLoaded;
@@ -143,7 +149,12 @@
 
   /** Returns the time since the last read that reached the table's end was sent, in ms. */
   long ageMillis() {
-    return clock.getAsLong() - caughtUpMillis;
+    return nowMillis() - caughtUpMillis;
+  }
+
+  /** Returns the present time on the clock of {@link #caughtUpMillis}, in ms. */
+  long nowMillis() {
+    return clock.getAsLong();
   }
 
   /** Returns whether the last read reached the log. */
@@ -263,8 +274,8 @@
       return;
     }
     long previousEnd = end();
-    Progress progress =
-        applyRead(timed(() -> log.read(table, previousEnd, waitMillis)), sentMillis);
+    int wait = Math.min(waitMillis, waitLimitMillis);
+    Progress progress = applyRead(timed(() -> log.read(table, previousEnd, wait)), sentMillis);
     boolean hasNew = end() > previousEnd;
     if (progress == Progress.BEHIND && !listener.needsEveryRecord()) {
       load(sentMillis);
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnerPermissionTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnerPermissionTest.java
@@ -9,8 +9,20 @@
   @Test
   void noTasksAreStartedOnceOthersMayClaim() {
     long claimAfter = Ownership.CLAIM_AFTER_MILLIS;
-    assertThat(new OwnerPermission(() -> claimAfter - 1, 8_000).mayStartTasks()).isTrue();
-    assertThat(new OwnerPermission(() -> claimAfter, 8_000).mayStartTasks()).isFalse();
-    assertThat(new OwnerPermission(() -> Long.MAX_VALUE, 8_000).mayStartTasks()).isFalse();
+    assertThat(new OwnerPermission(() -> claimAfter - 1, () -> 0, 8_000).mayStartTasks()).isTrue();
+    assertThat(new OwnerPermission(() -> claimAfter, () -> 0, 8_000).mayStartTasks()).isFalse();
+    assertThat(new OwnerPermission(() -> Long.MAX_VALUE, () -> 0, 8_000).mayStartTasks()).isFalse();
+  }
+
+  /**
+   * Guards against starts that reach their worker, in a call of up to 450 ms, more than 3,000 ms
+   * after a cancellation that the owner does not know.
+   */
+  @Test
+  void noTasksAreStartedByAnOldTable() {
+    long latest = 3_000 - 450;
+    assertThat(new OwnerPermission(() -> 0, () -> latest, 8_000).mayStartTasks()).isFalse();
+    assertThat(new OwnerPermission(() -> 0, () -> latest, 8_000).mayOrderWorkers()).isTrue();
+    assertThat(new OwnerPermission(() -> 0, () -> 1_500, 8_000).mayStartTasks()).isTrue();
   }
 }
