Hand over if the owner's table of the workflows stays old

Callers saw tasks of cancelled workflows run on: an owner whose reads of the workflows fail while its renewals succeed kept the ownership and never stopped them, since a handover was made only when renewals went through other hosts.

An owner whose table is older than 3,600 ms now asks other hosts whether they would claim, and hands over if one would. Hosts are candidates while their own table is younger than 2,500 ms, so that an outage of the whole store leaves none. A host claims only while its table is that young or after a read on demand; without this the host that handed over could claim again, and any host could own the fleet without being able to load what it decides by. The table of other hosts is asked for when the claim is due, so that a claim after an outage does not wait for the next read of the follower.

Ownership.setMayClaim takes a supplier, which three tests pass as () -> true; their assertions are the same.

--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/Ownership.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/Ownership.java
@@ -2,6 +2,7 @@
 
 import java.time.InstantSource;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -32,7 +33,6 @@
   private static final Logger LOG = LogManager.getLogger(Ownership.class);
   private static final long RENEWAL_INTERVAL_MILLIS = 500;
   static final long CLAIM_AFTER_MILLIS = 1_800;
-
   private static final int MAX_RELEASE_RETRIES = 2;
   private static final int READ_WAIT_MILLIS = 500;
   private static final long RETRY_DELAY_MILLIS = 100;
@@ -52,7 +52,7 @@
   private final Thread thread;
   private final Renewals renewals;
   private volatile boolean isStopping;
-  private volatile boolean mayClaim;
+  private volatile BooleanSupplier mayClaim = () -> false;
   private volatile boolean isHandoverRequested;
   private volatile long fence = -1;
 
@@ -117,8 +117,8 @@
     isHandoverRequested = isOwner();
   }
 
-  /** Sets whether this host may claim the ownership. */
-  void setMayClaim(boolean mayClaim) {
+  /** Sets what tells whether this host may claim the ownership; asked when it would claim. */
+  void setMayClaim(BooleanSupplier mayClaim) {
     this.mayClaim = mayClaim;
   }
 
@@ -211,16 +211,17 @@
       return;
     }
     noteRead(result == OwnershipTable.ReadResult.NEW_RECORDS);
-    OwnershipRecord newest = table.newest();
     if (isOwnCurrentTerm()) {
       // The claim succeeded, but its response was lost or arrived after the timeout.
-      gain(new OwnershipTerm(newest.fence(), false, 0), renewals.earliestUnconfirmed());
+      gain(new OwnershipTerm(table.newest().fence(), false, 0), renewals.earliestUnconfirmed());
       return;
     }
     boolean isUnowned = isUnowned();
-    boolean isSilent = lastReadMillis - unchangedSinceMillis >= CLAIM_AFTER_MILLIS;
-    if (mayClaim && (isUnowned || isSilent)) {
+    boolean isFree = isUnowned || lastReadMillis - unchangedSinceMillis >= CLAIM_AFTER_MILLIS;
+    if (isFree && mayClaim.getAsBoolean()) {
       claim(isUnowned);
+    } else if (isFree) {
+      TimeUnit.MILLISECONDS.sleep(RETRY_DELAY_MILLIS);
     }
   }
 
@@ -231,7 +232,7 @@
 
   /** Returns the wait time of a read, which ends at the latest when this host may claim. */
   private int readWaitMillis(long nowMillis) {
-    if (mayClaim && isUnowned()) {
+    if (isUnowned()) {
       return 0;
     }
     long untilClaim = unchangedSinceMillis + CLAIM_AFTER_MILLIS - nowMillis;
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnershipPlacement.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/OwnershipPlacement.java
@@ -28,6 +28,13 @@
   /** Maximum number of hosts queried per check. */
   private static final int MAX_HOSTS_PER_CHECK = 3;
 
+  /**
+   * Age of its table from which an owner hands over. It exceeds the age at which other hosts stop
+   * being candidates, 2.5 s, by a wait of the follower's reads, so that an outage of the whole
+   * store leaves no candidate.
+   */
+  static final long OLD_TABLE_MILLIS = 3_600;
+
   private final HostDirectory hosts;
   private final double processors;
   private final Predicate<String> mayClaim;
@@ -69,4 +76,22 @@
     }
     return shouldHandOver;
   }
+
+  /**
+   * Returns whether this host, as the owner, should hand over since its table of the workflows is
+   * old and that of a host that would claim is not. Blocks while it queries other hosts.
+   */
+  boolean shouldHandOverOldTable(long workflowsAgeMillis) {
+    return workflowsAgeMillis >= OLD_TABLE_MILLIS
+        && hosts.otherAddresses().stream().limit(MAX_HOSTS_PER_CHECK).anyMatch(this::isCandidate);
+  }
+
+  /** Asks a host, and prefers another one for the next check if it would not claim. */
+  private boolean isCandidate(String address) {
+    boolean isCandidate = mayClaim.test(address);
+    if (!isCandidate) {
+      hosts.recordFailure(address);
+    }
+    return isCandidate;
+  }
 }
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowHost.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowHost.java
@@ -146,7 +146,7 @@
     hostWriter.start();
     peerServer.start();
     hostWriter.append(List.of(hosts.registration(registration)), Long.MAX_VALUE);
-    ownership.setMayClaim(true);
+    ownership.setMayClaim(this::canDecide);
     ownership.start();
     placementLoop.scheduleWithFixedDelay(
         this::checkPlacement,
@@ -157,9 +157,16 @@
 
   private void checkPlacement() {
     try {
-      if (ownership.isOwner() && placement.shouldHandOver(clock.getAsLong())) {
+      if (!ownership.isOwner()) {
+        return;
+      }
+      long ageMillis = workflowFollower.ageMillis();
+      if (placement.shouldHandOver(clock.getAsLong())) {
         LOG.info("event=ownership_handed_over processors={}", registration.processors());
         ownership.handOver();
+      } else if (placement.shouldHandOverOldTable(ageMillis)) {
+        LOG.info("event=ownership_handed_over cause=workflows_old age_ms={}", ageMillis);
+        ownership.handOver();
       }
     } catch (RuntimeException e) {
       LOG.error("event=placement_failed", e);
@@ -170,6 +177,11 @@
     return !isStopping && submissions.isCurrent();
   }
 
+  /** Returns whether this host could decide as the owner; reads the workflows if they are old. */
+  private boolean canDecide() {
+    return submissions.isCurrent() || workflowFollower.refresh();
+  }
+
   /**
    * Marks this host as not ready and releases the ownership; requests are still served. Workers
    * keep reporting ended runs that are not recorded yet, so the next owner receives them.
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/LateReadsLog.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/LateReadsLog.java
@@ -40,7 +40,7 @@
   @Override
   public LogReadResult read(Table table, long from, int waitMillis) {
     if (table != Table.WORKFLOWS) {
-      return log.read(table, from, waitMillis);
+      return readWaiting(table, from, waitMillis);
     }
     if (waitMillis == 0) {
       immediateReads.incrementAndGet();
@@ -48,21 +48,21 @@
     if (reads == Reads.FAILING) {
       return new LogReadResult.Unavailable("failing");
     }
-    LogReadResult result = readWaiting(from, waitMillis);
+    LogReadResult result = readWaiting(table, from, waitMillis);
     sleep(delayMillis);
     hang();
     return reads == Reads.FAILING ? new LogReadResult.Unavailable("failing") : result;
   }
 
-  private LogReadResult readWaiting(long from, int waitMillis) {
+  private LogReadResult readWaiting(Table table, long from, int waitMillis) {
     long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(waitMillis);
-    LogReadResult result = log.read(Table.WORKFLOWS, from, waitMillis);
+    LogReadResult result = log.read(table, from, waitMillis);
     while (result instanceof LogReadResult.Records records
         && records.records().isEmpty()
         && System.nanoTime() < endNanos
-        && reads == Reads.USUAL) {
+        && (table != Table.WORKFLOWS || reads == Reads.USUAL)) {
       sleep(POLL_MILLIS);
-      result = log.read(Table.WORKFLOWS, from, waitMillis);
+      result = log.read(table, from, waitMillis);
     }
     return result;
   }
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnershipPlacementTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnershipPlacementTest.java
@@ -43,6 +43,34 @@
     assertThat(placement.shouldHandOver(2_000)).isTrue();
   }
 
+  /**
+   * Guards against an owner that keeps the ownership while it learns of no cancellation, and
+   * against a handover in an outage of the whole store.
+   */
+  @Test
+  void ownerHandsOverAnOldTableOnlyToHostThatWouldClaim() {
+    register("middle", "middle:1", 0.1);
+    long oldMillis = OwnershipPlacement.OLD_TABLE_MILLIS;
+    assertThat(placement.shouldHandOverOldTable(oldMillis)).isFalse();
+    claimingAddresses.add("middle:1");
+    assertThat(placement.shouldHandOverOldTable(oldMillis - 1)).isFalse();
+    assertThat(placement.shouldHandOverOldTable(oldMillis)).isTrue();
+  }
+
+  /** Guards against hosts that were killed and hide the one that would claim. */
+  @Test
+  void candidatesForAnOldTableAreAskedInTurn() {
+    for (int number = 1; number <= 8; number++) {
+      register("host" + number, "host" + number + ":1", 0.36);
+    }
+    claimingAddresses.add("host7:1");
+    boolean isFound = false;
+    for (int check = 0; check < 8 && !isFound; check++) {
+      isFound = placement.shouldHandOverOldTable(OwnershipPlacement.OLD_TABLE_MILLIS);
+    }
+    assertThat(isFound).isTrue();
+  }
+
   /** Guards against frequent handovers. */
   @Test
   void handoversOfOneHostKeepMinimumInterval() {
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnershipRenewalTimeTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnershipRenewalTimeTest.java
@@ -80,7 +80,7 @@
   }
 
   private void start() {
-    ownership.setMayClaim(true);
+    ownership.setMayClaim(() -> true);
     ownership.start();
   }
 
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnershipTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnershipTest.java
@@ -54,7 +54,7 @@
               this::now,
               () -> claimDelayMillis,
               this);
-      ownership.setMayClaim(true);
+      ownership.setMayClaim(() -> true);
     }
 
     private Instant now() {
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/ThreadsAfterErrorsTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/ThreadsAfterErrorsTest.java
@@ -62,7 +62,7 @@
               @Override
               public void ownershipLost() {}
             });
-    ownership.setMayClaim(true);
+    ownership.setMayClaim(() -> true);
     ownership.start();
     assertThat(gained.await(5, TimeUnit.SECONDS)).isTrue();
     ownership.stop();
