--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/FakeKeyedLog.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/FakeKeyedLog.java
@@ -47,7 +47,11 @@
   /** Maximum number of records that a read returns. */
   volatile int maxRecordsPerRead = Integer.MAX_VALUE;
 
+  /** Called before records are read from an offset. */
+  volatile Runnable beforeRead = () -> {};
+
   private int appendCount;
+  private int refusedReads;
 
   private List<StoredRecord> table(Table table) {
     return tables.computeIfAbsent(table, key -> new ArrayList<>());
@@ -57,13 +61,20 @@
     return appendCount;
   }
 
+  /** Returns the number of reads from an offset while the log was down. */
+  synchronized int refusedReads() {
+    return refusedReads;
+  }
+
   synchronized List<TableRecord> records(Table table) {
     return table(table).stream().map(StoredRecord::record).toList();
   }
 
   @Override
   public synchronized LogReadResult read(Table table, long from, int waitMillis) {
+    beforeRead.run();
     if (isDown) {
+      refusedReads++;
       return new LogReadResult.Unavailable("down");
     }
     if (expiredReads > 0) {
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnerOldTableTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnerOldTableTest.java
@@ -21,6 +21,7 @@
 import org.persimmonloom.core.scheduling.Order;
 import org.persimmonloom.core.scheduling.SchedulingSettings;
 import org.persimmonloom.core.scheduling.WorkerReport;
+import org.persimmonloom.core.workflow.StepSpec;
 import org.persimmonloom.core.workflow.TableRecord;
 import org.persimmonloom.core.workflow.WorkflowRecords;
 import org.persimmonloom.core.workflow.WorkflowSpec;
@@ -65,13 +66,17 @@
 
   private int appends;
 
+  /** Answer to each order. */
+  private volatile CompletableFuture<CallResult> answer =
+      CompletableFuture.completedFuture(CallResult.ACCEPTED);
+
   private final class AnsweringWorker implements WorkerGateway {
     @Override
     public CompletableFuture<CallResult> send(Order order, long fence) {
       if (order instanceof Order.Start) {
         starts.add(order.task().toString());
       }
-      return CompletableFuture.completedFuture(CallResult.ACCEPTED);
+      return answer;
     }
 
     @Override
@@ -98,10 +103,14 @@
   }
 
   private void submit(String id) {
+    submit(id, PeerAppendTest.workflow().steps());
+  }
+
+  private void submit(String id, List<StepSpec> steps) {
     WorkflowSpec spec = PeerAppendTest.workflow();
     append(
         new WorkflowRecords()
-            .submission(new WorkflowSpec(id, spec.policy(), "", spec.steps(), 0, 0, 0, 1)));
+            .submission(new WorkflowSpec(id, spec.policy(), "", steps, 0, 0, 0, 1)));
   }
 
   private void append(TableRecord record) {
@@ -129,6 +138,29 @@
     assertThat(starts.poll(3, TimeUnit.SECONDS)).startsWith("f2");
   }
 
+  /**
+   * Guards against starts that were decided in time and wait behind others of their worker until
+   * the table is old.
+   */
+  @Test
+  void queuedStartIsNotSentOnceTheTableIsOld() throws Exception {
+    append(new WorkflowRecords().cancellation("f1"));
+    StepSpec step = PeerAppendTest.workflow().steps().get(0);
+    CompletableFuture<CallResult> late = new CompletableFuture<>();
+    answer = late;
+    submit("f2", List.of(step, step, step, step, step, step));
+    TimeUnit.MILLISECONDS.sleep(300);
+    addWorker();
+    assertThat(starts.poll(1_000, TimeUnit.MILLISECONDS)).startsWith("f2");
+    assertThat(starts.poll(1_000, TimeUnit.MILLISECONDS)).startsWith("f2");
+
+    ownLog.reads = LateReadsLog.Reads.FAILING;
+    append(new WorkflowRecords().cancellation("f2"));
+    TimeUnit.MILLISECONDS.sleep(CANCEL_MILLIS);
+    late.complete(CallResult.ACCEPTED);
+    assertThat(starts.poll(1_000, TimeUnit.MILLISECONDS)).isNull();
+  }
+
   /** Guards against a read that stands still and keeps an owner from starting for seconds. */
   @Test
   void readThatHangsIsReplacedByAnother() throws Exception {
