Play histories with cancellations before the submission

A cancellation of an unknown workflow may be followed by its submission, by repeats of it, loads of the table and changes of the owner. The new option fails at any start of such a workflow.

--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/WorkflowHistory.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/WorkflowHistory.java
@@ -46,7 +46,7 @@
   private static final String QUEUE = "q";
 
   /** Which events a history has beside submissions, progress and changes of the owner. */
-  record Options(boolean hasReroutes, boolean hasRepeatsOfNewRoute) {}
+  record Options(boolean hasReroutes, boolean hasRepeatsOfNewRoute, boolean hasEarlyCancels) {}
 
   private static final class Host {
     final WorkflowReplica replica = new WorkflowReplica();
@@ -126,6 +126,10 @@
 
     private void pass() {
       for (Order order : scheduler.decide(now, now)) {
+        if (order instanceof Order.Start start
+            && cancelledEarly.contains(start.task().workflow())) {
+          throw new AssertionError("start of " + start.task() + ", which was cancelled before");
+        }
         CallResult result =
             isReachable(order.worker().id())
                 ? workers.execute(order, fence, now)
@@ -211,6 +215,7 @@
   private final List<Term> terms = new ArrayList<>();
   private final List<Repeat> repeats = new ArrayList<>();
   private final List<String> submitted = new ArrayList<>();
+  private final Set<String> cancelledEarly = new HashSet<>();
   private final HistoryWorkers workers = new HistoryWorkers(2, this::checkRecorded);
   private String currentService = "s1";
 
@@ -280,6 +285,10 @@
     if (random.nextInt(25) == 0) {
       WorkflowSpec spec = workflow("w" + submitted.size());
       submitted.add(spec.id());
+      if (options.hasEarlyCancels() && random.nextInt(4) == 0) {
+        cancelledEarly.add(spec.id());
+        append(records.cancellation(spec.id()));
+      }
       append(records.submission(spec));
       for (int count = random.nextInt(3); count > 0; count--) {
         repeats.add(new Repeat(now + random.nextInt((int) MAX_REPEAT_DELAY_MILLIS), spec));
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/WorkflowHistoryTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/WorkflowHistoryTest.java
@@ -36,7 +36,7 @@
    */
   @Test
   void noTaskRunsTwiceAfterRepeatedSubmissionsAndLoads() {
-    play(new WorkflowHistory.Options(false, false));
+    play(new WorkflowHistory.Options(false, false, false));
   }
 
   /**
@@ -45,13 +45,22 @@
    */
   @Test
   void noTaskRunsTwiceWhileItsQueueIsRoutedToAndFro() {
-    play(new WorkflowHistory.Options(true, false));
+    play(new WorkflowHistory.Options(true, false, false));
   }
 
   /** Guards against the same, with submissions that are repeated with the route of their time. */
   @Test
   void noTaskRunsTwiceAfterItsSubmissionIsRepeatedWithAnotherRoute() {
-    play(new WorkflowHistory.Options(true, true));
+    play(new WorkflowHistory.Options(true, true, false));
+  }
+
+  /**
+   * Guards against tasks of a workflow that was cancelled before its submission was written, also
+   * after repeated submissions, loads of the table and changes of the owner.
+   */
+  @Test
+  void workflowThatWasCancelledBeforeItsSubmissionStartsNothing() {
+    play(new WorkflowHistory.Options(true, false, true));
   }
 
   /**
@@ -60,7 +69,8 @@
    */
   @Test
   void noTaskRunsTwiceAfterAnUnrecordedStartOnAnotherRoute() {
-    WorkflowHistory history = new WorkflowHistory(339, new WorkflowHistory.Options(true, false));
+    WorkflowHistory history =
+        new WorkflowHistory(339, new WorkflowHistory.Options(true, false, false));
     assertThatCode(() -> history.play(STEPS)).doesNotThrowAnyException();
   }
 }
