Count the search of a cancellation within its caller's deadline

A caller that cancelled a workflow unknown to the host could get its answer after its deadline: the search for the workflow, up to 1 s, ran before cancel() returned, and the wait for the record, up to the whole deadline, began only then. The search also held one of the listener's threads.

cancel() now returns at once; the record is appended when the search ends. cancellationReturnsBeforeTheSearchEnds fails before the change.

--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/SubmissionService.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/SubmissionService.java
@@ -99,7 +99,10 @@
    * then.
    */
   public CompletableFuture<Result> cancel(String id) {
-    WorkflowLookup lookup = search.search(id, "cancel").join();
+    return search.search(id, "cancel").thenCompose(lookup -> cancel(id, lookup));
+  }
+
+  private CompletableFuture<Result> cancel(String id, WorkflowLookup lookup) {
     if (lookup.isUnknown()) {
       return append(id, "cancel_unknown", List.of(records.cancellation(id)))
           .thenApply(result -> result == Result.ACCEPTED ? Result.UNKNOWN_WORKFLOW : result);
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/UnknownWorkflowTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/UnknownWorkflowTest.java
@@ -310,6 +310,21 @@
     assertThat(asked.log.reads).isLessThan(10);
   }
 
+  /**
+   * Guards against a cancellation that is answered after its caller's deadline, since the wait for
+   * the record begins only after the search.
+   */
+  @Test
+  void cancellationReturnsBeforeTheSearchEnds() throws Exception {
+    CountDownLatch end = new CountDownLatch(1);
+    asked.log.beforeAnswer = () -> awaitAtMost(end, 5_000);
+    CompletableFuture<SubmissionService.Result> result = asked.submissions.cancel(ID);
+    assertThat(result).isNotDone();
+    end.countDown();
+    assertThat(result.get(5, TimeUnit.SECONDS))
+        .isEqualTo(SubmissionService.Result.UNKNOWN_WORKFLOW);
+  }
+
   private static void awaitAtMost(CountDownLatch latch, long millis) {
     try {
       latch.await(millis, TimeUnit.MILLISECONDS);
