Let requests at the same time share the reads of a table

Cause: each request for a workflow that the replica lacks called refresh(), which read all missing records by itself, beside the follower and all other requests. In a trial with counters one host read the same page of 0.52 MB six times at once over a link of 7 Mbit/s, took 5 s for it, and was further behind afterwards. Following the table needs 0.3 to 0.4 MB/s there, in calm seconds.

Change: reads of records that are known to be missing take turns (ReadTurn). A call of refresh() that waited returns if a read that was sent after it has reached the end, or if one has failed meanwhile. It waits 1 s at most for its turn. The follower reads without its turn after that time, so that a read which does not end cannot make the replica old. A follower that was at the end waits for new records as before. The times of reads move to ReadTimer, without a change.

Measured: TableRefreshTest.requestsAtTheSameTimeReadMissingRecordsOnce fails before (180 records read, 20 are missing) and passes now; the other three guard the change and the two of them that were written before it pass without it, too. The workflow and caller tests of runtime pass.

--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/TableFollower.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/TableFollower.java
@@ -62,7 +62,6 @@
 
   private static final Logger LOG = LogManager.getLogger(TableFollower.class);
   private static final long RETRY_DELAY_MILLIS = 100;
-  private static final long NO_READ = Long.MIN_VALUE;
 
   private final KeyedLog log;
   private final Table table;
@@ -71,16 +70,19 @@
   private final int waitMillis;
   private final ReentrantLock lock = new ReentrantLock();
   private final Condition pauseChanged = lock.newCondition();
+  private final ReadTurn readTurn = new ReadTurn();
+  private final ReadTimer readTimer;
   private final Thread thread;
   private volatile boolean isStopped;
   private volatile long pauseMillis;
   private volatile boolean isLoaded;
   private volatile long caughtUpMillis = Long.MIN_VALUE / 2;
-  private volatile long readStartMillis = NO_READ;
-  private volatile String lastReadResult = "none";
-  private volatile long lastReadMillis;
   private volatile long loads;
   private long nextOffset;
+
+  /** Whether the last read or load of the follower's thread reached the table's end. */
+  private boolean wasAtEnd;
+
   private volatile boolean wasAvailable = true;
 
   /**
@@ -103,6 +105,7 @@
     this.clock = clock;
     this.waitMillis = waitMillis;
     this.pauseMillis = pauseMillis;
+    readTimer = new ReadTimer(clock);
     thread = new Thread(this::run, "follow-" + table.name().toLowerCase(java.util.Locale.ROOT));
     thread.setDaemon(true);
   }
@@ -161,51 +164,9 @@
     }
   }
 
-  /**
-   * The follower's own reads, which explain the age of its table. Reads by {@link #refresh} are not
-   * included.
-   *
-   * @param lastResult result of the last read that has ended
-   * @param lastMillis duration of that read in ms
-   * @param inProgressMillis time since the read in progress began, in ms; 0 between reads
-   * @param loads number of loads of the whole table
-   */
-  record ReadStatus(String lastResult, long lastMillis, long inProgressMillis, long loads) {
-    @Override
-    public String toString() {
-      return "last_read=%s last_read_ms=%d reading_ms=%d loads=%d"
-          .formatted(lastResult, lastMillis, inProgressMillis, loads);
-    }
-  }
-
-  /** Returns the state of the follower's reads at the monotonic time, in ms. */
-  ReadStatus readStatus(long nowMillis) {
-    long startMillis = readStartMillis;
-    long inProgressMillis = startMillis == NO_READ ? 0 : nowMillis - startMillis;
-    return new ReadStatus(lastReadResult, lastReadMillis, inProgressMillis, loads);
-  }
-
-  /** Carries out a read of the follower's thread. */
-  private LogReadResult timed(Supplier<LogReadResult> read) {
-    long startMillis = clock.getAsLong();
-    readStartMillis = startMillis;
-    try {
-      LogReadResult result = read.get();
-      lastReadResult = describe(result);
-      return result;
-    } finally {
-      lastReadMillis = clock.getAsLong() - startMillis;
-      readStartMillis = NO_READ;
-    }
-  }
-
-  private static String describe(LogReadResult result) {
-    if (result instanceof LogReadResult.Records records) {
-      return "records:" + records.records().size();
-    }
-    return result instanceof LogReadResult.Unavailable unavailable
-        ? "unavailable:" + unavailable.reason().replace(' ', '_')
-        : "expired";
+  /** Returns the state of the follower's own reads at the monotonic time, in ms. */
+  ReadTimer.Status readStatus(long nowMillis) {
+    return readTimer.status(nowMillis, loads);
   }
 
   /** Position of the replica after a read. */
@@ -218,22 +179,47 @@
     FAILED
   }
 
-  /** Reads up to the current end of the table; returns whether that succeeded. */
+  /**
+   * Reads up to the current end of the table; returns whether that succeeded. Calls at the same
+   * time share their reads, and fail together with one that they wait for.
+   */
   public boolean refresh() {
+    long calledMillis = clock.getAsLong();
     while (isLoaded) {
-      long sentMillis = clock.getAsLong();
-      long previousEnd = end();
-      Progress progress = applyRead(log.read(table, previousEnd, 0), sentMillis);
-      if (progress == Progress.AT_END) {
-        return true;
-      }
-      if (progress != Progress.BEHIND || end() == previousEnd) {
+      if (!readTurn.tryBegin()) {
         return false;
       }
+      try {
+        if (caughtUpMillis > calledMillis) {
+          return true;
+        }
+        if (readTurn.hasFailedSince(calledMillis)) {
+          return false;
+        }
+        long previousEnd = end();
+        Progress progress = readInTurn(() -> log.read(table, previousEnd, 0));
+        if (progress == Progress.AT_END) {
+          return true;
+        }
+        if (progress != Progress.BEHIND || end() == previousEnd) {
+          return false;
+        }
+      } finally {
+        readTurn.end();
+      }
     }
     return false;
   }
 
+  private Progress readInTurn(Supplier<LogReadResult> read) {
+    long sentMillis = clock.getAsLong();
+    Progress progress = applyRead(read.get(), sentMillis);
+    if (progress == Progress.FAILED) {
+      readTurn.failed(clock.getAsLong());
+    }
+    return progress;
+  }
+
   private void run() {
     while (!isStopped) {
       try {
@@ -264,7 +250,10 @@
     }
     long previousEnd = end();
     Progress progress =
-        applyRead(timed(() -> log.read(table, previousEnd, waitMillis)), sentMillis);
+        wasAtEnd
+            ? applyRead(readTimer.timed(() -> log.read(table, previousEnd, waitMillis)), sentMillis)
+            : catchUp();
+    wasAtEnd = progress == Progress.AT_END;
     boolean hasNew = end() > previousEnd;
     if (progress == Progress.BEHIND && !listener.needsEveryRecord()) {
       load(sentMillis);
@@ -277,6 +266,19 @@
     }
   }
 
+  /** Reads records that are known to be missing, or are after a failure. */
+  private Progress catchUp() {
+    // Without its turn it reads all the same, so that no other read holds up the replica for long.
+    boolean hasTurn = readTurn.tryBegin();
+    try {
+      return readInTurn(() -> readTimer.timed(() -> log.read(table, end(), 0)));
+    } finally {
+      if (hasTurn) {
+        readTurn.end();
+      }
+    }
+  }
+
   private void pause() throws InterruptedException {
     lock.lock();
     try {
@@ -290,7 +292,7 @@
   }
 
   private void load(long sentMillis) throws InterruptedException {
-    LogReadResult result = timed(() -> log.readNewest(table));
+    LogReadResult result = readTimer.timed(() -> log.readNewest(table));
     logAvailabilityChange(result);
     if (!(result instanceof LogReadResult.Records records)) {
       TimeUnit.MILLISECONDS.sleep(RETRY_DELAY_MILLIS);
@@ -305,6 +307,7 @@
     Load load = listener.beginLoad();
     newest.inOrder().forEach(stored -> skipOnFailure(load::add, stored));
     if (publish(load, newest.end(), sentMillis)) {
+      wasAtEnd = true;
       LOG.info("event=table_loaded table={} end={}", table, newest.end());
     }
   }
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/CutOffLog.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/CutOffLog.java
@@ -7,7 +7,7 @@
 import org.persimmonloom.core.workflow.TableRecord;
 
 /** One host's way to the platform's log, which may be cut. Safe for any thread. */
-final class CutOffLog implements KeyedLog {
+class CutOffLog implements KeyedLog {
   /** What a call gets. */
   enum Cut {
     /** An answer that nothing was done. */
@@ -16,7 +16,7 @@
     SILENT
   }
 
-  private static final long SILENCE_MILLIS = 1_000;
+  static final long SILENCE_MILLIS = 1_000;
 
   private final KeyedLog log;
 
