Let the tests of unknown workflows not depend on the speed of the machine

At a load average of 38 on 8 cores questionsAboutUnknownWorkflowsShareReads failed once (10 reads, fewer than 10 wanted): its 40 callers arrived over half a second, so that more reads were due. It now asks 40 questions while the reads stand still, and allows 3 reads instead of 9.

--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/UnknownWorkflowTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/UnknownWorkflowTest.java
@@ -222,7 +222,7 @@
     peer.loadOnce();
     peer.serve();
     asked.log.isCut = true;
-    assertThat(asked.submissions.lookUp(ID).isUnknown()).isTrue();
+    await(() -> asked.submissions.lookUp(ID).isUnknown());
     acceptElsewhere();
     assertThat(asked.submissions.lookUp(ID).state()).contains(WorkflowState.PENDING);
   }
@@ -244,9 +244,9 @@
     peer.loadOnce();
     peer.serve();
     asked.log.isCut = true;
-    long started = CLOCK.getAsLong();
-    assertThat(asked.submissions.lookUp(ID).isUnknown()).isTrue();
+    await(() -> asked.submissions.lookUp(ID).isUnknown());
     acceptElsewhere();
+    long started = CLOCK.getAsLong();
     assertThat(asked.submissions.lookUp(ID).state()).contains(WorkflowState.PENDING);
     assertThat(CLOCK.getAsLong() - started).isLessThan(MAX_ANSWER_MILLIS);
   }
@@ -294,20 +294,19 @@
   /** Guards against a flood of reads by questions about workflows that do not exist. */
   @Test
   void questionsAboutUnknownWorkflowsShareReads() throws Exception {
-    asked.log.beforeAnswer = () -> awaitAtMost(new CountDownLatch(1), 100);
-    ExecutorService callers = Executors.newFixedThreadPool(40);
-    cleanups.add(callers::shutdownNow);
-    List<CompletableFuture<WorkflowLookup>> lookups =
+    CountDownLatch end = new CountDownLatch(1);
+    asked.log.beforeAnswer = () -> awaitAtMost(end, 5_000);
+    List<CompletableFuture<SubmissionService.Result>> results =
         IntStream.range(0, 40)
-            .mapToObj(
-                number ->
-                    CompletableFuture.supplyAsync(
-                        () -> asked.submissions.lookUp("none" + number), callers))
+            .mapToObj(number -> asked.submissions.cancel("none" + number))
             .toList();
-    for (CompletableFuture<WorkflowLookup> lookup : lookups) {
-      assertThat(lookup.get(5, TimeUnit.SECONDS).isUnknown()).isTrue();
+    end.countDown();
+    for (CompletableFuture<SubmissionService.Result> result : results) {
+      assertThat(result.get(5, TimeUnit.SECONDS))
+          .isEqualTo(SubmissionService.Result.UNKNOWN_WORKFLOW);
     }
-    assertThat(asked.log.reads).isLessThan(10);
+    // Two in progress, and one that begins after the last question.
+    assertThat(asked.log.reads).isLessThanOrEqualTo(3);
   }
 
   /**
