Answer questions after a read that could not begin

If the thread of a shared read could not be created, the read counted as in progress for ever, and its callers and those that had joined it were never answered. After two of them each question about an unknown workflow on that host ended in 503 until its restart. SharedReads took back the place of a read only if its executor had stopped; now it does after any failure, and answers that the read has failed.

Two of the three tests of SharedReadsTest failed before: the error reached the caller, or the thread of the earlier read, and later reads did not begin. They pass now. The third guards what holds: no read that began before the question.

--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/SharedReads.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/SharedReads.java
@@ -55,11 +55,19 @@
       executor.execute(() -> run(result));
     } catch (RejectedExecutionException e) {
       // The host is stopping.
-      inProgress--;
-      result.complete(false);
+      notBegun(result);
+    } catch (RuntimeException | Error e) {
+      // There may be no memory for another thread now.
+      LOG.error("event=attempt_failed", e);
+      notBegun(result);
     }
   }
 
+  private synchronized void notBegun(CompletableFuture<Boolean> result) {
+    inProgress--;
+    result.complete(false);
+  }
+
   private void run(CompletableFuture<Boolean> result) {
     boolean isRead = false;
     try {
