Keep the cancellation of a workflow after its state is removed

The tasks of a cancelled workflow started when a submission without an answer was appended more than three minutes after the end. A host repeats such a submission until the store answers, so that an outage of minutes is enough; the client's repeat through another host was accepted and cancelled meanwhile. The cancellation of an unknown workflow is kept for ten minutes for this reason, but that of a submitted one was removed with its state, after status_s and a minute.

It now stays, is not shown, and is removed as that of an unknown workflow.

submissionAfterTheStateOfACancelledWorkflowWasRemovedStartsNothing failed before (PENDING instead of CANCELLED) and passes. The other test guards that the record does not stay for good; it passes before and after.

--- a/core/src/main/java/org/persimmonloom/core/workflow/WorkflowTable.java
+++ b/core/src/main/java/org/persimmonloom/core/workflow/WorkflowTable.java
@@ -100,7 +100,9 @@
   }
 
   /**
-   * Returns the records that remove workflows whose retention time after their end has passed.
+   * Returns the records that remove workflows whose retention time after their end has passed. A
+   * cancellation stays, so that a submission that is appended later starts nothing; see {@link
+   * #unsubmittedCancellations}.
    *
    * @param wallMillis current Unix time
    * @param keptMillis retention time of an ended workflow
@@ -117,9 +119,6 @@
         entry
             .recordedOccurrences()
             .forEach(number -> removals.add(records.progressRemoval(entry.id(), number)));
-        if (entry.isCancelled()) {
-          removals.add(records.cancellationRemoval(entry.id()));
-        }
       }
     }
     return removals;
