Show that a late submission runs a complete workflow again

The records of a complete workflow are removed after status_s and a minute. A submission without an answer that is appended later, after an outage of more than three minutes, counts as new: its tasks run a second time. Tagged known-red; a record that outlasts the state, as that of a cancellation does, would have to be kept for each workflow.

--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/LateSubmissionTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/LateSubmissionTest.java
@@ -4,10 +4,12 @@
 
 import java.time.Instant;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.persimmonloom.core.scheduling.SchedulingSettings;
 import org.persimmonloom.core.workflow.OccurrenceProgress;
@@ -88,13 +90,16 @@
   private void submitAndCancel() throws InterruptedException {
     append(records.submission(PeerAppendTest.workflow()));
     append(records.cancellation(ID));
+    end(WorkflowState.CANCELLED);
+  }
+
+  private void end(WorkflowState state) throws InterruptedException {
     int[] runs = {0};
     append(
         records.progress(
             ID,
             0,
-            new OccurrenceProgress(
-                "q", WorkflowState.CANCELLED, new byte[0], runs, new int[1][0], now.get())));
+            new OccurrenceProgress("q", state, new byte[0], runs, new int[1][0], now.get())));
     append(records.submissionRemoval(ID));
   }
 
@@ -108,6 +113,17 @@
     assertThat(workflows.state(ID)).contains(WorkflowState.CANCELLED);
   }
 
+  /** Guards against work that is done a second time. */
+  @Test
+  @Tag("known-red")
+  void submissionAfterTheStateOfACompleteWorkflowWasRemovedStartsNothing() throws Exception {
+    append(records.submission(PeerAppendTest.workflow()));
+    end(WorkflowState.COMPLETE);
+    removeExpiredAfter(OUTAGE_MILLIS);
+    append(records.submission(PeerAppendTest.workflow()));
+    assertThat(workflows.state(ID)).isNotEqualTo(Optional.of(WorkflowState.PENDING));
+  }
+
   /** Guards against cancellations that are kept for good. */
   @Test
   void cancellationIsRemovedAfterTheStateOfItsWorkflow() throws Exception {
