Run a shared action again after a run that could not begin

If the thread of a SharedAttempt could not be created, its run counted as in progress for ever: an owner read the workflows no more on demand, and a host verified its configuration neither by the log nor by other hosts. The error also ended the owner's pass, or the request. Such a run now ends at once, as one that fails does.

actionRunsAgainAfterAThreadCouldNotBeCreated failed before with the error and passes; RequestRouterTest and OwnerOldTableTest pass.

--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/SharedAttempt.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/SharedAttempt.java
@@ -44,11 +44,21 @@
     if (last.end.isDone()) {
       CompletableFuture<Void> end = new CompletableFuture<>();
       last = new Run(clock.getAsLong(), end);
-      executor.execute(() -> run(end));
+      begin(end);
     }
     return last;
   }
 
+  private void begin(CompletableFuture<Void> end) {
+    try {
+      executor.execute(() -> run(end));
+    } catch (RuntimeException | Error e) {
+      // The host is stopping, or there may be no memory for another thread now.
+      LOG.error("event=attempt_failed", e);
+      end.complete(null);
+    }
+  }
+
   private void run(CompletableFuture<Void> end) {
     try {
       action.run();
