Show that a trickling read of missing records holds all starts back

Since reads of missing records take turns, a read of the follower that has begun after a failure or behind the end keeps the turn until it ends. Reads have a limit for the time without data only, so one that trickles may take very long. The owner's reads on demand wait 1 s for the turn and give up, so its table gets too old for starts while other connections work.

Tagged known-red: reads without a turn load a small link, which the turns are for.

--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnerOldTableTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/OwnerOldTableTest.java
@@ -12,6 +12,7 @@
 import java.util.function.LongSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -170,6 +171,21 @@
     assertThat(starts.poll(1_000, TimeUnit.MILLISECONDS)).startsWith("f1");
   }
 
+  /**
+   * Guards against a read of missing records that trickles, as reads have no total time limit: the
+   * owner's own reads wait for its turn and give up.
+   */
+  @Test
+  @Tag("known-red")
+  void readThatHangsAfterAFailureIsReplacedByAnother() throws Exception {
+    ownLog.reads = LateReadsLog.Reads.FAILING;
+    TimeUnit.MILLISECONDS.sleep(300);
+    ownLog.reads = LateReadsLog.Reads.ONE_HANGING;
+    TimeUnit.MILLISECONDS.sleep(CANCEL_MILLIS);
+    addWorker();
+    assertThat(starts.poll(1_000, TimeUnit.MILLISECONDS)).startsWith("f1");
+  }
+
   /** Guards against starts that wait during an outage that is too short to matter. */
   @Test
   void shortOutageOfReadsHoldsNoStartBack() throws Exception {
