--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/TableFollower.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/TableFollower.java
@@ -393,8 +393,8 @@
     boolean isAvailable = !(result instanceof LogReadResult.Unavailable);
     if (isAvailable != wasAvailable) {
       wasAvailable = isAvailable;
-      Object shown = isAvailable ? "ok" : result;
-      LOG.info("event=table_{} table={} result={}", isAvailable ? "regained" : "lost", table, shown);
+      String change = isAvailable ? "regained" : "lost";
+      LOG.info("event=table_{} table={} result={}", change, table, isAvailable ? "ok" : result);
     }
   }
 }
--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/KnownWorkflowsTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/KnownTableTest.java
@@ -12,15 +12,23 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
-/** Tests from when the age of an owner's workflows counts, with a loop that the test runs. */
-class KnownWorkflowsTest {
+/** Tests from when the age of an owner's table counts, with a loop that the test runs. */
+class KnownTableTest {
   private final FakeKeyedLog log = new FakeKeyedLog();
   private final AtomicLong clock = new AtomicLong(10_000);
   private final Queue<Runnable> loop = new ArrayDeque<>();
   private final Queue<Runnable> calls = new ArrayDeque<>();
   private final TableFollower follower =
       new TableFollower(log, Table.WORKFLOWS, new WorkflowReplica(), clock::get, 0, 0);
-  private final KnownWorkflows known = new KnownWorkflows(5, follower, loop::add, calls::add);
+  private final AtomicLong requestedPasses = new AtomicLong();
+  private final KnownTable known =
+      new KnownTable(
+          KnownTable.WORKFLOWS,
+          5,
+          follower,
+          loop::add,
+          calls::add,
+          requestedPasses::incrementAndGet);
 
   @BeforeEach
   void loadTable() throws Exception {
@@ -90,7 +98,7 @@
   @Test
   void idleTableIsNotReadOnDemand() throws Exception {
     CountDownLatch polls = new CountDownLatch(20);
-    KnownWorkflows[] idle = new KnownWorkflows[1];
+    KnownTable[] idle = new KnownTable[1];
     KeyedLog idleLog =
         (KeyedLog)
             Proxy.newProxyInstance(
@@ -105,7 +113,8 @@
                 });
     TableFollower idleFollower =
         new TableFollower(idleLog, Table.WORKFLOWS, new WorkflowReplica(), clock::get, 1_000, 0);
-    idle[0] = new KnownWorkflows(5, idleFollower, Runnable::run, calls::add);
+    idle[0] =
+        new KnownTable(KnownTable.WORKFLOWS, 5, idleFollower, Runnable::run, calls::add, () -> {});
     idle[0].start();
     idleFollower.start();
     assertThat(polls.await(10, TimeUnit.SECONDS)).isTrue();
@@ -114,7 +123,7 @@
   }
 
   /** Lets the wait of a read pass, and the owner decide all the time. */
-  private void passDuringRead(KnownWorkflows idle, int waitMillis) {
+  private void passDuringRead(KnownTable idle, int waitMillis) {
     for (int passed = 0; passed < waitMillis; passed += 10) {
       clock.addAndGet(10);
       idle.update();
@@ -133,4 +142,22 @@
     run(loop);
     assertThat(known.ageMillis()).isEqualTo(900);
   }
+
+  /** Guards against starts that wait for the next regular pass once the table is young again. */
+  @Test
+  void passIsRequestedOnceWhenAnOldTableIsYoungAgain() {
+    known.start();
+    run(loop);
+    requestedPasses.set(0);
+    clock.addAndGet(3_000);
+    known.update();
+    run(calls);
+    assertThat(requestedPasses).hasValue(0);
+    known.update();
+    run(loop);
+    assertThat(requestedPasses).hasValue(1);
+    known.update();
+    run(loop);
+    assertThat(requestedPasses).hasValue(1);
+  }
 }
