--- a/core/src/test/java/org/persimmonloom/core/scheduling/RepeatedSubmissionTakeoverTest.java
+++ b/core/src/test/java/org/persimmonloom/core/scheduling/RepeatedSubmissionTakeoverTest.java
@@ -29,8 +29,7 @@
   }
 
   private void submit(String payload, int repeatCount) {
-    List<StepSpec> steps =
-        List.of(SchedulerFixture.step(1, 500, List.of()));
+    List<StepSpec> steps = List.of(SchedulerFixture.step(1, 500, List.of()));
     fleet.apply(
         fleet.records.submission(
             new WorkflowSpec(
