Show that a repeated cancellation may be removed unread

The owner removes an old cancellation of an unknown workflow by a table that may be 2.5 s old. One that is recorded and acknowledged again in that time is removed with it, so that a submission in flight would start. Tagged known-red: the removal would have to be conditional on the end of the table.

--- a/runtime/src/test/java/org/persimmonloom/runtime/workflow/LateSubmissionTest.java
+++ b/runtime/src/test/java/org/persimmonloom/runtime/workflow/LateSubmissionTest.java
@@ -124,6 +124,27 @@
     assertThat(workflows.state(ID)).isNotEqualTo(Optional.of(WorkflowState.PENDING));
   }
 
+  /** Guards against the removal of a cancellation that the owner has not read yet. */
+  @Test
+  @Tag("known-red")
+  void cancellationThatIsRepeatedJustBeforeItsRemovalStays() throws Exception {
+    append(records.cancellation(ID));
+    removeExpiredAfter(OUTAGE_MILLIS);
+    now.addAndGet(3 * OUTAGE_MILLIS);
+    while (follower.ageMillis() > 0) {
+      TimeUnit.MILLISECONDS.sleep(5);
+    }
+    follower.stop();
+    TimeUnit.MILLISECONDS.sleep(100);
+    appended++;
+    TableRecord repeated = records.cancellation(ID);
+    log.append(Table.WORKFLOWS, new KeyedLog.Sequence("host", 1, appended), List.of(repeated));
+    removal.removeExpired(now.get());
+    TimeUnit.MILLISECONDS.sleep(100);
+    List<TableRecord> all = log.records(Table.WORKFLOWS);
+    assertThat(all.get(all.size() - 1).value()).isNotNull();
+  }
+
   /** Guards against cancellations that are kept for good. */
   @Test
   void cancellationIsRemovedAfterTheStateOfItsWorkflow() throws Exception {
