--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/ReadTurn.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/ReadTurn.java
@@ -10,7 +10,7 @@
  * link. Waiting readers see the result of the read before theirs, and need not repeat it.
  */
 final class ReadTurn {
-  /** As long as one read may take without data. */
+  /** A read fails after this time without data. */
   private static final long MAX_WAIT_MILLIS = 1_000;
 
   private final ReentrantLock lock = new ReentrantLock(true);
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/SharedReads.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/SharedReads.java
@@ -14,7 +14,7 @@
 final class SharedReads {
   private static final Logger LOG = LogManager.getLogger(SharedReads.class);
 
-  /** More than one, so that a read without an answer does not hold up later callers. */
+  /** One at work, and one that waits for it and follows at once; see {@link ReadTurn}. */
   private static final int MAX_IN_PROGRESS = 2;
 
   private final Executor executor;
