Ask other hosts by one piece of code

The removal of ended workflows takes the age of a current replica from the search instead of a constant of its own. No behaviour and no figure changes.

--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/ConfigurationVerifier.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/ConfigurationVerifier.java
@@ -22,15 +22,6 @@
 final class ConfigurationVerifier {
   private static final Logger LOG = LogManager.getLogger(ConfigurationVerifier.class);
 
-  /** Several, since the store may turn some of them away too, and some may stand still. */
-  private static final int MAX_PEERS_ASKED = 3;
-
-  /** Time after which other hosts are asked beside the log; several usual reads. */
-  private static final long PEER_DELAY_MILLIS = 150;
-
-  /** Time that another host waits for this host's read. */
-  private static final long PEER_ANSWER_MILLIS = 300;
-
   /** Pause after failed reads, during which further decisions do not wait. */
   private static final long RETRY_INTERVAL_MILLIS = 300;
 
@@ -43,7 +34,8 @@
   private final LongSupplier clock;
   private final ExecutorService threads;
   private final SharedAttempt logRead;
-  private final SharedAttempt peerQueries;
+  private final PeerQueries peerQueries;
+  private final SharedAttempt peerAttempt;
   private volatile long confirmedByPeersMillis = NEVER;
 
   /** When the last read on demand has failed; reset by one that succeeds. */
@@ -67,7 +59,8 @@
     this.clock = clock;
     threads = Executors.newCachedThreadPool(DaemonThreads.named("verify-configuration"));
     logRead = new SharedAttempt(threads, clock, follower::refresh);
-    peerQueries = new SharedAttempt(threads, clock, this::queryPeers);
+    peerQueries = new PeerQueries(hosts, follower, threads);
+    peerAttempt = new SharedAttempt(threads, clock, () -> peerQueries.first(this::query).join());
   }
 
   void stop() {
@@ -129,15 +122,13 @@
   /** Asks other hosts once the read of the log has failed, or soon if it has no answer. */
   private CompletableFuture<Void> queryPeersUnlessConfirmed(
       CompletableFuture<Void> byLog, long neededMillis) {
-    CompletableFuture<Void> delay = new CompletableFuture<>();
-    delay.completeOnTimeout(
-        null, follower.isAvailable() ? PEER_DELAY_MILLIS : 0, TimeUnit.MILLISECONDS);
-    return CompletableFuture.anyOf(byLog, delay)
+    return peerQueries
+        .readOrDelay(byLog)
         .thenCompose(
             any ->
                 isConfirmedAt(neededMillis)
                     ? CompletableFuture.completedFuture(null)
-                    : peerQueries.runSince(neededMillis));
+                    : peerAttempt.runSince(neededMillis));
   }
 
   private void completeIfConfirmed(CompletableFuture<Boolean> result, long neededMillis) {
@@ -158,7 +149,7 @@
             ? CompletableFuture.completedFuture(null)
             : logRead.runSince(clock.getAsLong() - maxAgeMillis);
     return read.copy()
-        .completeOnTimeout(null, PEER_ANSWER_MILLIS, TimeUnit.MILLISECONDS)
+        .completeOnTimeout(null, PeerQueries.ANSWER_MILLIS, TimeUnit.MILLISECONDS)
         .thenApply(ended -> answer(version));
   }
 
@@ -176,31 +167,20 @@
             });
   }
 
-  /** Asks other hosts at the same time; returns after the first recent answer or the last one. */
-  private void queryPeers() {
-    List<String> addresses = hosts.otherAddresses();
-    CompletableFuture<Void> recentAnswer = new CompletableFuture<>();
-    CompletableFuture<?>[] queries =
-        addresses.stream()
-            .limit(MAX_PEERS_ASKED)
-            .map(address -> CompletableFuture.runAsync(() -> query(address, recentAnswer), threads))
-            .toArray(CompletableFuture<?>[]::new);
-    CompletableFuture.allOf(queries).whenComplete((all, error) -> recentAnswer.complete(null));
-    recentAnswer.join();
-  }
-
-  private void query(String address, CompletableFuture<Void> recentAnswer) {
+  /** Asks a host for the newest configuration; empty unless the answer is recent. */
+  private Optional<PeerClient.Configuration> query(String address) {
     long sentMillis = clock.getAsLong();
     long version = operations.configuration().map(FleetConfiguration::version).orElse(-1L);
     Optional<PeerClient.Configuration> answer =
         peers.configuration(address, version, RequestRouter.MAX_AGE_OF_UNKNOWN_MILLIS);
     answer.ifPresent(configuration -> adopt(configuration, sentMillis, address));
-    if (answer.isPresent() && isRecent(answer.get())) {
+    Optional<PeerClient.Configuration> recent = answer.filter(ConfigurationVerifier::isRecent);
+    if (recent.isPresent()) {
       hosts.recordSuccess(address);
-      recentAnswer.complete(null);
     } else {
       hosts.recordFailure(address);
     }
+    return recent;
   }
 
   private static boolean isRecent(PeerClient.Configuration answer) {
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/EndedWorkflowRemoval.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/EndedWorkflowRemoval.java
@@ -27,9 +27,6 @@
    */
   private static final long UNSUBMITTED_KEPT_MILLIS = 600_000;
 
-  /** Maximum age of the table by which a workflow counts as not submitted. */
-  private static final long MAX_TABLE_AGE_MILLIS = 2_500;
-
   private final WorkflowRecords records = new WorkflowRecords();
 
   /** Cancellations of workflows that were not submitted, by the identifiers of the workflows. */
@@ -70,7 +67,8 @@
   }
 
   private List<TableRecord> unsubmittedRemovals(long nowMillis) {
-    if (services.workflowFollower().ageMillis() > MAX_TABLE_AGE_MILLIS) {
+    // An old table may lack the submission.
+    if (services.workflowFollower().ageMillis() > WorkflowSearch.MAX_REPLICA_AGE_MILLIS) {
       return List.of();
     }
     Map<String, Long> present = services.workflows().unsubmittedCancellations();
--- a/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowSearch.java
+++ b/runtime/src/main/java/org/persimmonloom/runtime/workflow/WorkflowSearch.java
@@ -27,16 +27,7 @@
    * Maximum time since this host's replica caught up with the log for the replica to count as
    * current.
    */
-  private static final long MAX_REPLICA_AGE_MILLIS = 2_500;
-
-  /** Several, since the store may turn some of them away too, and some may stand still. */
-  private static final int MAX_PEERS_ASKED = 3;
-
-  /** Time after which other hosts are asked beside the log; several usual reads. */
-  private static final long PEER_DELAY_MILLIS = 150;
-
-  /** Time that another host waits for this host's read; less than the timeout of its query. */
-  private static final long PEER_ANSWER_MILLIS = 300;
+  static final long MAX_REPLICA_AGE_MILLIS = 2_500;
 
   /** Time that a caller waits; one call to the platform, and more than the queries to hosts. */
   private static final long WAIT_MILLIS = 1_000;
@@ -52,6 +43,7 @@
   private final ExecutorService threads =
       Executors.newCachedThreadPool(DaemonThreads.named("search-workflow"));
   private final SharedReads reads;
+  private final PeerQueries peerQueries;
   private final LogLimit unknownLines = new LogLimit(UNKNOWN_WORKFLOW_LINES_PER_SECOND);
 
   /**
@@ -73,6 +65,7 @@
     this.metrics = metrics;
     this.clock = clock;
     reads = new SharedReads(threads, follower::refresh);
+    peerQueries = new PeerQueries(hosts, follower, threads);
   }
 
   void stop() {
@@ -148,10 +141,8 @@
       CompletableFuture<Boolean> read,
       CompletableFuture<WorkflowLookup> result,
       List<String> peerAnswers) {
-    CompletableFuture<Void> delay = new CompletableFuture<>();
-    delay.completeOnTimeout(
-        null, follower.isAvailable() ? PEER_DELAY_MILLIS : 0, TimeUnit.MILLISECONDS);
-    return CompletableFuture.anyOf(read, delay)
+    return peerQueries
+        .readOrDelay(read)
         .thenCompose(
             any ->
                 result.isDone() || (read.isDone() && read.join())
@@ -162,21 +153,7 @@
   /** Asks other hosts at the same time; returns the first answer that is accepted. */
   private CompletableFuture<Optional<PeerClient.StateAnswer>> queryPeers(
       String id, List<String> answers, Predicate<PeerClient.StateAnswer> isAccepted) {
-    CompletableFuture<Optional<PeerClient.StateAnswer>> first = new CompletableFuture<>();
-    CompletableFuture<?>[] queries =
-        hosts.otherAddresses().stream()
-            .limit(MAX_PEERS_ASKED)
-            .map(
-                address ->
-                    CompletableFuture.runAsync(
-                        () ->
-                            query(address, id, answers)
-                                .filter(isAccepted)
-                                .ifPresent(answer -> first.complete(Optional.of(answer))),
-                        threads))
-            .toArray(CompletableFuture<?>[]::new);
-    CompletableFuture.allOf(queries).whenComplete((all, error) -> first.complete(Optional.empty()));
-    return first;
+    return peerQueries.first(address -> query(address, id, answers).filter(isAccepted));
   }
 
   private Optional<PeerClient.StateAnswer> query(String address, String id, List<String> answers) {
@@ -200,7 +177,7 @@
     return reads
         .readAfterCall()
         .copy()
-        .completeOnTimeout(false, PEER_ANSWER_MILLIS, TimeUnit.MILLISECONDS)
+        .completeOnTimeout(false, PeerQueries.ANSWER_MILLIS, TimeUnit.MILLISECONDS)
         .thenApply(isRead -> lookUp(id, isRead));
   }
 
